peer: typed calls between hosts over drpc

A host forwards calls to the owner of their program, so faults, answers of a host that is not the owner, and deadlines have to arrive as they left. They travel as typed messages; anything else is a PeerError whose Sent is counted from the bytes that left the connection. A message that can't be right drops the connection and is counted.

--- /dev/null
+++ b/internal/adapter/peer/conn.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+)
+
+// countedConn counts the bytes that left through a connection and bounds the
+// time of each write.
+type countedConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// clientConn is a drpc connection that knows how much it has sent.
+type clientConn struct {
+	*drpcconn.Conn
+	transport *countedConn
+}
+
+func newClientConn(c net.Conn) *clientConn {
+	counted := &countedConn{Conn: c}
+	options := drpcconn.Options{Manager: managerOptions()}
+	return &clientConn{
+		Conn:      drpcconn.NewWithOptions(counted, options),
+		transport: counted,
+	}
+}
+
+func (c *clientConn) sent() int64 { return c.transport.written.Load() }
+
+// reason returns why the connection ended, if it broke the protocol, since a
+// call that was writing only sees that the connection is closed. Otherwise it
+// returns err.
+func (c *clientConn) reason(err error) error {
+	select {
+	case <-c.Closed():
+	default:
+		return err
+	}
+	_, why := c.NewStream(context.Background(), "", nil)
+	if isGarbage(why) {
+		return why
+	}
+	return err
+}
--- /dev/null
+++ b/internal/adapter/peer/convert_gossip.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"time"
+
+	pb "yuccausher/internal/gen/peer"
+	"yuccausher/internal/port"
+)
+
+func hostToProto(h port.Host) *pb.Host {
+	return &pb.Host{
+		Id:            h.ID,
+		DataCentre:    h.DataCentre,
+		Incarnation:   h.Incarnation,
+		ClientAddress: h.ClientAddress,
+	}
+}
+
+func hostFromProto(m *pb.Host) port.Host {
+	return port.Host{
+		ID:            m.GetId(),
+		DataCentre:    m.GetDataCentre(),
+		Incarnation:   m.GetIncarnation(),
+		ClientAddress: m.GetClientAddress(),
+	}
+}
+
+// gossipToProto turns times of the sender's clock into ages.
+func gossipToProto(g port.Gossip, now time.Time) *pb.GossipMessage {
+	m := &pb.GossipMessage{
+		From:          hostToProto(g.From),
+		Leaving:       g.Leaving,
+		ConfigVersion: g.ConfigVersion,
+		Quarantined:   g.Quarantined,
+	}
+	for _, r := range g.Rumours {
+		m.Rumours = append(m.Rumours, &pb.Member{
+			Host:          hostToProto(r.Host),
+			State:         string(r.State),
+			ConfigVersion: r.ConfigVersion,
+			AgeMs:         age(r.Since, now).Milliseconds(),
+		})
+	}
+	return m
+}
+
+// gossipFromProto turns ages into times of the receiver's clock.
+func gossipFromProto(m *pb.GossipMessage, now time.Time) port.Gossip {
+	g := port.Gossip{
+		From:          hostFromProto(m.GetFrom()),
+		Leaving:       m.GetLeaving(),
+		ConfigVersion: m.GetConfigVersion(),
+		Quarantined:   m.GetQuarantined(),
+	}
+	for _, r := range m.GetRumours() {
+		g.Rumours = append(g.Rumours, port.Member{
+			Host:          hostFromProto(r.GetHost()),
+			State:         port.MemberState(r.GetState()),
+			ConfigVersion: r.GetConfigVersion(),
+			Since:         now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
+		})
+	}
+	return g
+}
+
+func age(since, now time.Time) time.Duration {
+	if since.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(since))
+}
+
+// checkGossip says what is wrong with a message, or returns "".
+func checkGossip(m *pb.GossipMessage) string {
+	if m.GetFrom().GetId() == "" {
+		return "no sender"
+	}
+	for _, r := range m.GetRumours() {
+		if r.GetHost().GetId() == "" {
+			return "rumour without a host"
+		}
+		if !knownState(r.GetState()) {
+			return "rumour with an unknown state"
+		}
+	}
+	return ""
+}
+
+func knownState(s string) bool {
+	switch port.MemberState(s) {
+	case port.MemberAlive, port.MemberSuspect, port.MemberLeaving, port.MemberDead:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/adapter/peer/pool.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc/drpcpool"
+)
+
+// The bounds of the connection pool.
+const (
+	dialTimeout = time.Second
+	idleTimeout = 90 * time.Second
+	// idlePerHost bounds the idle connections that are kept for one host.
+	idlePerHost = 32
+	// programSlots and controlSlots bound the calls to one host at a time;
+	// control calls have their own slots, so that load can't hold them up.
+	programSlots = 512
+	controlSlots = 8
+)
+
+// lane separates the slots of control calls from those of programs.
+type lane int
+
+const (
+	laneProgram lane = iota
+	laneControl
+)
+
+// Dialer opens a connection to a host.
+type Dialer func(ctx context.Context, host string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, host string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", host)
+}
+
+type slotKey struct {
+	host string
+	lane lane
+}
+
+// pool hands out connections, each to one call at a time.
+type pool struct {
+	dial  Dialer
+	idle  *drpcpool.Pool[string, *clientConn]
+	slots sync.Map // slotKey -> chan struct{}
+	// closed stops the pool from opening and keeping connections.
+	closed atomic.Bool
+}
+
+func newPool(dial Dialer) *pool {
+	options := drpcpool.Options{Expiration: idleTimeout, KeyCapacity: idlePerHost}
+	return &pool{dial: dial, idle: drpcpool.New[string, *clientConn](options)}
+}
+
+func (p *pool) slot(k slotKey) chan struct{} {
+	if s, ok := p.slots.Load(k); ok {
+		return s.(chan struct{})
+	}
+	size := programSlots
+	if k.lane == laneControl {
+		size = controlSlots
+	}
+	s, _ := p.slots.LoadOrStore(k, make(chan struct{}, size))
+	return s.(chan struct{})
+}
+
+// take waits for a slot and returns an idle or new connection.
+func (p *pool) take(ctx context.Context, k slotKey) (*clientConn, error) {
+	if p.closed.Load() {
+		return nil, &ClosedError{}
+	}
+	slot := p.slot(k)
+	select {
+	case slot <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if c, ok := p.idle.Take(k.host); ok {
+		return c, nil
+	}
+	c, err := p.open(ctx, k.host)
+	if err != nil {
+		<-slot
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *pool) open(ctx context.Context, host string) (*clientConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, host)
+	if err != nil {
+		return nil, err
+	}
+	return newClientConn(c), nil
+}
+
+// put gives a sound connection back.
+func (p *pool) put(k slotKey, c *clientConn) {
+	if p.closed.Load() {
+		p.drop(k, c)
+		return
+	}
+	p.idle.Put(k.host, c)
+	<-p.slot(k)
+}
+
+// drop closes a connection. What runs on it at the other side is cancelled.
+func (p *pool) drop(k slotKey, c *clientConn) {
+	_ = c.Close()
+	<-p.slot(k)
+}
+
+func (p *pool) close() {
+	p.closed.Store(true)
+	_ = p.idle.Close()
+}
