entry: route each program to its owner and try again elsewhere

A host that gets a call seldom owns the program. The router asks itself, the host that was named, or the first of the alive ones, and tries again on a moved partition, a refused dial, a broken connection and an owner found dead, inside the call's timeout and 10 s without an owner. Pieces already passed on are cut by their offset. A refusal that says not_run is passed on only if no other host may have run the call, or if the log names the call before its dispatch.

--- /dev/null
+++ b/internal/entry/router.go
@@ -0,0 +1,193 @@
+// Package entry serves every program from any host: it finds the owner of a
+// program's partition, serves locally or forwards, and tries again elsewhere
+// when ownership moves or a peer is lost.
+//
+// Trying again is always safe, since the owner of a partition attaches a
+// repeated (program, seq, request ID) to the running call or answers it from
+// its record. What can't be repeated is a piece of a streamed answer, and the
+// promise that a request did not run; package entry keeps both.
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/core/config"
+	"yuccausher/internal/core/partition"
+	"yuccausher/internal/fault"
+	"yuccausher/internal/port"
+)
+
+// The time allowed for requests that name no timeout.
+const (
+	defaultCallTimeout  = 60 * time.Second
+	defaultOtherTimeout = 10 * time.Second
+	// replyAllowance is how much longer than a call's timeout the router
+	// waits, so that the owner's own typed answer arrives first.
+	replyAllowance = 500 * time.Millisecond
+)
+
+// Params are what a Router needs. Scope may be nil.
+type Params struct {
+	Config  *config.Holder
+	Members port.Members
+	// Local serves the programs that this host owns.
+	Local port.Programs
+	Peers port.Peers
+	Log   logr.Logger
+	Scope tally.Scope
+}
+
+// Router implements port.Programs for all programs.
+type Router struct {
+	config  *config.Holder
+	members port.Members
+	local   port.Programs
+	peers   port.Peers
+	log     logr.Logger
+	metrics *metrics
+}
+
+var _ port.Programs = (*Router)(nil)
+
+// New returns a Router.
+func New(p Params) *Router {
+	return &Router{
+		config:  p.Config,
+		members: p.Members,
+		local:   p.Local,
+		peers:   p.Peers,
+		log:     p.Log,
+		metrics: newMetrics(p.Scope),
+	}
+}
+
+// Open implements port.Programs.
+func (r *Router) Open(ctx context.Context, spec port.ProgramSpec) (port.ProgramView, error) {
+	req := request{op: "open", key: rootKey(spec), id: spec.RequestID, timeout: defaultOtherTimeout}
+	return route(ctx, r, req, func(ctx context.Context, p port.Programs) (port.ProgramView, error) {
+		return p.Open(ctx, spec)
+	})
+}
+
+// rootKey returns the key of the tree that a new program belongs to.
+func rootKey(spec port.ProgramSpec) string {
+	if spec.Parent != "" {
+		return partition.RootKey(spec.Parent)
+	}
+	return partition.NewRootKey(spec.Firm, spec.RequestID)
+}
+
+// Call implements port.Programs. Pieces that were passed on once are not
+// passed on again, whichever host they come from.
+func (r *Router) Call(ctx context.Context, call port.Call, sink port.Sink) (port.Answer, error) {
+	started := time.Now()
+	timeout := r.callTimeout(call)
+	pieces := &pieces{sink: sink}
+	req := request{
+		op:            "call",
+		key:           partition.RootKey(call.ProgramID),
+		id:            call.RequestID,
+		timeout:       timeout,
+		allowance:     replyAllowance,
+		proofSurvives: r.isRecordedBeforeDispatch(call),
+		gone:          pieces.gone,
+	}
+	return route(ctx, r, req, func(ctx context.Context, p port.Programs) (port.Answer, error) {
+		attempt := call
+		attempt.Timeout = max(time.Millisecond, timeout-time.Since(started))
+		return p.Call(ctx, attempt, pieces.attempt())
+	})
+}
+
+// Program implements port.Programs.
+func (r *Router) Program(ctx context.Context, id string) (port.ProgramView, error) {
+	return route(ctx, r, readOf("program", id), func(ctx context.Context, p port.Programs) (port.ProgramView, error) {
+		return p.Program(ctx, id)
+	})
+}
+
+// History implements port.Programs.
+func (r *Router) History(ctx context.Context, id string) ([]port.Turn, error) {
+	return route(ctx, r, readOf("history", id), func(ctx context.Context, p port.Programs) ([]port.Turn, error) {
+		return p.History(ctx, id)
+	})
+}
+
+// Answer implements port.Programs.
+func (r *Router) Answer(ctx context.Context, id string, seq int64) (port.Answer, bool, error) {
+	type recorded struct {
+		answer  port.Answer
+		running bool
+	}
+	out, err := route(ctx, r, readOf("answer", id), func(ctx context.Context, p port.Programs) (recorded, error) {
+		answer, running, err := p.Answer(ctx, id, seq)
+		return recorded{answer: answer, running: running}, err
+	})
+	return out.answer, out.running, err
+}
+
+// End implements port.Programs.
+func (r *Router) End(ctx context.Context, id string) (port.ProgramView, error) {
+	return route(ctx, r, readOf("end", id), func(ctx context.Context, p port.Programs) (port.ProgramView, error) {
+		return p.End(ctx, id)
+	})
+}
+
+func readOf(op, id string) request {
+	return request{op: op, key: partition.RootKey(id), timeout: defaultOtherTimeout}
+}
+
+// callTimeout returns the call's own timeout, or that of its model, operation
+// or service.
+func (r *Router) callTimeout(call port.Call) time.Duration {
+	if call.Timeout > 0 {
+		return call.Timeout
+	}
+	snapshot := r.config.Current()
+	if snapshot == nil {
+		return defaultCallTimeout
+	}
+	if ms := configuredTimeout(snapshot, call); ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return defaultCallTimeout
+}
+
+func configuredTimeout(s *config.Snapshot, call port.Call) int64 {
+	if call.Kind == port.KindModel {
+		if m := s.Model(call.Model); m != nil {
+			return m.TimeoutMS
+		}
+		return 0
+	}
+	service := s.Service(call.Service)
+	if service == nil {
+		return 0
+	}
+	for _, o := range service.Operations {
+		if o.Name == call.Operation && o.TimeoutMS > 0 {
+			return o.TimeoutMS
+		}
+	}
+	return service.TimeoutMS
+}
+
+// isRecordedBeforeDispatch says whether the log names the call before it
+// leaves for a target. Then the next owner can prove that it did not run.
+func (r *Router) isRecordedBeforeDispatch(call port.Call) bool {
+	if call.Kind != port.KindService {
+		return false
+	}
+	s := r.config.Current()
+	return s == nil || !call.Idempotent || !s.IsIdempotent(call.Service, call.Operation)
+}
+
+// errNoConfig is the refusal of a host without a configuration.
+func errNoConfig(id string) *fault.Fault {
+	return fault.New(fault.NotReady, fault.NotRun, "host has no configuration yet").
+		WithRequest(id).WithRetryAfter(comeBack())
+}
