httpapi: the outside interface with its limits, metrics and logs

Callers and operators get the calls of version 1 as JSON over gin. Every failure type has a counter that exists before its first event.

--- /dev/null
+++ b/internal/adapter/httpapi/render.go
@@ -0,0 +1,105 @@
+package httpapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"yuccausher/internal/fault"
+)
+
+// The bounds of the advice when to come back.
+const (
+	shortestReturn = 500 * time.Millisecond
+	longestReturn  = 1500 * time.Millisecond
+)
+
+const contentJSON = "application/json; charset=utf-8"
+
+// errorBody is the JSON of every failure.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Type         fault.Type    `json:"type"`
+	Run          fault.Run     `json:"run"`
+	Message      string        `json:"message"`
+	RequestID    string        `json:"request_id"`
+	RetryAfterMS int64         `json:"retry_after_ms,omitempty"`
+	Fields       []fault.Field `json:"fields,omitempty"`
+}
+
+func bodyOf(f *fault.Fault) errorBody {
+	return errorBody{Error: errorDetail{
+		Type:         f.Type,
+		Run:          f.Run,
+		Message:      f.Message,
+		RequestID:    f.RequestID,
+		RetryAfterMS: f.RetryAfter.Milliseconds(),
+		Fields:       f.Fields,
+	}}
+}
+
+// refuse answers with the failure in err.
+func (a *API) refuse(c *gin.Context, err error) {
+	f := fault.Of(err)
+	a.refuseAs(c, fault.Status(f.Type), f)
+}
+
+func (a *API) refuseAs(c *gin.Context, status int, f *fault.Fault) {
+	a.note(f)
+	if f.RetryAfter > 0 {
+		seconds := (f.RetryAfter + time.Second - 1) / time.Second
+		c.Header("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	a.write(c, status, bodyOf(f))
+}
+
+// note counts a failure and logs what a caller is not told.
+func (a *API) note(f *fault.Fault) {
+	a.metrics.refused(f.Type)
+	if f.Type == fault.Internal {
+		a.Log.Error(f.Unwrap(), "Request failed.", "request", f.RequestID)
+		return
+	}
+	a.Log.V(1).Info("Request refused.", "type", f.Type, "run", f.Run, "request", f.RequestID)
+}
+
+// write sends a JSON body within the write timeout.
+func (a *API) write(c *gin.Context, status int, body any) {
+	data, err := encode(body)
+	if err != nil {
+		a.Log.Error(err, "Answer can't be encoded.", "path", c.FullPath())
+		status = http.StatusInternalServerError
+		data, _ = encode(bodyOf(fault.New(fault.Internal, fault.Unknown, "answer can't be encoded")))
+	}
+	a.writeRaw(c, status, data)
+}
+
+func (a *API) writeRaw(c *gin.Context, status int, data []byte) {
+	control := http.NewResponseController(c.Writer)
+	_ = control.SetWriteDeadline(time.Now().Add(a.Limits.WriteTimeout))
+	c.Data(status, contentJSON, data)
+}
+
+// encode keeps the characters of callers' values as they are.
+func encode(v any) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(v); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// comeBack returns a jittered time after which a caller may try again.
+func comeBack() time.Duration {
+	return shortestReturn + rand.N(longestReturn-shortestReturn)
+}
--- /dev/null
+++ b/internal/adapter/metrics/log.go
@@ -0,0 +1,78 @@
+package metrics
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/port"
+)
+
+// appendBuckets bound the time of one append to the log.
+var appendBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+// Log measures the use of another port.Log.
+type Log struct {
+	port.Log
+	appends   tally.Counter
+	records   tally.Counter
+	latency   tally.Histogram
+	refused   tally.Counter
+	limited   tally.Counter
+	ambiguous tally.Counter
+	readFails tally.Counter
+}
+
+// MeasureLog returns inner with its use measured in scope.
+func MeasureLog(inner port.Log, scope tally.Scope) *Log {
+	s := scope.SubScope("log")
+	failures := func(kind string) tally.Counter {
+		return s.Tagged(map[string]string{"kind": kind}).Counter("append_failures")
+	}
+	return &Log{
+		Log:       inner,
+		appends:   s.Counter("appends"),
+		records:   s.Counter("records"),
+		latency:   s.Histogram("append", appendBuckets),
+		refused:   failures("refused"),
+		limited:   failures("limited"),
+		ambiguous: failures("ambiguous"),
+		readFails: s.Counter("read_failures"),
+	}
+}
+
+// Append implements port.Log.
+func (l *Log) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	started := time.Now()
+	offset, err := l.Log.Append(ctx, stream, records)
+	l.appends.Inc(1)
+	l.records.Inc(int64(len(records)))
+	l.latency.RecordDuration(time.Since(started))
+	if err != nil {
+		l.failed(err)
+	}
+	return offset, err
+}
+
+func (l *Log) failed(err error) {
+	var failure *port.LogError
+	switch {
+	case !errors.As(err, &failure) || failure.Ambiguous:
+		l.ambiguous.Inc(1)
+	case failure.Limited:
+		l.limited.Inc(1)
+	default:
+		l.refused.Inc(1)
+	}
+}
+
+// Read implements port.Log.
+func (l *Log) Read(ctx context.Context, stream string, from int64, wait time.Duration) (port.Page, error) {
+	page, err := l.Log.Read(ctx, stream, from, wait)
+	if err != nil && ctx.Err() == nil {
+		l.readFails.Inc(1)
+	}
+	return page, err
+}
