--- /dev/null
+++ b/internal/adapter/service/client.go
@@ -0,0 +1,89 @@
+// Package service is the HTTP client of the plain services.
+package service
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"yuccausher/internal/adapter/httpcall"
+	"yuccausher/internal/port"
+)
+
+const (
+	// invokeTimeout bounds a call whose caller sets no deadline.
+	invokeTimeout  = time.Minute
+	outcomeTimeout = 5 * time.Second
+)
+
+// MismatchError says that an answer carries the ID of another request.
+type MismatchError struct{ Got string }
+
+// Error implements error.
+func (e *MismatchError) Error() string { return "answer belongs to request " + e.Got }
+
+// Client calls the plain services. It implements port.Service.
+type Client struct {
+	pooled *httpcall.Client
+	// unpooled serves the calls that may not be repeated.
+	unpooled *httpcall.Client
+}
+
+// New returns a client.
+func New() *Client {
+	return &Client{pooled: httpcall.New(), unpooled: httpcall.NewUnpooled()}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.pooled.Close() }
+
+// Invoke implements port.Service.
+func (c *Client) Invoke(ctx context.Context, target port.Target, call port.ServiceCall) (port.ServiceResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, invokeTimeout)
+	defer cancel()
+	client := c.unpooled
+	if call.Idempotent {
+		client = c.pooled
+	}
+	var answer InvokeAnswer
+	err := client.CallTarget(ctx, target.Name, http.MethodPost, target.Address+PathInvoke, requestOf(call), &answer)
+	if err != nil {
+		return port.ServiceResult{}, err
+	}
+	if answer.RequestID != call.RequestID {
+		return port.ServiceResult{}, mismatch(target, answer.RequestID)
+	}
+	return port.ServiceResult{RequestID: answer.RequestID, Output: answer.Output}, nil
+}
+
+func requestOf(call port.ServiceCall) InvokeRequest {
+	return InvokeRequest{
+		ProgramID: call.ProgramID,
+		Seq:       call.Seq,
+		RequestID: call.RequestID,
+		Service:   call.Service,
+		Operation: call.Operation,
+		Input:     call.Input,
+	}
+}
+
+func mismatch(target port.Target, got string) *port.TargetError {
+	return &port.TargetError{Target: target.Name, Failure: port.FailureMismatch, Cause: &MismatchError{Got: got}}
+}
+
+// Outcome implements port.Service.
+func (c *Client) Outcome(ctx context.Context, target port.Target, service, requestID string) (result port.ServiceResult, ran, known bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
+	query := url.Values{ParamService: {service}, ParamRequest: {requestID}}
+	var answer OutcomeAnswer
+	err = c.pooled.CallTarget(ctx, target.Name, http.MethodGet, target.Address+PathOutcome+"?"+query.Encode(), nil, &answer)
+	if err != nil {
+		return port.ServiceResult{}, false, false, err
+	}
+	if answer.Ran && answer.RequestID != requestID {
+		return port.ServiceResult{}, false, false, mismatch(target, answer.RequestID)
+	}
+	return port.ServiceResult{RequestID: answer.RequestID, Output: answer.Output}, answer.Ran, answer.Known, nil
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"sync"
 	"time"
 
@@ -26,80 +25,16 @@
 	Runs *Runs
 }
 
-// Runs counts by service and request ID how often a request ran.
-type Runs struct {
-	mu       sync.Mutex
-	inFlight map[string]int
-	counts   map[string]map[string]int
-	results  map[string]map[string]port.ServiceResult
-}
-
-// NewRuns returns empty counts.
-func NewRuns() *Runs {
-	return &Runs{
-		inFlight: make(map[string]int),
-		counts:   make(map[string]map[string]int),
-		results:  make(map[string]map[string]port.ServiceResult),
-	}
-}
-
-// Of returns the counts of a service.
-func (r *Runs) Of(service string) map[string]int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	counts := make(map[string]int, len(r.counts[service]))
-	maps.Copy(counts, r.counts[service])
-	return counts
-}
-
-func (r *Runs) add(service string, result port.ServiceResult) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.counts[service] == nil {
-		r.counts[service] = make(map[string]int)
-		r.results[service] = make(map[string]port.ServiceResult)
-	}
-	r.counts[service][result.RequestID]++
-	r.results[service][result.RequestID] = result
-}
-
-// enter notes that a request has come, and exit that it is over.
-func (r *Runs) enter(requestID string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inFlight[requestID]++
-}
-
-func (r *Runs) exit(requestID string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inFlight[requestID]--
-	if r.inFlight[requestID] == 0 {
-		delete(r.inFlight, requestID)
-	}
-}
-
-// result returns the last result of a request. known is false while the
-// request may yet run.
-func (r *Runs) result(service, requestID string) (result port.ServiceResult, ran, known bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	result, ran = r.results[service][requestID]
-	return result, ran, ran || r.inFlight[requestID] == 0
-}
-
 // Service is a plain service at one target. It runs each request that reaches
 // it, however often the same one comes.
 type Service struct {
 	options ServiceOptions
 
-	mu          sync.Mutex
-	running     int
-	lostAnswers int
-	hangs       int
-	crashOn     string
-	leaving     bool
-	downUntil   time.Time
+	mu        sync.Mutex
+	running   int
+	crashOn   string
+	leaving   bool
+	downUntil time.Time
 	// crashed is closed at the next crash.
 	crashed chan struct{}
 }
@@ -137,8 +72,10 @@
 	defer s.exit()
 	s.options.Runs.enter(call.RequestID)
 	defer s.options.Runs.exit(call.RequestID)
-	if s.takeHang() {
-		return port.ServiceResult{}, s.hang(ctx, crashed)
+	if d, ok := s.options.Runs.takeHang(call.Service); ok {
+		if err := s.hang(ctx, d, crashed); err != nil {
+			return port.ServiceResult{}, err
+		}
 	}
 	if err := s.work(crashed); err != nil {
 		return port.ServiceResult{}, err
@@ -149,7 +86,7 @@
 	}
 	result := resultOf(call)
 	s.options.Runs.add(call.Service, result)
-	if s.takeLostAnswer() {
+	if s.options.Runs.takeLostAnswer(call.Service) {
 		return port.ServiceResult{}, targetError(s.Name(), port.FailureBroken, ReasonLostAnswer)
 	}
 	return result, nil
@@ -221,9 +158,17 @@
 	}
 }
 
-// hang waits for the caller to give up.
-func (s *Service) hang(ctx context.Context, crashed <-chan struct{}) error {
+// hang waits for d, or for the caller to give up if d is zero.
+func (s *Service) hang(ctx context.Context, d time.Duration, crashed <-chan struct{}) error {
+	var over <-chan time.Time
+	if d > 0 {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+		over = timer.C
+	}
 	select {
+	case <-over:
+		return nil
 	case <-ctx.Done():
 		return contextError(ctx, s.Name(), 0)
 	case <-crashed:
--- a/internal/standin/service_faults.go
+++ b/internal/standin/service_faults.go
@@ -7,19 +7,13 @@
 	"yuccausher/internal/port"
 )
 
-// LoseAnswers makes the next n calls run and then break the connection.
-func (s *Service) LoseAnswers(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lostAnswers = n
-}
+// LoseAnswers makes the next n calls of a service run and then break the
+// connection, at any target that shares the counts.
+func (s *Service) LoseAnswers(service string, n int) { s.options.Runs.LoseAnswers(service, n) }
 
-// Hang makes the next n calls hang without running.
-func (s *Service) Hang(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.hangs = n
-}
+// Hang makes the next n calls of a service hang for d before they run, or
+// without end if d is zero, at any target that shares the counts.
+func (s *Service) Hang(service string, n int, d time.Duration) { s.options.Runs.Hang(service, n, d) }
 
 // CrashOn makes the target crash when it runs an input that contains match.
 func (s *Service) CrashOn(match string) {
@@ -58,27 +52,6 @@
 	return s.leaving
 }
 
-func (s *Service) takeHang() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return take(&s.hangs)
-}
-
-func (s *Service) takeLostAnswer() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return take(&s.lostAnswers)
-}
-
-// take counts n down and says whether it was above zero.
-func take(n *int) bool {
-	if *n <= 0 {
-		return false
-	}
-	*n--
-	return true
-}
-
 func (s *Service) crashesOn(call port.ServiceCall) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -19,7 +19,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := NewService(ServiceOptions{Name: "ledger-a", Latency: time.Second})
-		s.LoseAnswers(1)
+		s.LoseAnswers("ledger", 1)
 		_, err := s.Invoke(t.Context(), posting("r"))
 		is.Equal(failureOf(t, err), port.FailureBroken)
 		is.Equal(s.Runs("ledger"), map[string]int{"r": 1})
@@ -37,7 +37,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := NewService(ServiceOptions{Name: "ledger-a"})
-		s.Hang(1)
+		s.Hang("ledger", 1, 0)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		_, err := s.Invoke(ctx, posting("r"))
