--- /dev/null
+++ b/internal/adapter/engine/generate_test.go
@@ -0,0 +1,161 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"yuccausher/internal/port"
+)
+
+var _ port.Engine = (*Client)(nil)
+
+func serve(t *testing.T, handler http.HandlerFunc) port.Target {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return port.Target{Name: "m-a", Address: server.URL}
+}
+
+func status(code int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(code)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func events(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream;charset=utf-8")
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// cutAfter sends a text and breaks the connection.
+func cutAfter(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		events(text)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+const (
+	firstDelta = `event:delta` + "\n" + `data:{"program_id":"p","request_id":"r","offset":0,"text":"the "}` + "\n\n"
+	lastDelta  = `event:delta` + "\n" + `data:{"program_id":"p","request_id":"r","offset":4,"text":"sum"}` + "\n\n"
+	done       = `event:done` + "\n" + `data:{"program_id":"p","request_id":"r","output":"the sum","usage":{"output_tokens":2}}` + "\n\n"
+	otherDelta = `event:delta` + "\n" + `data:{"program_id":"q","request_id":"s","offset":4,"text":"sum"}` + "\n\n"
+	otherDone  = `event:done` + "\n" + `data:{"program_id":"p","request_id":"s","output":"the sum"}` + "\n\n"
+	failed     = `event:error` + "\n" + `data:{"failure":"busy","message":"no"}` + "\n\n"
+)
+
+func failureOf(t *testing.T, err error) *port.TargetError {
+	t.Helper()
+	var failed *port.TargetError
+	if !errors.As(err, &failed) {
+		t.Fatalf("no *port.TargetError: %v", err)
+	}
+	return failed
+}
+
+func TestGenerateClassifiesFailures(t *testing.T) {
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		want    port.Failure
+		output  int64
+	}{
+		"429 is busy":                   {status(429, ""), port.FailureBusy, 0},
+		"503 is busy":                   {status(503, "x"), port.FailureBusy, 0},
+		"503 of a leaving one":          {status(503, `{"failure":"draining"}`), port.FailureDraining, 0},
+		"400 is rejected":               {status(400, `{"failure":"busy"}`), port.FailureRejected, 0},
+		"500 may have run":              {status(500, `{"failure":"refused"}`), port.FailureBroken, 0},
+		"redirect may have run":         {status(307, ""), port.FailureBroken, 0},
+		"cut before the answer":         {cut, port.FailureBroken, 0},
+		"cut in the stream":             {cutAfter(firstDelta), port.FailureBroken, 4},
+		"end without its type":          {events(firstDelta + lastDelta), port.FailureBroken, 7},
+		"no event stream":               {status(200, "{}"), port.FailureBroken, 0},
+		"gap":                           {events(lastDelta), port.FailureBroken, 0},
+		"repeat":                        {events(firstDelta + firstDelta), port.FailureBroken, 4},
+		"end before the whole output":   {events(firstDelta + done), port.FailureBroken, 4},
+		"delta of another request":      {events(firstDelta + otherDelta), port.FailureMismatch, 4},
+		"end of another request":        {events(firstDelta + lastDelta + otherDone), port.FailureMismatch, 7},
+		"garbage":                       {events("event:delta\ndata:{\n\n"), port.FailureBroken, 0},
+		"unknown event":                 {events("event:ping\ndata:1\n\n"), port.FailureBroken, 0},
+		"busy inside a stream has left": {events(firstDelta + failed), port.FailureBroken, 4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			call := port.ModelCall{ProgramID: "p", RequestID: "r"}
+			_, err := New().Generate(t.Context(), serve(t, c.handler), call, nil)
+			is.Equal(failureOf(t, err).Failure, c.want)
+			is.Equal(failureOf(t, err).Output, c.output)
+		})
+	}
+}
+
+func TestGenerateRefusedDialDidNotRun(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	_, err := New().Generate(t.Context(), port.Target{Address: server.URL}, port.ModelCall{}, nil)
+	is.Equal(failureOf(t, err).Failure, port.FailureRefused)
+	is.True(failureOf(t, err).NotRun())
+}
+
+// hang waits for the client to go, which the server sees once it has read the
+// request.
+func hang(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func TestGenerateTimesOut(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := New().Generate(ctx, serve(t, hang), port.ModelCall{}, nil)
+	is.Equal(failureOf(t, err).Failure, port.FailureTimeout)
+}
+
+func TestGenerateTimesOutOnASilentStream(t *testing.T) {
+	is := is.New(t)
+	client := New()
+	client.idle = 50 * time.Millisecond
+	silent := func(w http.ResponseWriter, r *http.Request) {
+		events(firstDelta)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		hang(w, r)
+	}
+	call := port.ModelCall{ProgramID: "p", RequestID: "r"}
+	_, err := client.Generate(t.Context(), serve(t, silent), call, nil)
+	is.Equal(failureOf(t, err).Failure, port.FailureTimeout)
+	is.Equal(failureOf(t, err).Output, int64(4))
+}
+
+func TestGenerateHandsOnTheWholeAnswer(t *testing.T) {
+	is := is.New(t)
+	var streamed string
+	call := port.ModelCall{ProgramID: "p", RequestID: "r"}
+	result, err := New().Generate(t.Context(), serve(t, events(firstDelta+lastDelta+done)), call, func(d port.Delta) error {
+		streamed += d.Text
+		return nil
+	})
+	is.NoErr(err)
+	is.Equal(streamed, "the sum")
+	is.Equal(result, port.ModelResult{ProgramID: "p", RequestID: "r", Output: "the sum", Usage: port.Usage{OutputTokens: 2}})
+}
+
+func TestOrderRefusedForItsEpochIsFenced(t *testing.T) {
+	is := is.New(t)
+	err := New().Order(t.Context(), serve(t, status(409, `{"failure":"fenced"}`)), port.Order{})
+	is.Equal(failureOf(t, err).Failure, port.FailureFenced)
+}
--- a/internal/adapter/eventstream/reader.go
+++ b/internal/adapter/eventstream/reader.go
@@ -20,7 +20,7 @@
 	Data []byte
 }
 
-// TooLargeError says that a line of the stream exceeds its bound.
+// TooLargeError says that an event of the stream exceeds its bound.
 type TooLargeError struct{}
 
 // Error implements error.
@@ -28,14 +28,15 @@
 
 // Reader reads events one by one.
 type Reader struct {
-	lines *bufio.Scanner
+	lines    *bufio.Scanner
+	maxBytes int
 }
 
 // NewReader returns a reader of events of up to maxBytes each.
 func NewReader(r io.Reader, maxBytes int) *Reader {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 0, min(bufferBytes, maxBytes)), maxBytes)
-	return &Reader{lines: lines}
+	return &Reader{lines: lines, maxBytes: maxBytes}
 }
 
 // Next returns the next event. It returns io.EOF at the end of the stream,
@@ -51,6 +52,9 @@
 			continue
 		}
 		event.add(line)
+		if len(event.Data) > r.maxBytes {
+			return Event{}, TooLargeError{}
+		}
 	}
 	return Event{}, r.end()
 }
