port: a turn names its failure and a service call its last moment to leave

A non-idempotent call whose outcome is unknown is part of the history; and the owner's dispatch deadline can only be kept where the bytes are written.

--- a/internal/port/program.go
+++ b/internal/port/program.go
@@ -101,6 +101,9 @@
 	Usage      Usage           `json:"usage"`
 	Target     string          `json:"target"`
 	TurnDigest string          `json:"turn_digest"`
+	// Failure is the failure type of a call that has no answer but whose
+	// outcome is settled, such as outcome_unknown.
+	Failure string `json:"failure,omitempty"`
 }
 
 // Delta is a piece of a streamed answer. Offset is the position of Text in
--- a/internal/port/target.go
+++ b/internal/port/target.go
@@ -123,6 +123,10 @@
 	Operation  string
 	Input      json.RawMessage
 	Idempotent bool
+	// LeaveBy is the last moment, on the monotonic clock, at which the
+	// request may be written; zero means none. A client that is later
+	// answers FailureRefused without writing.
+	LeaveBy time.Time
 }
 
 // ServiceResult is a service's whole answer.
