--- a/internal/core/config/document.go
+++ b/internal/core/config/document.go
@@ -7,89 +7,89 @@
 
 // Document is the whole configuration. It takes effect everywhere or nowhere.
 type Document struct {
-	Format int `json:"format"`
+	Format int `json:"format" validate:"eq=1"`
 	// Partitions and Streams are fixed once the first document is in force.
-	Partitions uint32    `json:"partitions"`
-	Streams    uint32    `json:"streams"`
-	Firms      []Firm    `json:"firms"`
-	Agents     []Agent   `json:"agents"`
-	Classes    []Class   `json:"classes"`
-	Models     []Model   `json:"models"`
-	Targets    []Target  `json:"targets"`
-	Services   []Service `json:"services"`
+	Partitions uint32    `json:"partitions" validate:"min=1,max=65536"`
+	Streams    uint32    `json:"streams" validate:"min=1,ltefield=Partitions"`
+	Firms      []Firm    `json:"firms" validate:"max=100000,dive"`
+	Agents     []Agent   `json:"agents" validate:"max=100000,dive"`
+	Classes    []Class   `json:"classes" validate:"max=100000,dive"`
+	Models     []Model   `json:"models" validate:"max=100000,dive"`
+	Targets    []Target  `json:"targets" validate:"max=100000,dive"`
+	Services   []Service `json:"services" validate:"max=100000,dive"`
 }
 
 // Firm is a customer.
 type Firm struct {
-	Name string `json:"name"`
+	Name string `json:"name" validate:"required,max=128"`
 	// BudgetTokens bounds what all open programs of the firm may hold.
-	BudgetTokens int64 `json:"budget_tokens"`
+	BudgetTokens int64 `json:"budget_tokens" validate:"min=1"`
 	// Weight is the firm's share of contended targets.
-	Weight int `json:"weight"`
+	Weight int `json:"weight" validate:"min=1,max=1000"`
 }
 
 // Agent is a kind of program.
 type Agent struct {
-	Name string `json:"name"`
-	Firm string `json:"firm"`
+	Name string `json:"name" validate:"required,max=128"`
+	Firm string `json:"firm" validate:"required"`
 	// Class is used where the caller names none.
-	Class string `json:"class"`
+	Class string `json:"class" validate:"required"`
 	// LatencyWeight and CacheWeight say what the firm minds more.
-	LatencyWeight float64 `json:"latency_weight"`
-	CacheWeight   float64 `json:"cache_weight"`
+	LatencyWeight float64 `json:"latency_weight" validate:"min=0,max=1000"`
+	CacheWeight   float64 `json:"cache_weight" validate:"min=0,max=1000"`
 	// MaxTurns, MaxTokens, MaxWallMS and MaxRepeats stop programs that loop;
 	// zero means no limit. MaxRepeats counts identical calls in a row.
-	MaxTurns   int64 `json:"max_turns"`
-	MaxTokens  int64 `json:"max_tokens"`
-	MaxWallMS  int64 `json:"max_wall_ms"`
-	MaxRepeats int64 `json:"max_repeats"`
+	MaxTurns   int64 `json:"max_turns" validate:"min=0"`
+	MaxTokens  int64 `json:"max_tokens" validate:"min=0"`
+	MaxWallMS  int64 `json:"max_wall_ms" validate:"min=0"`
+	MaxRepeats int64 `json:"max_repeats" validate:"min=0"`
 }
 
 // Class orders the programs of a firm; a lower priority goes first.
 type Class struct {
-	Name     string `json:"name"`
-	Priority int    `json:"priority"`
+	Name     string `json:"name" validate:"required,max=128"`
+	Priority int    `json:"priority" validate:"min=0,max=1000"`
 }
 
 // Model is a model that targets can serve.
 type Model struct {
-	Name            string `json:"name"`
-	ContextTokens   int64  `json:"context_tokens"`
-	MaxOutputTokens int64  `json:"max_output_tokens"`
-	TimeoutMS       int64  `json:"timeout_ms"`
+	Name            string `json:"name" validate:"required,max=128"`
+	ContextTokens   int64  `json:"context_tokens" validate:"min=1"`
+	MaxOutputTokens int64  `json:"max_output_tokens" validate:"min=1,ltefield=ContextTokens"`
+	TimeoutMS       int64  `json:"timeout_ms" validate:"min=1,max=3600000"`
 	// Version and Adapter are the desired state of the targets that serve it.
-	Version string `json:"version,omitempty"`
-	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty" validate:"max=128"`
+	Adapter string `json:"adapter,omitempty" validate:"max=128"`
 }
 
 // Target is a back end. It serves either one model or some services.
 type Target struct {
-	Name       string `json:"name"`
-	Address    string `json:"address"`
-	DataCentre string `json:"data_centre"`
+	Name       string `json:"name" validate:"required,max=128"`
+	Address    string `json:"address" validate:"required,http_url"`
+	DataCentre string `json:"data_centre" validate:"required,max=128"`
 	Model      string `json:"model,omitempty"`
 	// Role is the desired role of an engine: "mixed", "prefill" or "decode".
-	Role          string   `json:"role,omitempty"`
+	Role          string   `json:"role,omitempty" validate:"omitempty,oneof=mixed prefill decode"`
 	Services      []string `json:"services,omitempty"`
 	ChecksFencing bool     `json:"checks_fencing"`
 	// Concurrency is the most calls that the target takes at once.
-	Concurrency int `json:"concurrency"`
+	Concurrency int `json:"concurrency" validate:"min=1,max=100000"`
 	// KVTokens is the cache memory of an engine, in tokens.
-	KVTokens int64 `json:"kv_tokens,omitempty"`
+	KVTokens int64 `json:"kv_tokens,omitempty" validate:"min=0"`
 }
 
 // Service is a plain service. An operation that is not listed has the
 // service's own idempotency.
 type Service struct {
-	Name       string      `json:"name"`
+	Name       string      `json:"name" validate:"required,max=128"`
 	Idempotent bool        `json:"idempotent"`
-	TimeoutMS  int64       `json:"timeout_ms"`
-	Operations []Operation `json:"operations,omitempty"`
+	TimeoutMS  int64       `json:"timeout_ms" validate:"min=1,max=3600000"`
+	Operations []Operation `json:"operations,omitempty" validate:"dive"`
 }
 
 // Operation is one operation of a service.
 type Operation struct {
-	Name       string `json:"name"`
+	Name       string `json:"name" validate:"required,max=128"`
 	Idempotent bool   `json:"idempotent"`
-	TimeoutMS  int64  `json:"timeout_ms,omitempty"`
+	TimeoutMS  int64  `json:"timeout_ms,omitempty" validate:"min=0,max=3600000"`
 }
