--- a/internal/core/config/replay.go
+++ b/internal/core/config/replay.go
@@ -36,58 +36,59 @@
 // reader that has read the stream to the same offset and is Certain has the
 // same version. It is not safe for concurrent use.
 type Replay struct {
-	next    int64
-	start   int64
-	certain bool
-
-	version  int64
-	document *Document
-	raw      []byte
-	// copiedAt is the log's time of the newest sealed record of the version.
-	copiedAt time.Time
-	sealed   bool
+	view View
+	// start is the oldest offset that was read without a gap since.
+	start int64
 }
 
-// Next returns the offset to read from.
-func (r *Replay) Next() int64 { return r.next }
-
-// Certain says whether the version is the one in force at Next. It is not
-// before a reader that missed records has met a sealed one.
-func (r *Replay) Certain() bool { return r.certain }
-
-// Version returns the newest version that the reader has met; zero is none.
-func (r *Replay) Version() int64 { return r.version }
-
-// Document returns the document of Version as it stands in the stream, and
-// parsed. Both must not be changed.
-func (r *Replay) Document() (raw []byte, parsed *Document) { return r.raw, r.document }
+// View is what a reader knows after the records that it has applied. It is
+// immutable.
+type View struct {
+	// Next is the offset to read from.
+	Next int64
+	// Certain says that Version is the one in force at Next. It is not before
+	// a reader that missed records has met a sealed one.
+	Certain bool
+	// Version is the newest version that the reader has met; zero is none.
+	Version int64
+	// Raw is the document of Version as it stands in the stream.
+	Raw []byte
+	// Document is the parsed document of Version.
+	Document *Document
+	// CopiedAt is the log's time of the newest record that is known to carry
+	// the version; Sealed says that the record is sealed.
+	CopiedAt time.Time
+	Sealed   bool
+}
 
-// CopiedAt returns the log's time of the newest sealed record that carries
-// the version; ok is false if there is none.
-func (r *Replay) CopiedAt() (at time.Time, ok bool) { return r.copiedAt, r.sealed }
+// View returns what the reader knows now.
+func (r *Replay) View() View { return r.view }
 
 // Begin tells the oldest offset that the log still keeps, before the records
 // of a page are applied. A reader that missed records becomes uncertain.
 func (r *Replay) Begin(oldest int64) {
-	if oldest == 0 && r.next == 0 {
-		r.certain = true
+	if oldest == 0 && r.view.Next == 0 {
+		r.view.Certain = true
 		return
 	}
-	if oldest <= r.next {
+	if oldest <= r.view.Next {
 		return
 	}
-	r.certain = false
+	r.view.Certain = false
 	r.start = oldest
-	r.next = oldest
+	r.view.Next = oldest
 }
 
 // Apply takes the record at an offset. Records are given in order; one that
 // was applied before has no effect.
 func (r *Replay) Apply(offset int64, appendedAt time.Time, data []byte) Event {
-	if offset < r.next {
+	if offset < r.view.Next {
 		return Event{Outcome: Void}
 	}
-	r.next = offset + 1
+	if offset > r.view.Next {
+		r.Begin(offset)
+	}
+	r.view.Next = offset + 1
 	rec, err := decodeRecord(data)
 	if err != nil {
 		return Event{Outcome: Garbage, Err: err}
@@ -107,11 +108,11 @@
 
 // copy applies a copy of a version.
 func (r *Replay) copy(version int64, at time.Time, sealed bool, raw []byte) Event {
-	if version == r.version {
+	if version == r.view.Version {
 		r.refresh(at, sealed)
 		return Event{Outcome: Copied}
 	}
-	if r.certain || version < r.version {
+	if r.view.Certain || version < r.view.Version {
 		return Event{Outcome: Void}
 	}
 	if !sealed && version-1 >= r.start {
@@ -126,26 +127,27 @@
 
 // change applies a new document.
 func (r *Replay) change(offset int64, at time.Time, sealed bool, rec Record) Event {
-	if !r.certain && !sealed {
+	if !r.view.Certain && !sealed {
 		return Event{Outcome: Undecided}
 	}
-	if r.certain && *rec.Base != r.version {
+	if r.view.Certain && *rec.Base != r.view.Version {
 		return Event{Outcome: Void}
 	}
 	if event, ok := r.take(offset+1, rec.Document, r.inForce(*rec.Base)); !ok {
 		return event
 	}
-	r.sealed = false
+	r.view.Sealed = false
+	r.view.CopiedAt = at
 	r.refresh(at, sealed)
 	return Event{Outcome: Taken}
 }
 
 // inForce returns the document of a version if it is the one at hand.
 func (r *Replay) inForce(version int64) *Document {
-	if version != r.version {
+	if version != r.view.Version {
 		return nil
 	}
-	return r.document
+	return r.view.Document
 }
 
 // refresh notes a record that carries the version in force.
@@ -153,9 +155,9 @@
 	if !sealed {
 		return
 	}
-	r.certain = true
-	r.sealed = true
-	r.copiedAt = at
+	r.view.Certain = true
+	r.view.Sealed = true
+	r.view.CopiedAt = at
 }
 
 // take puts a version in force if its document is valid.
@@ -167,6 +169,6 @@
 	if err != nil {
 		return Event{Outcome: Invalid, Err: &RecordError{Reason: "invalid document", Cause: err}}, false
 	}
-	r.version, r.document, r.raw = version, d, raw
+	r.view.Version, r.view.Document, r.view.Raw = version, d, raw
 	return Event{}, true
 }
--- a/internal/core/config/replay_test.go
+++ b/internal/core/config/replay_test.go
@@ -23,8 +23,8 @@
 // read applies at most n records that the reader lacks.
 func (s *stream) read(r *config.Replay, n int) {
 	r.Begin(s.oldest)
-	for ; n > 0 && r.Next() < s.end(); n-- {
-		at := r.Next()
+	for ; n > 0 && r.View().Next < s.end(); n-- {
+		at := r.View().Next
 		r.Apply(at, time.Unix(at, 0), s.records[at])
 	}
 }
@@ -56,10 +56,9 @@
 	is.Equal(got, []config.Outcome{
 		config.Taken, config.Void, config.Taken, config.Garbage, config.Future, config.Invalid, config.Copied,
 	})
-	is.Equal(r.Version(), int64(3))
-	at, ok := r.CopiedAt()
-	is.True(ok)
-	is.Equal(at, time.Unix(6, 0))
+	is.Equal(r.View().Version, int64(3))
+	is.True(r.View().Sealed)
+	is.Equal(r.View().CopiedAt, time.Unix(6, 0))
 }
 
 func TestReplayAfterGapWaitsForSealedRecord(t *testing.T) {
@@ -72,12 +71,12 @@
 	s.append(mustEncode(config.NewChange(1, 1, "", doc))) // 3: can't be judged
 	var r config.Replay
 	s.read(&r, 9)
-	is.Equal(r.Version(), int64(1))
-	is.True(!r.Certain())
+	is.Equal(r.View().Version, int64(1))
+	is.True(!r.View().Certain)
 	s.append(mustEncode(config.NewCopy(2, 4, doc))) // 4: sealed
 	s.read(&r, 9)
-	is.Equal(r.Version(), int64(2))
-	is.True(r.Certain())
+	is.Equal(r.View().Version, int64(2))
+	is.True(r.View().Certain)
 }
 
 // TestReplayConverges lets writers that are at different offsets, racing and
@@ -91,17 +90,17 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, len(readers)-1).Draw(t, "reader")
 			r := &readers[i]
-			before := r.Version()
+			before := r.View().Version
 			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0, 1:
 				s.read(r, rapid.IntRange(1, 5).Draw(t, "records"))
 			case 2:
-				if r.Certain() {
-					s.append(mustEncode(config.NewChange(r.Version(), r.Next(), "", doc)))
+				if r.View().Certain {
+					s.append(mustEncode(config.NewChange(r.View().Version, r.View().Next, "", doc)))
 				}
 			case 3:
-				if r.Certain() && r.Version() > 0 {
-					s.append(mustEncode(config.NewCopy(r.Version(), r.Next(), doc)))
+				if r.View().Certain && r.View().Version > 0 {
+					s.append(mustEncode(config.NewCopy(r.View().Version, r.View().Next, doc)))
 				}
 			case 4:
 				if s.end() > 0 {
@@ -114,17 +113,17 @@
 				before = 0
 				s.oldest = rapid.Int64Range(s.oldest, s.end()).Draw(t, "oldest")
 			}
-			if r.Version() < before {
-				t.Fatalf("version went from %d to %d", before, r.Version())
+			if r.View().Version < before {
+				t.Fatalf("version went from %d to %d", before, r.View().Version)
 			}
 		}
 		fullStream := stream{records: s.records}
 		fullStream.read(&full, len(s.records))
-		s.append(mustEncode(config.NewCopy(full.Version(), s.end(), doc)))
+		s.append(mustEncode(config.NewCopy(full.View().Version, s.end(), doc)))
 		for i := range readers {
 			s.read(&readers[i], len(s.records))
-			if full.Version() > 0 && (!readers[i].Certain() || readers[i].Version() != full.Version()) {
-				t.Fatalf("reader %d is at %d, want %d", i, readers[i].Version(), full.Version())
+			if full.View().Version > 0 && (!readers[i].View().Certain || readers[i].View().Version != full.View().Version) {
+				t.Fatalf("reader %d is at %d, want %d", i, readers[i].View().Version, full.View().Version)
 			}
 		}
 	})
