port: carry a revision in rumours and a digest in heartbeats

Refutation needs a number that is not the incarnation, which names the process in the log's records. The digest lets hosts with equal tables send no rows. The wire format of the peers needs both fields; Since of a rumour is the time of the sender's last sign of life from the member.

--- a/internal/port/host.go
+++ b/internal/port/host.go
@@ -52,8 +52,12 @@
 	State MemberState
 	// ConfigVersion is the version the member last said it runs.
 	ConfigVersion int64
-	// Since is when the state was entered, on the observer's clock.
+	// Since is when the state was entered, on the observer's clock. In a
+	// rumour it is when the sender last knew the member alive.
 	Since time.Time
+	// Revision grows each time a wrong belief about the same incarnation is
+	// refuted.
+	Revision uint64
 }
 
 // Members is a host's view of the others. Reads are lock-free.
@@ -72,6 +76,9 @@
 	Leaving       bool
 	ConfigVersion int64
 	Rumours       []Member
+	// Digest sums up the sender's table of live members. Hosts whose digests
+	// differ send each other rows.
+	Digest uint64
 	// Quarantined lists fingerprints of poisoned content.
 	Quarantined []uint64
 }
