Serve programs of owned partitions from the log's order

The ledger replays a stream to claims, histories, intents and budgets. The owner claims partitions, appends in groups, and releases an effect once its record was seen under the claim it was written for.

--- /dev/null
+++ b/internal/core/ledger/checkpoint.go
@@ -0,0 +1,104 @@
+package ledger
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"yuccausher/internal/core/partition"
+	"yuccausher/internal/gen/record"
+)
+
+// Checkpoint returns a record body that holds the whole program.
+func (g *Program) Checkpoint() *record.Checkpoint {
+	c := &record.Checkpoint{
+		Open:        g.Open,
+		OpenedMs:    g.OpenedAt.UnixMilli(),
+		Turns:       g.Turns[:len(g.Turns):len(g.Turns)],
+		State:       string(g.State),
+		Reason:      g.Reason,
+		Intent:      g.Intent,
+		IntentEpoch: g.IntentEpoch,
+		Holders:     slices.Clone(g.Holders),
+		Strays:      g.Strays,
+		Digest:      g.Digest,
+		Spent:       g.Spent,
+		Version:     g.Version,
+	}
+	if !g.EndedAt.IsZero() {
+		c.EndedMs = g.EndedAt.UnixMilli()
+	}
+	return c
+}
+
+// Checkpoint returns a record body that holds the tree's budget.
+func (t *Tree) Checkpoint() *record.TreeCheckpoint {
+	return &record.TreeCheckpoint{
+		RootKey:      t.RootKey,
+		Firm:         t.Firm,
+		BudgetTokens: t.Budget,
+		Spent:        t.Spent,
+		Granted:      t.Granted,
+		Unsettled:    t.Unsettled,
+		Targets:      t.Targets,
+		Version:      t.Version,
+	}
+}
+
+// restore takes a checkpoint. A reader that has the program already only
+// notes that the log has it whole, if nothing has changed since it was made.
+// A reader that came later takes the newest version.
+func (p *Partition) restore(e Entry, c *record.Checkpoint) Verdict {
+	if c.Open == nil || c.Version < 0 {
+		return Refused
+	}
+	t := p.tree(partition.RootKey(c.Open.ProgramId))
+	g := t.programs[c.Open.ProgramId]
+	if g == nil || g.Version < c.Version {
+		t.add(programOf(c, e.AppendedAt))
+		return Applied
+	}
+	if g.Version == c.Version && bytes.Equal(g.Digest, c.Digest) {
+		g.SavedAt = e.AppendedAt
+	}
+	return Applied
+}
+
+func programOf(c *record.Checkpoint, at time.Time) *Program {
+	g := newProgram(c.Open, at)
+	g.OpenedAt = time.UnixMilli(c.OpenedMs)
+	if c.EndedMs != 0 {
+		g.EndedAt = time.UnixMilli(c.EndedMs)
+	}
+	g.State = ProgramState(c.State)
+	g.Reason = c.Reason
+	g.Turns = c.Turns
+	g.Digest = c.Digest
+	g.Spent = c.Spent
+	g.Intent = c.Intent
+	g.IntentEpoch = c.IntentEpoch
+	g.Holders = c.Holders
+	g.Strays = c.Strays
+	g.Version = c.Version
+	return g
+}
+
+func (p *Partition) restoreTree(e Entry, c *record.TreeCheckpoint) Verdict {
+	t := p.tree(c.RootKey)
+	if t.Version == c.Version && t.Budget == c.BudgetTokens {
+		t.SavedAt = e.AppendedAt
+		return Applied
+	}
+	if t.Version >= c.Version && t.Budget != 0 {
+		return Applied
+	}
+	t.Firm = c.Firm
+	t.Budget = c.BudgetTokens
+	t.Spent = c.Spent
+	t.Granted = c.Granted
+	t.Unsettled = c.Unsettled
+	t.Targets = c.Targets
+	t.Version = c.Version
+	t.SavedAt = e.AppendedAt
+	return Applied
+}
--- /dev/null
+++ b/internal/core/ledger/tree.go
@@ -0,0 +1,154 @@
+package ledger
+
+import (
+	"time"
+
+	"yuccausher/internal/core/partition"
+	"yuccausher/internal/gen/record"
+)
+
+// Tree is a root program with all its sub-agents, which spend one budget.
+// Spent + Unsettled <= Granted <= Budget, unless a target used more than was
+// reserved. All amounts are tokens.
+type Tree struct {
+	RootKey string
+	Firm    string
+	Budget  int64
+	// Spent is settled.
+	Spent int64
+	// Granted is the escrow: what the owner may have let out in all.
+	Granted int64
+	// Unsettled is the part of earlier owners' escrow whose use is unknown.
+	Unsettled int64
+	// Targets are the engines' incarnations from before the unsettled part
+	// was let out.
+	Targets map[string]uint64
+	// Version counts the changes; SavedAt is when the log last got it whole.
+	Version int64
+	SavedAt time.Time
+
+	programs map[string]*Program
+	requests map[string]string
+}
+
+func newTree(rootKey string) *Tree {
+	return &Tree{
+		RootKey:  rootKey,
+		programs: make(map[string]*Program),
+		requests: make(map[string]string),
+	}
+}
+
+func requestKey(firm, requestID string) string { return firm + "\x00" + requestID }
+
+// Find returns the program that a firm's request created, or "".
+func (t *Tree) Find(firm, requestID string) string {
+	return t.requests[requestKey(firm, requestID)]
+}
+
+// Free returns the escrow that is neither spent nor in doubt.
+func (t *Tree) Free() int64 { return t.Granted - t.Spent - t.Unsettled }
+
+func (t *Tree) add(g *Program) {
+	t.programs[g.ID] = g
+	t.requests[requestKey(g.Open.Firm, g.Open.RequestId)] = g.ID
+}
+
+func (t *Tree) remove(g *Program) {
+	delete(t.programs, g.ID)
+	delete(t.requests, requestKey(g.Open.Firm, g.Open.RequestId))
+}
+
+// unsettle counts the free escrow of the last owner as spent until somebody
+// finds out. An older baseline proves more than a newer one.
+func (t *Tree) unsettle(targets map[string]uint64) {
+	free := t.Free()
+	if free <= 0 {
+		return
+	}
+	if t.Unsettled == 0 {
+		t.Targets = targets
+	}
+	t.Unsettled += free
+	t.Version++
+}
+
+func (t *Tree) stray(lost bool) {
+	if !lost {
+		return
+	}
+	for _, g := range t.programs {
+		if g.State == Open && !g.Strays {
+			g.Strays = true
+			g.Version++
+		}
+	}
+}
+
+func (t *Tree) returnSlice() {
+	t.Granted = t.Spent + t.Unsettled
+	t.Version++
+}
+
+func (t *Tree) charge(amount, granted int64) {
+	t.Spent += amount
+	t.Granted = max(t.Granted, min(granted, t.Budget), t.Spent+t.Unsettled)
+	t.Version++
+}
+
+func (p *Partition) slice(s *record.Slice) Verdict {
+	t := p.trees[partition.RootKey(s.ProgramId)]
+	if t == nil || s.Charge < 0 {
+		return Refused
+	}
+	t.charge(s.Charge, s.Granted)
+	if g := t.programs[s.ProgramId]; g != nil {
+		g.Spent += s.Charge
+		g.hold(s.Holders)
+		g.Version++
+	}
+	return Applied
+}
+
+func (p *Partition) reconcile(r *record.Reconcile) Verdict {
+	t := p.trees[partition.RootKey(r.ProgramId)]
+	if t == nil || r.Unsettled != t.Unsettled || r.Charge < 0 {
+		return Refused
+	}
+	t.Granted -= t.Unsettled
+	t.Unsettled = 0
+	t.Targets = nil
+	t.Spent += r.Charge
+	t.Granted = max(t.Granted+r.Charge, t.Spent)
+	t.Version++
+	if g := t.programs[r.ProgramId]; g != nil {
+		g.hold(r.Holders)
+		g.Version++
+	}
+	return Applied
+}
+
+// turn charges the tree even where the program is not known yet, since its
+// checkpoint may come later than the tree's.
+func (p *Partition) turn(r *record.Turn) Verdict {
+	t := p.trees[partition.RootKey(r.ProgramId)]
+	if t == nil || r.Charge < 0 {
+		return Refused
+	}
+	g := t.programs[r.ProgramId]
+	v := Refused
+	if g != nil {
+		v = g.turn(r)
+	}
+	if v == Applied || g == nil {
+		t.charge(r.Charge, r.Granted)
+	}
+	return v
+}
+
+// Programs calls visit for each program of the tree, in no order.
+func (t *Tree) Programs(visit func(*Program)) {
+	for _, g := range t.programs {
+		visit(g)
+	}
+}
--- /dev/null
+++ b/internal/owner/call.go
@@ -0,0 +1,324 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+	"unicode/utf8"
+
+	"yuccausher/internal/core/ledger"
+	"yuccausher/internal/core/partition"
+	"yuccausher/internal/fault"
+	"yuccausher/internal/gen/record"
+	"yuccausher/internal/port"
+)
+
+// Call runs the next call of a program, or joins or repeats the answer of one
+// that was sent before.
+func (s *Service) Call(ctx context.Context, call port.Call, sink port.Sink) (port.Answer, error) {
+	if err := s.validateCall(&call); err != nil {
+		return port.Answer{}, err
+	}
+	deadline := time.Now().Add(call.Timeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	key := partition.RootKey(call.ProgramID)
+	fingerprint := fingerprintOf(call)
+	for {
+		p, err := s.locate(ctx, key)
+		if err != nil {
+			return port.Answer{}, err
+		}
+		a, err := p.admit(call, fingerprint, deadline)
+		p.mu.Unlock()
+		switch {
+		case err != nil:
+			return port.Answer{}, err
+		case a.running != nil:
+			return a.running.follow(ctx, sink)
+		case a.turn != nil:
+			return repeat(call.ProgramID, a.turn)
+		}
+		if err := p.awaitTurn(ctx, call.ProgramID, a.wake); err != nil {
+			return port.Answer{}, err
+		}
+	}
+}
+
+func (s *Service) validateCall(call *port.Call) error {
+	snapshot := s.p.Config.Current()
+	if snapshot == nil {
+		return notReady()
+	}
+	switch {
+	case call.Seq < 1:
+		return invalid("seq", "must be at least 1")
+	case call.RequestID == "" || !utf8.ValidString(call.RequestID):
+		return invalid("request_id", "must be set and be UTF-8")
+	case !json.Valid(call.Input):
+		return invalid("input", "must be a JSON value")
+	case call.Timeout < 0:
+		return invalid("timeout_ms", "must not be negative")
+	}
+	if call.Timeout == 0 {
+		call.Timeout = s.p.Settings.CallTimeout
+	}
+	switch call.Kind {
+	case port.KindModel:
+		return validateModel(snapshot.Model(call.Model) != nil, call)
+	case port.KindService:
+		return validateService(snapshot.Service(call.Service) != nil, call)
+	}
+	return invalid("kind", "must be model or service")
+}
+
+func validateModel(known bool, call *port.Call) error {
+	if !known {
+		return invalid("model", "must be a model of the configuration")
+	}
+	if call.MaxTokens < 1 {
+		return invalid("max_tokens", "must be at least 1")
+	}
+	return nil
+}
+
+func validateService(known bool, call *port.Call) error {
+	if !known {
+		return invalid("service", "must be a service of the configuration")
+	}
+	if !utf8.ValidString(call.Operation) {
+		return invalid("operation", "must be UTF-8")
+	}
+	return nil
+}
+
+func fingerprintOf(call port.Call) []byte {
+	name := call.Model
+	if call.Kind == port.KindService {
+		name = call.Service
+	}
+	return ledger.Fingerprint(string(call.Kind), name, call.Operation, call.Input, call.MaxTokens)
+}
+
+// admission is one of: a running call to follow, a recorded outcome, or a
+// channel to wait on before the next look.
+type admission struct {
+	running *running
+	turn    *record.Turn
+	wake    <-chan struct{}
+}
+
+// admit decides what becomes of a call. The caller has the lock.
+func (p *part) admit(call port.Call, fingerprint []byte, deadline time.Time) (admission, error) {
+	g := p.l.Program(call.ProgramID)
+	if g == nil {
+		return admission{}, unknownProgram()
+	}
+	if t := g.Turn(call.Seq); t != nil {
+		return repeated(t, call, fingerprint)
+	}
+	v := p.of(g.ID)
+	if v.running == nil && g.Intent != nil {
+		p.startResolve(g)
+	}
+	if v.running != nil && v.running.call.Seq == call.Seq {
+		return v.join(call, fingerprint)
+	}
+	if g.Intent != nil && g.Intent.Seq == call.Seq && g.Intent.RequestId != call.RequestID {
+		return admission{}, p.refuse(g.ID, seqConflict("another request has this seq"))
+	}
+	if g.State != ledger.Open {
+		return admission{}, p.refuse(g.ID, p.over(g))
+	}
+	if call.Seq > g.Next() || v.running != nil || v.unsettled > 0 {
+		return p.queue(g, v, call)
+	}
+	if reason := p.s.limitReached(g, fingerprint); reason != "" {
+		p.stop(g, reason)
+		return admission{}, p.refuse(g.ID, fault.New(fault.ProgramStopped, fault.NotRun, "the program was stopped: %s", reason))
+	}
+	return admission{running: p.start(g, v, call, fingerprint, deadline)}, nil
+}
+
+// refuse drops what was noted for the program if nothing is under way.
+func (p *part) refuse(id string, f *fault.Fault) error {
+	if v := p.live[id]; v != nil && v.running == nil && v.unsettled == 0 && v.waiting == 0 && !v.evicting {
+		delete(p.live, id)
+	}
+	return f
+}
+
+func repeated(t *record.Turn, call port.Call, fingerprint []byte) (admission, error) {
+	if t.RequestId != call.RequestID {
+		return admission{}, seqConflict("another request has this seq")
+	}
+	if !bytes.Equal(t.Fingerprint, fingerprint) {
+		return admission{}, seqConflict("the request ID was used with another body")
+	}
+	return admission{turn: t}, nil
+}
+
+func (v *live) join(call port.Call, fingerprint []byte) (admission, error) {
+	if !v.running.same(call, fingerprint) {
+		return admission{}, seqConflict("another request has this seq")
+	}
+	v.running.join()
+	return admission{running: v.running}, nil
+}
+
+// queue lets an early call wait in a bounded place.
+func (p *part) queue(g *ledger.Program, v *live, call port.Call) (admission, error) {
+	most := p.s.p.Settings.EarlyCalls
+	if call.Seq > g.Next()+most || int64(v.waiting) >= most {
+		return admission{}, p.refuse(g.ID, seqConflict("the next seq is %d", g.Next()))
+	}
+	v.waiting++
+	return admission{wake: v.wake}, nil
+}
+
+// awaitTurn waits until the program has moved on.
+func (p *part) awaitTurn(ctx context.Context, id string, wake <-chan struct{}) error {
+	p.mu.Lock()
+	owned := p.wake
+	p.mu.Unlock()
+	var err error
+	select {
+	case <-wake:
+	case <-owned:
+	case <-ctx.Done():
+		p.s.count("early_calls_timed_out")
+		err = timedOut(fault.NotRun)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if v := p.live[id]; v != nil {
+		v.waiting--
+	}
+	return err
+}
+
+func (p *part) over(g *ledger.Program) *fault.Fault {
+	if g.State == ledger.Stopped {
+		return fault.New(fault.ProgramStopped, fault.NotRun, "the program was stopped: %s", g.Reason)
+	}
+	return fault.New(fault.ProgramStopped, fault.NotRun, "the program has ended")
+}
+
+// start begins a call. The caller has the lock.
+func (p *part) start(g *ledger.Program, v *live, call port.Call, fingerprint []byte, deadline time.Time) *running {
+	if end := programDeadline(g); !end.IsZero() && end.Before(deadline) {
+		deadline = end
+	}
+	r := newRunning(p, call, fingerprint, deadline)
+	r.once = p.s.runsOnce(call)
+	r.join()
+	v.running = r
+	p.begin()
+	p.s.spawn(func() { p.run(r) })
+	return r
+}
+
+// runsOnce says whether a call must not be repeated.
+func (s *Service) runsOnce(call port.Call) bool {
+	if call.Kind == port.KindModel {
+		return false
+	}
+	return !call.Idempotent || !s.p.Config.Current().IsIdempotent(call.Service, call.Operation)
+}
+
+func programDeadline(g *ledger.Program) time.Time {
+	if g.Open.DeadlineMs == 0 {
+		return time.Time{}
+	}
+	return g.OpenedAt.Add(time.Duration(g.Open.DeadlineMs) * time.Millisecond)
+}
+
+// run executes a call and tells its callers.
+func (p *part) run(r *running) {
+	answer, err := p.execute(r)
+	p.end(r, answer, err)
+}
+
+func (p *part) execute(r *running) (port.Answer, error) {
+	switch {
+	case r.call.Kind == port.KindModel:
+		return r.runModel()
+	case r.once:
+		return r.runOnce()
+	}
+	return r.runRepeatable()
+}
+
+// end publishes the result of a running call and makes room for the next.
+func (p *part) end(r *running, answer port.Answer, err error) {
+	defer r.cancel()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		err = r.fault(err)
+		p.s.countFault(err)
+	}
+	r.answer, r.err = answer, err
+	close(r.done)
+	if v := p.live[r.call.ProgramID]; v != nil && v.running == r {
+		v.running = nil
+	}
+	p.followUp(r.call.ProgramID)
+	p.signalProgram(r.call.ProgramID)
+	p.finishLocked()
+}
+
+// followUp starts what had to wait for the end of a call: an intent that is
+// still in doubt, or the eviction of a program that has ended meanwhile.
+func (p *part) followUp(id string) {
+	g := p.l.Program(id)
+	if g == nil || !p.held() {
+		return
+	}
+	if g.Intent != nil {
+		p.startResolve(g)
+	}
+	p.startEvict(g)
+}
+
+// answerOf returns the answer that a recorded outcome stands for.
+func answerOf(programID string, t *record.Turn) port.Answer {
+	return port.Answer{
+		ProgramID:  programID,
+		Seq:        t.Seq,
+		RequestID:  t.RequestId,
+		Output:     t.Output,
+		Usage:      usageOf(t.Usage),
+		Target:     t.Target,
+		TurnDigest: digestText(t.Digest),
+	}
+}
+
+// repeat returns a recorded outcome, which may be a failure.
+func repeat(programID string, t *record.Turn) (port.Answer, error) {
+	if t.Failure == "" {
+		return answerOf(programID, t), nil
+	}
+	return port.Answer{}, failureOf(t)
+}
+
+// failureOf returns the fault that a recorded failure stands for.
+func failureOf(t *record.Turn) *fault.Fault {
+	if fault.Type(t.Failure) == fault.OutcomeUnknown {
+		return outcomeUnknown().WithRequest(t.RequestId)
+	}
+	f := fault.New(fault.Type(t.Failure), fault.Ran, "the target refused the call as wrong")
+	return f.WithRequest(t.RequestId)
+}
+
+func digestText(digest []byte) string { return hex.EncodeToString(digest) }
+
+func usageOf(u *record.Usage) port.Usage {
+	return port.Usage{
+		PromptTokens: u.GetPromptTokens(),
+		CachedTokens: u.GetCachedTokens(),
+		OutputTokens: u.GetOutputTokens(),
+	}
+}
--- /dev/null
+++ b/internal/owner/engines.go
@@ -0,0 +1,91 @@
+package owner
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"yuccausher/internal/core/config"
+	"yuccausher/internal/port"
+)
+
+const (
+	// enginePeriod is how often engines are asked for their incarnation.
+	enginePeriod = 5 * time.Second
+	// engineTimeout bounds one such question.
+	engineTimeout = time.Second
+)
+
+func portTarget(t *config.Target) port.Target {
+	return port.Target{
+		Name:          t.Name,
+		Address:       t.Address,
+		DataCentre:    t.DataCentre,
+		ChecksFencing: t.ChecksFencing,
+	}
+}
+
+// engineTargets returns the targets that serve a model.
+func (s *Service) engineTargets() []port.Target {
+	var targets []port.Target
+	document := s.p.Config.Current().Document
+	for i := range document.Targets {
+		if document.Targets[i].Model != "" {
+			targets = append(targets, portTarget(&document.Targets[i]))
+		}
+	}
+	return targets
+}
+
+// pollEngines keeps the engines' incarnations. A claim carries them, so that
+// a later owner can prove that an engine has forgotten nothing since.
+func (s *Service) pollEngines() {
+	for {
+		s.askEngines()
+		if !sleep(s.ctx, enginePeriod) {
+			return
+		}
+	}
+}
+
+func (s *Service) askEngines() {
+	targets := s.engineTargets()
+	type report struct {
+		name        string
+		incarnation uint64
+	}
+	reports := make(chan report, len(targets))
+	for _, t := range targets {
+		s.spawn(func() {
+			ctx, cancel := context.WithTimeout(s.ctx, engineTimeout)
+			defer cancel()
+			status, err := s.p.Engine.Status(ctx, t)
+			if err != nil {
+				reports <- report{}
+				return
+			}
+			reports <- report{name: t.Name, incarnation: status.Incarnation}
+		})
+	}
+	found := make(map[string]uint64, len(targets))
+	for range targets {
+		select {
+		case r := <-reports:
+			if r.name != "" {
+				found[r.name] = r.incarnation
+			}
+		case <-s.ctx.Done():
+			return
+		}
+	}
+	s.engines.Store(&found)
+}
+
+// engineIncarnations returns what the engines last reported.
+func (s *Service) engineIncarnations() map[string]uint64 {
+	m := s.engines.Load()
+	if m == nil {
+		return nil
+	}
+	return maps.Clone(*m)
+}
--- /dev/null
+++ b/internal/owner/locate.go
@@ -0,0 +1,63 @@
+package owner
+
+import (
+	"context"
+
+	"yuccausher/internal/core/partition"
+	"yuccausher/internal/fault"
+	"yuccausher/internal/port"
+)
+
+// locate returns the partition of a root key, locked, once this host holds it
+// and takes new work there. It waits for a claim of this host or a release on
+// its way, and otherwise answers *port.NotOwnerError.
+func (s *Service) locate(ctx context.Context, rootKey string) (*part, error) {
+	l := s.layout.Load()
+	if l == nil {
+		return nil, notReady()
+	}
+	p := l.parts[partition.OfKey(rootKey, uint32(len(l.parts)))]
+	ctx, cancel := context.WithTimeout(ctx, s.p.Settings.ClaimWait)
+	defer cancel()
+	for {
+		p.mu.Lock()
+		if p.held() && !p.releasing {
+			return p, nil
+		}
+		wake := p.wake
+		err := p.elsewhere(s.memberView())
+		p.mu.Unlock()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return nil, s.unclaimed()
+		}
+	}
+}
+
+// elsewhere returns the error that names another owner, or nil if this host
+// is about to own the partition or to give it back.
+func (p *part) elsewhere(v view) error {
+	if p.held() && !p.s.leaving.Load() {
+		return nil
+	}
+	if p.held() {
+		return &port.NotOwnerError{Partition: p.id, Owner: v.first(p.id)}
+	}
+	if p.l.Epoch > 0 && !p.l.Released && p.l.Holder.Host != v.self && v.serving(p.l.Holder) {
+		return &port.NotOwnerError{Partition: p.id, Owner: p.l.Holder.Host}
+	}
+	if first := v.first(p.id); first != v.self {
+		return &port.NotOwnerError{Partition: p.id, Owner: first}
+	}
+	return nil
+}
+
+func (s *Service) unclaimed() error {
+	s.count("calls_without_claim")
+	f := fault.New(fault.LogUnavailable, fault.NotRun, "the partition is not claimed yet")
+	return f.WithRetryAfter(retryAfter)
+}
--- a/internal/owner/params.go
+++ b/internal/owner/params.go
@@ -50,11 +50,9 @@
 	DrainTimeout time.Duration
 	// ClaimWait bounds how long a call waits for a claim to be seen.
 	ClaimWait time.Duration
-	// LogWait bounds how long a call that must not be repeated waits for the
-	// log before it is refused.
-	LogWait time.Duration
-	// DispatchAllowance is how long after its intent was written a call may
-	// still be dispatched.
+	// DispatchAllowance is how long after its intent was handed to the log a
+	// call that must not be repeated may still be dispatched; it is also how
+	// long such a call waits for the log.
 	DispatchAllowance time.Duration
 	// ClockAllowance covers the difference of two hosts' clock rates when an
 	// intent in doubt is waited out.
@@ -76,12 +74,11 @@
 	defaultHoldDown          = 3 * time.Second
 	defaultDrainTimeout      = 20 * time.Second
 	defaultClaimWait         = 5 * time.Second
-	defaultLogWait           = 5 * time.Second
 	defaultDispatchAllowance = 2 * time.Second
 	defaultClockAllowance    = 500 * time.Millisecond
 	defaultCallTimeout       = 60 * time.Second
 	defaultEarlyCalls        = 8
-	defaultSliceTokens       = 4096
+	defaultSliceTokens       = 8192
 )
 
 func orDefault[T comparable](v *T, d T) {
@@ -101,7 +98,6 @@
 	orDefault(&s.HoldDown, defaultHoldDown)
 	orDefault(&s.DrainTimeout, defaultDrainTimeout)
 	orDefault(&s.ClaimWait, defaultClaimWait)
-	orDefault(&s.LogWait, defaultLogWait)
 	orDefault(&s.DispatchAllowance, defaultDispatchAllowance)
 	orDefault(&s.ClockAllowance, defaultClockAllowance)
 	orDefault(&s.CallTimeout, defaultCallTimeout)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -1,12 +1,193 @@
 package owner
 
-// Service owns partitions and serves their programs.
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+
+	"yuccausher/internal/core/config"
+	"yuccausher/internal/core/ledger"
+	"yuccausher/internal/core/partition"
+	"yuccausher/internal/fault"
+	"yuccausher/internal/gen/record"
+	"yuccausher/internal/port"
+)
+
+// configPoll is how often a Service looks for its first configuration.
+const configPoll = 50 * time.Millisecond
+
+// Service owns partitions and serves their programs. It implements
+// port.Programs for the partitions that this host owns.
 type Service struct {
-	p Params
+	p       Params
+	self    ledger.Writer
+	limiter *rate.Limiter
+	// layout is nil until the first configuration is in force.
+	layout atomic.Pointer[layout]
+	// changed wakes the claim loop.
+	changed chan struct{}
+	leaving atomic.Bool
+	// engines are the incarnations that the engines last reported.
+	engines atomic.Pointer[map[string]uint64]
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+	// stopping keeps new goroutines from starting once the stop has begun.
+	stopping sync.RWMutex
 }
 
+// layout is the fixed division of the programs.
+type layout struct {
+	parts   []*part
+	streams []*stream
+}
+
+var _ port.Programs = (*Service)(nil)
+
 // New returns a Service that is not started yet.
 func New(p Params) *Service {
 	p.Settings = p.Settings.withDefaults()
-	return &Service{p: p}
+	if p.Metrics == nil {
+		p.Metrics = tally.NoopScope
+	}
+	p.Logger = p.Logger.WithName("owner")
+	return &Service{
+		p:       p,
+		limiter: rate.NewLimiter(rate.Limit(p.Settings.AppendsPerSecond), p.Settings.AppendBurst),
+		changed: make(chan struct{}, 1),
+	}
+}
+
+// Start begins to follow the streams and to claim partitions, as soon as a
+// configuration is in force. It returns at once.
+func (s *Service) Start(context.Context) error {
+	self := s.p.Members.Self()
+	s.self = ledger.Writer{Host: self.ID, Incarnation: self.Incarnation}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.spawn(s.begin)
+	return nil
+}
+
+// Stop ends all work at once and waits until it has ended. A planned stop
+// calls Release first.
+func (s *Service) Stop(context.Context) error {
+	if s.cancel == nil {
+		return nil
+	}
+	s.stopping.Lock()
+	s.cancel()
+	s.stopping.Unlock()
+	s.group.Wait()
+	return nil
+}
+
+// spawn runs f until the Service stops; after that it does nothing.
+func (s *Service) spawn(f func()) {
+	s.stopping.RLock()
+	defer s.stopping.RUnlock()
+	if s.ctx.Err() == nil {
+		s.group.Go(f)
+	}
+}
+
+func (s *Service) begin() {
+	snapshot := s.awaitConfig()
+	if snapshot == nil {
+		return
+	}
+	l := s.newLayout(snapshot.Document)
+	s.layout.Store(l)
+	for _, t := range l.streams {
+		s.spawn(func() { t.tail(s.ctx) })
+		s.spawn(func() { t.writer.run(s.ctx) })
+	}
+	s.spawn(s.pollEngines)
+	s.spawn(s.sweep)
+	s.claimLoop()
+}
+
+func (s *Service) awaitConfig() *config.Snapshot {
+	for {
+		if snapshot := s.p.Config.Current(); snapshot != nil {
+			return snapshot
+		}
+		if !sleep(s.ctx, configPoll) {
+			return nil
+		}
+	}
+}
+
+func (s *Service) newLayout(d *config.Document) *layout {
+	l := &layout{}
+	for i := range d.Streams {
+		l.streams = append(l.streams, newStream(s, partition.Stream(i, d.Streams)))
+	}
+	for i := range d.Partitions {
+		l.parts = append(l.parts, newPart(s, i, l.streams[i%d.Streams]))
+	}
+	return l
+}
+
+func (s *Service) partitionsOf(t *stream) []*part {
+	var parts []*part
+	for _, p := range s.layout.Load().parts {
+		if p.stream == t {
+			parts = append(parts, p)
+		}
+	}
+	return parts
+}
+
+func (s *Service) isSelf(w ledger.Writer) bool { return w == s.self }
+
+func (s *Service) count(name string) { s.p.Metrics.Counter(name).Inc(1) }
+
+// claimsChanged wakes the claim loop.
+func (s *Service) claimsChanged() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) quarantined(fingerprint uint64) {
+	if s.p.Quarantined != nil {
+		s.p.Quarantined(fingerprint)
+	}
+}
+
+// Quarantine records a fingerprint as poisoned, for all hosts and for those
+// that start later. It returns once the record was seen.
+func (s *Service) Quarantine(ctx context.Context, fingerprint uint64) error {
+	l := s.layout.Load()
+	if l == nil {
+		return notReady()
+	}
+	p := l.streams[0].writer.submit(&record.Record{
+		Body: &record.Record_Quarantine{Quarantine: &record.Quarantine{Fingerprint: fingerprint}},
+	})
+	return await(ctx, p)
+}
+
+// Partitions returns all partitions as this host sees them.
+func (s *Service) Partitions() []port.PartitionView {
+	l := s.layout.Load()
+	if l == nil {
+		return nil
+	}
+	views := make([]port.PartitionView, 0, len(l.parts))
+	for _, p := range l.parts {
+		views = append(views, p.view())
+	}
+	return views
+}
+
+func notReady() *fault.Fault {
+	f := fault.New(fault.NotReady, fault.NotRun, "no configuration is in force yet")
+	return f.WithRetryAfter(time.Second)
 }
--- /dev/null
+++ b/internal/owner/stream.go
@@ -0,0 +1,170 @@
+package owner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"yuccausher/internal/core/ledger"
+	"yuccausher/internal/gen/record"
+	"yuccausher/internal/port"
+)
+
+const (
+	// readWait is how long a read waits for new records.
+	readWait = time.Second
+	// readTimeout bounds a read as a whole.
+	readTimeout = 5 * time.Second
+	// freshFor is how old the end of the last read may be before a dispatch:
+	// a process that was paused for longer reads first.
+	freshFor = readTimeout + time.Second
+)
+
+// stream follows one state stream and applies its records to the partitions.
+type stream struct {
+	s      *Service
+	name   string
+	writer *writer
+	logger logr.Logger
+
+	// Only the tailer's goroutine uses these.
+	marks ledger.Marks
+	next  int64
+
+	// current is set while the last read reached the end of the stream.
+	current atomic.Bool
+	// polled is when the last read came back, whatever its result.
+	polled atomic.Pointer[time.Time]
+}
+
+func newStream(s *Service, name string) *stream {
+	return &stream{
+		s:      s,
+		name:   name,
+		writer: newWriter(s, name),
+		logger: s.p.Logger.WithName("tailer"),
+		marks:  make(ledger.Marks),
+	}
+}
+
+// tail reads the stream until the context ends.
+func (t *stream) tail(ctx context.Context) {
+	pause := retryPauseMin
+	for ctx.Err() == nil {
+		err := t.read(ctx)
+		now := time.Now()
+		t.polled.Store(&now)
+		if err == nil {
+			pause = retryPauseMin
+			continue
+		}
+		t.s.count("log_read_failures")
+		t.logger.V(1).Info("Read failed.", "stream", t.name, "error", err.Error())
+		sleep(ctx, pause)
+		pause = min(2*pause, retryPauseMax)
+	}
+}
+
+func (t *stream) read(ctx context.Context) error {
+	wait := readWait
+	if !t.current.Load() {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	page, err := t.s.p.Log.Read(ctx, t.name, t.next, wait)
+	if err != nil {
+		return err
+	}
+	t.take(page)
+	return nil
+}
+
+func (t *stream) take(page port.Page) {
+	if page.Oldest > t.next {
+		t.restart(page.Oldest)
+	}
+	for _, r := range page.Records {
+		if r.Offset < t.next {
+			continue
+		}
+		if r.Offset > t.next {
+			t.logger.Info("Page has a gap.", "stream", t.name, "offset", r.Offset)
+			t.s.count("log_page_gaps")
+			return
+		}
+		t.apply(r)
+		t.next = r.Offset + 1
+	}
+	caughtUp := t.next >= page.End
+	if caughtUp && !t.current.Swap(true) {
+		t.s.claimsChanged()
+	}
+	if !caughtUp {
+		t.current.Store(false)
+	}
+}
+
+// restart begins anew at an offset, since the records before it were trimmed.
+func (t *stream) restart(floor int64) {
+	if t.next > 0 {
+		t.logger.Info("Records were trimmed unread.", "stream", t.name, "next", t.next, "oldest", floor)
+		t.s.count("log_trimmed_unread")
+	}
+	t.next = floor
+	t.marks = make(ledger.Marks)
+	for _, p := range t.s.partitionsOf(t) {
+		p.restart(floor)
+	}
+	t.writer.lose()
+}
+
+func (t *stream) apply(r port.Record) {
+	e, ok := ledger.Decode(r)
+	layout := t.s.layout.Load()
+	if !ok || e.Record.Partition >= uint32(len(layout.parts)) {
+		t.countVerdict(ledger.Garbage)
+		t.logger.Info("Record can't be read.", "stream", t.name, "offset", r.Offset)
+		return
+	}
+	v := ledger.Duplicate
+	if t.marks.Pass(e) {
+		v = t.applyEntry(layout.parts[e.Record.Partition], e)
+	}
+	t.countVerdict(v)
+	if t.s.isSelf(e.Writer()) && v != ledger.Duplicate {
+		t.writer.settle(e.Record.Sequence, v)
+	}
+}
+
+func (t *stream) applyEntry(p *part, e ledger.Entry) ledger.Verdict {
+	if q, ok := e.Record.Body.(*record.Record_Quarantine); ok {
+		t.s.quarantined(q.Quarantine.Fingerprint)
+		return ledger.Applied
+	}
+	if p.stream != t {
+		return ledger.Garbage
+	}
+	return p.apply(e)
+}
+
+func (t *stream) countVerdict(v ledger.Verdict) {
+	t.s.p.Metrics.Tagged(map[string]string{"verdict": string(v)}).Counter("ledger_records").Inc(1)
+}
+
+// awaitFresh waits until a read came back lately. After a pause of the
+// process the first read tells of claims that were made meanwhile; if the log
+// is down, no claim can be made either.
+func (t *stream) awaitFresh(ctx context.Context) error {
+	for {
+		at := t.polled.Load()
+		if at != nil && time.Since(*at) < freshFor {
+			return nil
+		}
+		if !sleep(ctx, retryPauseMin) {
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/owner/writer.go
@@ -0,0 +1,337 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
+
+	"yuccausher/internal/core/ledger"
+	"yuccausher/internal/gen/record"
+	"yuccausher/internal/port"
+)
+
+const (
+	// batchRecords and batchBytes bound one append.
+	batchRecords = 1000
+	batchBytes   = 4 << 20
+	// retryPauseMin and retryPauseMax bound the pause after a failed append.
+	retryPauseMin = 50 * time.Millisecond
+	retryPauseMax = time.Second
+)
+
+// lost is the verdict on a record whose place in the stream was trimmed
+// before it was read.
+const lost ledger.Verdict = "lost"
+
+// unwritten is the verdict on a record that provably never reached the log.
+const unwritten ledger.Verdict = "unwritten"
+
+// Appender adds records to a stream. The log implements it; so may a client
+// of another host that gathers the records of many.
+type Appender interface {
+	Append(ctx context.Context, stream string, records [][]byte) (int64, error)
+}
+
+// pending is a record on its way into the stream.
+type pending struct {
+	rec *record.Record
+	// done is closed when the record was seen, with its verdict.
+	done    chan struct{}
+	verdict ledger.Verdict
+	// late is called with the verdict if nobody waits any more. The writer's
+	// lock guards it.
+	late func(ledger.Verdict)
+}
+
+// writer appends records in groups: one append is under way while the next
+// group gathers.
+type writer struct {
+	log     Appender
+	stream  string
+	self    port.Host
+	limiter *rate.Limiter
+	timeout time.Duration
+	logger  logr.Logger
+	metrics tally.Scope
+
+	mu      sync.Mutex
+	queue   []*pending
+	unseen  map[uint64]*pending
+	next    uint64
+	arrived chan struct{}
+	// pause is the wait after the next failure. Only run's goroutine uses it.
+	pause time.Duration
+}
+
+func newWriter(s *Service, stream string) *writer {
+	return &writer{
+		log:     s.p.Log,
+		stream:  stream,
+		self:    s.p.Members.Self(),
+		limiter: s.limiter,
+		timeout: s.p.Settings.AppendTimeout,
+		logger:  s.p.Logger.WithName("writer"),
+		metrics: s.p.Metrics,
+		unseen:  make(map[uint64]*pending),
+		arrived: make(chan struct{}, 1),
+		pause:   retryPauseMin,
+	}
+}
+
+// submit queues a record. It never blocks.
+func (w *writer) submit(rec *record.Record) *pending {
+	rec.Host = w.self.ID
+	rec.Incarnation = w.self.Incarnation
+	p := &pending{rec: rec, done: make(chan struct{})}
+	w.mu.Lock()
+	w.queue = append(w.queue, p)
+	w.mu.Unlock()
+	w.wake()
+	return p
+}
+
+func (w *writer) wake() {
+	select {
+	case w.arrived <- struct{}{}:
+	default:
+	}
+}
+
+// abandon gives up on a record. It returns true if the record will never be
+// in the stream; otherwise late gets the verdict once there is one.
+func (w *writer) abandon(p *pending, late func(ledger.Verdict)) bool {
+	w.mu.Lock()
+	for i, q := range w.queue {
+		if q == p {
+			w.queue = append(w.queue[:i:i], w.queue[i+1:]...)
+			w.mu.Unlock()
+			return true
+		}
+	}
+	select {
+	case <-p.done:
+		w.mu.Unlock()
+		late(p.verdict)
+	default:
+		p.late = late
+		w.mu.Unlock()
+	}
+	return false
+}
+
+// settle tells the writer that one of its records was seen.
+func (w *writer) settle(sequence uint64, v ledger.Verdict) {
+	w.mu.Lock()
+	p := w.unseen[sequence]
+	delete(w.unseen, sequence)
+	w.mu.Unlock()
+	if p != nil {
+		w.finish(p, v)
+	}
+}
+
+func (w *writer) finish(p *pending, v ledger.Verdict) {
+	w.mu.Lock()
+	p.verdict = v
+	close(p.done)
+	late := p.late
+	w.mu.Unlock()
+	if late != nil {
+		late(v)
+	}
+}
+
+// lose settles all records that may lie in a part of the stream that was
+// trimmed unread.
+func (w *writer) lose() {
+	w.mu.Lock()
+	all := w.unseen
+	w.unseen = make(map[uint64]*pending)
+	w.mu.Unlock()
+	for _, p := range all {
+		w.finish(p, lost)
+	}
+}
+
+// run appends until the context ends.
+func (w *writer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.arrived:
+		}
+		for w.appendNext(ctx) {
+		}
+	}
+}
+
+// appendNext appends one group and says whether there was one.
+func (w *writer) appendNext(ctx context.Context) bool {
+	if w.empty() || w.limiter.Wait(ctx) != nil {
+		return false
+	}
+	batch := w.take()
+	if len(batch) == 0 {
+		return false
+	}
+	batch, data := w.encode(batch)
+	if len(batch) == 0 {
+		return true
+	}
+	return w.appendBatch(ctx, batch, data)
+}
+
+func (w *writer) empty() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.queue) == 0
+}
+
+// take removes the next group from the queue and numbers its records.
+func (w *writer) take() []*pending {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, size := 0, 0
+	for n < len(w.queue) && n < batchRecords && (n == 0 || size < batchBytes) {
+		size += proto.Size(w.queue[n].rec)
+		n++
+	}
+	batch := w.queue[:n:n]
+	w.queue = w.queue[n:]
+	for _, p := range batch {
+		w.next++
+		p.rec.Sequence = w.next
+		w.unseen[w.next] = p
+	}
+	return batch
+}
+
+// encode returns the records that can be encoded, and their bytes.
+func (w *writer) encode(batch []*pending) ([]*pending, [][]byte) {
+	var good []*pending
+	var data [][]byte
+	for _, p := range batch {
+		b, err := proto.Marshal(p.rec)
+		if err != nil {
+			w.logger.Error(err, "Record can't be encoded.")
+			w.settle(p.rec.Sequence, unwritten)
+			continue
+		}
+		good = append(good, p)
+		data = append(data, b)
+	}
+	return good, data
+}
+
+// appendBatch appends a group until it is known to be in the stream. After an
+// ambiguous failure the same group goes out again, unless it was seen: each
+// reader drops the second copy. It says whether the writer goes on.
+func (w *writer) appendBatch(ctx context.Context, batch []*pending, data [][]byte) bool {
+	ambiguous := false
+	for {
+		err := w.appendOnce(ctx, data)
+		if err == nil {
+			w.pause = retryPauseMin
+			return true
+		}
+		ambiguous = ambiguous || mayHaveWritten(err)
+		w.count(err)
+		if !ambiguous {
+			w.putBack(batch)
+		}
+		if !w.backOff(ctx) {
+			return false
+		}
+		if !ambiguous || w.seen(batch) {
+			return true
+		}
+		if w.limiter.Wait(ctx) != nil {
+			return false
+		}
+	}
+}
+
+func (w *writer) backOff(ctx context.Context) bool {
+	pause := w.pause
+	w.pause = min(2*pause, retryPauseMax)
+	return sleep(ctx, pause)
+}
+
+func (w *writer) appendOnce(ctx context.Context, data [][]byte) error {
+	ctx, cancel := context.WithTimeout(ctx, w.timeout)
+	defer cancel()
+	_, err := w.log.Append(ctx, w.stream, data)
+	w.metrics.Counter("log_appends").Inc(1)
+	w.metrics.Counter("log_records").Inc(int64(len(data)))
+	return err
+}
+
+func (w *writer) count(err error) {
+	reason := "refused"
+	var le *port.LogError
+	switch {
+	case mayHaveWritten(err):
+		reason = "ambiguous"
+	case errors.As(err, &le) && le.Limited:
+		reason = "limited"
+	}
+	w.metrics.Tagged(map[string]string{"reason": reason}).Counter("log_append_retries").Inc(1)
+	w.logger.V(1).Info("Append failed.", "stream", w.stream, "reason", reason, "error", err.Error())
+}
+
+// mayHaveWritten says whether a failed append may have taken effect. An error
+// of an unknown type proves nothing.
+func mayHaveWritten(err error) bool {
+	var le *port.LogError
+	return !errors.As(err, &le) || le.Ambiguous
+}
+
+// putBack queues a group again that was refused whole. What was given up in
+// the meantime stays out.
+func (w *writer) putBack(batch []*pending) {
+	w.mu.Lock()
+	var kept, dropped []*pending
+	for _, p := range batch {
+		delete(w.unseen, p.rec.Sequence)
+		if p.late == nil {
+			kept = append(kept, p)
+		} else {
+			dropped = append(dropped, p)
+		}
+	}
+	w.queue = append(kept, w.queue...)
+	w.mu.Unlock()
+	for _, p := range dropped {
+		w.finish(p, unwritten)
+	}
+}
+
+// seen says whether the whole group was seen in the stream.
+func (w *writer) seen(batch []*pending) bool {
+	last := batch[len(batch)-1]
+	select {
+	case <-last.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// sleep waits and says whether the context lives on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/port/program.go
+++ b/internal/port/program.go
@@ -132,12 +132,17 @@
 	End(ctx context.Context, id string) (ProgramView, error)
 }
 
-// NotOwnerError says that a host does not own a partition. Nothing was run.
+// NotOwnerError says that a host does not own a partition. Nothing was run,
+// unless MayHaveRun is set.
 type NotOwnerError struct {
 	Partition uint32
 	// Owner is the host that the answering host takes for the owner; empty
 	// if it knows none.
 	Owner string
+	// MayHaveRun says that the call had left for a target before the
+	// partition was lost. The same request is then still safe to send to the
+	// next owner, but a refusal of it must not say not_run.
+	MayHaveRun bool
 }
 
 // Error implements error.
