--- a/internal/core/partition/partition.go
+++ b/internal/core/partition/partition.go
@@ -3,8 +3,6 @@
 package partition
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"strconv"
 	"strings"
 
@@ -21,16 +19,6 @@
 	return key
 }
 
-// rootKeyBytes is the length of a root key before its encoding.
-const rootKeyBytes = 16
-
-// NewRootKey returns the root key of the root program that a firm's request
-// creates. The same request always gives the same key, hence the same owner.
-func NewRootKey(firm, requestID string) string {
-	h := sha256.Sum256([]byte(strconv.Itoa(len(firm)) + "/" + firm + "/" + requestID))
-	return hex.EncodeToString(h[:rootKeyBytes])
-}
-
 // ID joins a root key and the rest of a program ID.
 func ID(rootKey, rest string) string { return rootKey + separator + rest }
 
--- a/internal/owner/params.go
+++ b/internal/owner/params.go
@@ -69,7 +69,7 @@
 	defaultAppendsPerSecond  = 20
 	defaultAppendBurst       = 5
 	defaultAppendTimeout     = 5 * time.Second
-	defaultRetention         = 24 * time.Hour
+	defaultRetention         = time.Hour
 	defaultExpiry            = time.Hour
 	defaultHoldDown          = 3 * time.Second
 	defaultDrainTimeout      = 20 * time.Second
--- a/internal/owner/tool.go
+++ b/internal/owner/tool.go
@@ -297,10 +297,10 @@
 		if err != nil {
 			continue
 		}
-		if !knows || ran {
-			return answer, ran, knows
+		if knows && ran {
+			return answer, true, true
 		}
-		result, known = answer, true
+		result, known = answer, knows
 	}
 	return result, false, known
 }
