--- a/internal/core/partition/rootkey.go
+++ b/internal/core/partition/rootkey.go
@@ -7,7 +7,7 @@
 )
 
 // rootKeyBytes is the length of a root key before it is written as hex.
-const rootKeyBytes = 8
+const rootKeyBytes = 16
 
 // NewRootKey returns the root key of the program that a firm opens with a
 // request ID. The same request gives the same key at every host, so that a
