--- /dev/null
+++ b/internal/core/admission/item.go
@@ -0,0 +1,90 @@
+// Package admission orders the calls that wait for a group of targets. Firms
+// share the targets by weight. Inside a firm each call has a due time, and
+// the earliest due goes first: the due time is the arrival plus bounded
+// penalties, so that every call ages at the same rate and none starves.
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// The penalties, which bound by how much a call can be overtaken.
+const (
+	// classPenalty is added per level of class priority.
+	classPenalty = 5 * time.Second
+	// maxClassLevels bounds the sum of the class penalties.
+	maxClassLevels = 12
+	// newPenalty puts programs under way before new ones.
+	newPenalty = 30 * time.Second
+	// attainedPenalty is added per doubling of the attained tokens.
+	attainedPenalty = 500 * time.Millisecond
+	// attainedUnit is the attained service, in tokens, of the first doubling.
+	attainedUnit = 1000
+	// maxAttainedLevels bounds the sum of the attained-service penalties.
+	maxAttainedLevels = 16
+)
+
+// MaxPenalty is the most by which a call's due time lies after its arrival.
+const MaxPenalty = maxClassLevels*classPenalty + newPenalty + maxAttainedLevels*attainedPenalty
+
+// Item is one waiting call.
+type Item struct {
+	Firm string
+	// Weight is the firm's share; less than one counts as one.
+	Weight int
+	// Class is the priority of the class; a lower value goes first.
+	Class int
+	// UnderWay says that the program has had a call served.
+	UnderWay bool
+	// AttainedTokens is what the program has been served so far.
+	AttainedTokens int64
+	Arrived        time.Time
+	// Deadline is zero where there is none.
+	Deadline time.Time
+	// Service is how long the call is expected to take at a target.
+	Service time.Duration
+	// Value is the caller's own.
+	Value any
+
+	due   time.Time
+	order uint64
+}
+
+// Rank computes when an item is due. It is asked once, when the item comes.
+type Rank func(*Item) time.Time
+
+// Arrival is the order first come, first served.
+func Arrival(i *Item) time.Time { return i.Arrived }
+
+// Due is the order of this package: arrival plus penalties. A deadline brings it forward to the latest
+// time at which the call can start and still end in time.
+func Due(i *Item) time.Time {
+	due := i.Arrived.Add(penalty(i))
+	if i.Deadline.IsZero() {
+		return due
+	}
+	latest := i.Deadline.Add(-2 * i.Service)
+	if latest.Before(due) {
+		return latest
+	}
+	return due
+}
+
+func penalty(i *Item) time.Duration {
+	level := min(max(i.Class, 0), maxClassLevels)
+	p := time.Duration(level) * classPenalty
+	if !i.UnderWay {
+		p += newPenalty
+	}
+	doublings := math.Log2(1 + float64(max(i.AttainedTokens, 0))/attainedUnit)
+	doublings = min(doublings, maxAttainedLevels)
+	return p + time.Duration(doublings*float64(attainedPenalty))
+}
+
+func before(a, b *Item) bool {
+	if !a.due.Equal(b.due) {
+		return a.due.Before(b.due)
+	}
+	return a.order < b.order
+}
--- /dev/null
+++ b/internal/core/admission/queue.go
@@ -0,0 +1,188 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"github.com/google/btree"
+)
+
+const btreeDegree = 8
+
+// idleFirmLimit is how many firms without waiting calls are remembered.
+const idleFirmLimit = 256
+
+// Queue is a bounded queue of calls, fair across firms. It is not safe for
+// concurrent use.
+type Queue struct {
+	rank    Rank
+	bound   int
+	size    int
+	pushed  uint64
+	virtual float64
+	firms   map[string]*firm
+	// backlog holds the firms with waiting calls, least virtual time first
+	// after sort.
+	backlog []*firm
+}
+
+type firm struct {
+	name    string
+	weight  float64
+	virtual float64
+	items   *btree.BTreeG[*Item]
+}
+
+// NewQueue returns a queue that holds up to bound calls in the order of rank.
+func NewQueue(bound int, rank Rank) *Queue {
+	return &Queue{rank: rank, bound: bound, firms: make(map[string]*firm)}
+}
+
+// Len returns the number of waiting calls.
+func (q *Queue) Len() int { return q.size }
+
+// Push adds a call. If the queue is full, the call that is due last in the
+// firm with the most waiting calls per weight leaves instead and is returned;
+// this can be the new call itself.
+func (q *Queue) Push(i *Item) (displaced *Item) {
+	q.pushed++
+	i.order = q.pushed
+	i.due = q.rank(i)
+	f := q.firm(i)
+	if f.items.Len() == 0 {
+		f.virtual = max(f.virtual, q.virtual)
+		q.backlog = append(q.backlog, f)
+	}
+	f.items.ReplaceOrInsert(i)
+	q.size++
+	if q.size <= q.bound {
+		return nil
+	}
+	last, _ := q.longest().items.Max()
+	q.Remove(last)
+	return last
+}
+
+func (q *Queue) firm(i *Item) *firm {
+	f := q.firms[i.Firm]
+	if f == nil {
+		q.forgetIdle()
+		f = &firm{name: i.Firm, items: btree.NewG(btreeDegree, before)}
+		q.firms[i.Firm] = f
+	}
+	f.weight = float64(max(i.Weight, 1))
+	return f
+}
+
+func (q *Queue) forgetIdle() {
+	if len(q.firms) < idleFirmLimit+len(q.backlog) {
+		return
+	}
+	for name, f := range q.firms {
+		if f.items.Len() == 0 && f.virtual <= q.virtual {
+			delete(q.firms, name)
+		}
+	}
+}
+
+func (q *Queue) longest() *firm {
+	return slices.MaxFunc(q.backlog, func(a, b *firm) int {
+		x := float64(a.items.Len()) / a.weight
+		y := float64(b.items.Len()) / b.weight
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+}
+
+// Remove takes a call out unserved. It returns false if it is not there.
+func (q *Queue) Remove(i *Item) bool {
+	f := q.firms[i.Firm]
+	if f == nil {
+		return false
+	}
+	if _, ok := f.items.Delete(i); !ok {
+		return false
+	}
+	q.size--
+	if f.items.Len() == 0 {
+		at := slices.Index(q.backlog, f)
+		q.backlog = slices.Delete(q.backlog, at, at+1)
+	}
+	return true
+}
+
+// Each calls visit in the order of service, for at most perFirm calls of each
+// firm, until visit returns false. The queue must not change meanwhile.
+func (q *Queue) Each(perFirm int, visit func(*Item) bool) {
+	q.sortBacklog()
+	for _, f := range q.backlog {
+		left := perFirm
+		more := true
+		f.items.Ascend(func(i *Item) bool {
+			more = visit(i)
+			left--
+			return more && left > 0
+		})
+		if !more {
+			return
+		}
+	}
+}
+
+// Take removes a call that is served and charges its firm with its expected
+// service time.
+func (q *Queue) Take(i *Item) {
+	if !q.Remove(i) {
+		return
+	}
+	f := q.firms[i.Firm]
+	q.virtual = max(q.virtual, f.virtual)
+	f.virtual += i.Service.Seconds() / f.weight
+}
+
+// Charge corrects a firm's account once the true service time is known.
+func (q *Queue) Charge(name string, delta time.Duration) {
+	if f := q.firms[name]; f != nil {
+		f.virtual += delta.Seconds() / f.weight
+	}
+}
+
+// Ahead returns how many calls would be served before i, which need not be in
+// the queue: those of its firm that are due earlier, and as many of each other
+// firm as its weight entitles it to.
+func (q *Queue) Ahead(i *Item) int {
+	probe := *i
+	probe.due = q.rank(i)
+	probe.order = q.pushed + 1
+	own := 0
+	weight := float64(max(i.Weight, 1))
+	if f := q.firms[i.Firm]; f != nil {
+		f.items.AscendLessThan(&probe, func(*Item) bool { own++; return true })
+	}
+	total := own
+	for _, f := range q.backlog {
+		if f.name == i.Firm {
+			continue
+		}
+		entitled := float64(own+1) * f.weight / weight
+		total += min(f.items.Len(), int(entitled))
+	}
+	return total
+}
+
+func (q *Queue) sortBacklog() {
+	slices.SortFunc(q.backlog, func(a, b *firm) int {
+		switch {
+		case a.virtual < b.virtual:
+			return -1
+		case a.virtual > b.virtual:
+			return 1
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/internal/core/poison/registry.go
@@ -0,0 +1,135 @@
+// Package poison finds content that crashes the targets that run it. Every
+// request in flight on a target that crashes leaves a mark on its content's
+// fingerprint; content with two marks is quarantined. Content with one mark is
+// suspect and runs on one target at a time, and a whole answer clears it.
+package poison
+
+import (
+	"slices"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// maxCrashes is how many targets a content may crash.
+const maxCrashes = 2
+
+// capacity is how many fingerprints are remembered, suspects and quarantined
+// ones each. The least recently used are forgotten first.
+const capacity = 8192
+
+// Verdict says how content may run.
+type Verdict int
+
+// The verdicts on a fingerprint.
+const (
+	// Clean content runs freely.
+	Clean Verdict = iota
+	// Suspect content may run on one target at a time.
+	Suspect
+	// Quarantined content must not run.
+	Quarantined
+)
+
+// Mark is a crash of a target while content was in flight on it.
+type Mark struct {
+	Fingerprint uint64
+	Target      string
+	// At is when the crash was seen, in nanoseconds since 1970. A mark that
+	// comes back from another host is known by it.
+	At int64
+}
+
+// Registry holds the marks. It is not safe for concurrent use.
+type Registry struct {
+	suspects    *lru.Cache[uint64, []Mark]
+	quarantined *lru.Cache[uint64, struct{}]
+	running     flights
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	suspects, _ := lru.New[uint64, []Mark](capacity)
+	quarantined, _ := lru.New[uint64, struct{}](capacity)
+	return &Registry{suspects: suspects, quarantined: quarantined, running: make(flights)}
+}
+
+// Verdict returns how content may run.
+func (r *Registry) Verdict(fingerprint uint64) Verdict {
+	if _, ok := r.quarantined.Get(fingerprint); ok {
+		return Quarantined
+	}
+	if _, ok := r.suspects.Get(fingerprint); ok {
+		return Suspect
+	}
+	return Clean
+}
+
+// Begin admits one request in flight on a target. It returns false if the
+// content is quarantined, if it is suspect and already in flight, and if it is
+// in flight on as many other targets as it may crash.
+func (r *Registry) Begin(fingerprint uint64, target string) bool {
+	switch r.Verdict(fingerprint) {
+	case Quarantined:
+		return false
+	case Suspect:
+		if len(r.running[fingerprint]) > 0 {
+			return false
+		}
+	case Clean:
+		if r.running.others(fingerprint, target) >= maxCrashes {
+			return false
+		}
+	}
+	r.running.add(fingerprint, target)
+	return true
+}
+
+// End takes a request out of flight. whole says that the target answered it
+// in full, which clears the content of suspicion.
+func (r *Registry) End(fingerprint uint64, target string, whole bool) {
+	r.running.remove(fingerprint, target)
+	if whole {
+		r.suspects.Remove(fingerprint)
+	}
+}
+
+// Crash records a mark, own or another host's, and returns true if it
+// quarantines the content.
+func (r *Registry) Crash(m Mark) bool {
+	if _, ok := r.quarantined.Get(m.Fingerprint); ok {
+		return false
+	}
+	marks, _ := r.suspects.Get(m.Fingerprint)
+	if slices.Contains(marks, m) {
+		return false
+	}
+	marks = append(slices.Clip(marks), m)
+	if len(marks) < maxCrashes {
+		r.suspects.Add(m.Fingerprint, marks)
+		return false
+	}
+	r.Quarantine(m.Fingerprint)
+	return true
+}
+
+// Quarantine takes over another host's finding and returns true if it is new.
+func (r *Registry) Quarantine(fingerprint uint64) bool {
+	r.suspects.Remove(fingerprint)
+	if r.quarantined.Contains(fingerprint) {
+		return false
+	}
+	r.quarantined.Add(fingerprint, struct{}{})
+	return true
+}
+
+// Quarantined returns the fingerprints in quarantine, oldest first.
+func (r *Registry) Quarantined() []uint64 { return r.quarantined.Keys() }
+
+// Marks returns the marks of suspect content.
+func (r *Registry) Marks() []Mark {
+	var all []Mark
+	for _, marks := range r.suspects.Values() {
+		all = append(all, marks...)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/core/routing/speeds.go
@@ -0,0 +1,77 @@
+package routing
+
+import "time"
+
+const (
+	// initialPrefillRate is assumed until a target has shown its own, in
+	// tokens a second.
+	initialPrefillRate = 5000.0
+	// initialService is the assumed time of a call, in seconds.
+	initialService = 1.0
+	// minSample is the fewest uncached tokens that tell the prefill rate.
+	minSample = 200
+	// Rates rise fast and fall slowly, since queueing hides the true one.
+	riseGain = 0.3
+	fallGain = 0.02
+	meanGain = 0.05
+)
+
+// Speeds learns how fast a group of targets is. It is not safe for concurrent
+// use. The zero value is ready.
+type Speeds struct {
+	prefill float64
+	service float64
+	decode  float64
+}
+
+// Observe takes the times and counts of one whole answer.
+func (s *Speeds) Observe(uncached int64, first, total time.Duration) {
+	if total <= 0 {
+		return
+	}
+	s.service = mean(s.service, total.Seconds())
+	s.decode = mean(s.decode, max(total-first, 0).Seconds())
+	if uncached < minSample || first <= 0 {
+		return
+	}
+	sample := float64(uncached) / first.Seconds()
+	switch {
+	case s.prefill == 0:
+		s.prefill = sample
+	case sample > s.prefill:
+		s.prefill += riseGain * (sample - s.prefill)
+	default:
+		s.prefill += fallGain * (sample - s.prefill)
+	}
+}
+
+func mean(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + meanGain*(sample-old)
+}
+
+// PrefillRate returns the speed of prefill in tokens a second.
+func (s *Speeds) PrefillRate() float64 {
+	if s.prefill == 0 {
+		return initialPrefillRate
+	}
+	return s.prefill
+}
+
+// Service returns the mean time of a call at a target, in seconds.
+func (s *Speeds) Service() float64 {
+	if s.service == 0 {
+		return initialService
+	}
+	return s.service
+}
+
+// Decode returns the mean time after the first token, in seconds.
+func (s *Speeds) Decode() float64 { return s.decode }
+
+// FirstToken returns the time that an idle target takes to the first token.
+func (s *Speeds) FirstToken(uncached int64) time.Duration {
+	return time.Duration(float64(uncached) / s.PrefillRate() * float64(time.Second))
+}
--- /dev/null
+++ b/internal/sched/pauses.go
@@ -0,0 +1,91 @@
+package sched
+
+import (
+	"sync"
+	"time"
+
+	"yuccausher/internal/port"
+)
+
+const (
+	// initialPause is the assumed pause of an agent that has shown none.
+	initialPause = 5 * time.Second
+	// pauseGain is the weight of a new pause in an agent's mean.
+	pauseGain = 0.1
+	// pauseCapacity is how many pausing programs are remembered.
+	pauseCapacity = beliefCapacity
+)
+
+// pauses knows which programs wait for their callers, and how long the
+// programs of an agent usually pause.
+type pauses struct {
+	mu      sync.Mutex
+	mean    map[string]time.Duration
+	pausing map[string]pause
+}
+
+type pause struct {
+	work  port.Work
+	since time.Time
+}
+
+func newPauses() *pauses {
+	return &pauses{mean: make(map[string]time.Duration), pausing: make(map[string]pause)}
+}
+
+func (p *pauses) begin(work port.Work, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.pausing) >= pauseCapacity {
+		return
+	}
+	p.pausing[work.ProgramID] = pause{work: work, since: now}
+}
+
+// resume ends a pause and learns its length.
+func (p *pauses) resume(work port.Work, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, ok := p.pausing[work.ProgramID]
+	if !ok {
+		return
+	}
+	delete(p.pausing, work.ProgramID)
+	length := now.Sub(known.since)
+	old, ok := p.mean[work.Agent]
+	if !ok {
+		p.mean[work.Agent] = length
+		return
+	}
+	p.mean[work.Agent] = old + time.Duration(pauseGain*float64(length-old))
+}
+
+func (p *pauses) forget(program string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pausing, program)
+}
+
+// expected returns how long a pause is expected to last from now on. Pauses
+// are heavy-tailed: one that has lasted long is expected to last as long
+// again.
+func (p *pauses) expected(k pause, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	mean, ok := p.mean[k.work.Agent]
+	if !ok {
+		mean = initialPause
+	}
+	return max(mean, now.Sub(k.since))
+}
+
+// list returns the pauses under way.
+func (p *pauses) list() []pause {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]pause, 0, len(p.pausing))
+	for _, k := range p.pausing {
+		all = append(all, k)
+	}
+	return all
+}
