--- a/internal/core/limit/limiter.go
+++ b/internal/core/limit/limiter.go
@@ -55,7 +55,7 @@
 }
 
 // Observe takes the time to the first token of a finished call, the time
-// expected of an idle target, and the calls that ran when it was dispatched.
+// expected of an idle target, and the calls that ran with it, itself included.
 // The limit grows by one per limit of good answers while it is in use, and
 // shrinks by the gradient of the latency.
 func (l *Limiter) Observe(now time.Time, firstToken, expected time.Duration, running int) {
@@ -69,7 +69,7 @@
 }
 
 func (l *Limiter) grow(running int) {
-	if float64(running)+1 < l.limit/2 {
+	if float64(running) < l.limit/2 {
 		return
 	}
 	l.limit = math.Min(l.max, l.limit+1/l.limit)
