peer, entry: carry what the owner and the membership added to the ports

A host that lost a partition while a call was at a target says so, and the router no longer lets a later refusal claim that the call did not run.

--- a/internal/adapter/httpapi/programs.go
+++ b/internal/adapter/httpapi/programs.go
@@ -27,8 +27,13 @@
 	State     string `json:"state"`
 }
 
-// snapshot returns the configuration in force, or refuses the request.
-func (a *API) snapshot(c *gin.Context) *config.Snapshot {
+// begin decodes a request into q and returns the configuration in force, or
+// refuses the request and returns nil.
+func (a *API) begin(c *gin.Context, q any) *config.Snapshot {
+	if f := a.decode(c, q); f != nil {
+		a.refuse(c, f)
+		return nil
+	}
 	s := a.Snapshots.Current()
 	if s == nil {
 		f := fault.New(fault.NotReady, fault.NotRun, "host has no configuration yet")
@@ -39,11 +44,7 @@
 
 func (a *API) openProgram(c *gin.Context) {
 	var q openRequest
-	if f := a.decode(c, &q); f != nil {
-		a.refuse(c, f)
-		return
-	}
-	s := a.snapshot(c)
+	s := a.begin(c, &q)
 	if s == nil {
 		return
 	}
@@ -112,11 +113,7 @@
 
 func (a *API) postCall(c *gin.Context) {
 	var q callRequest
-	if f := a.decode(c, &q); f != nil {
-		a.refuse(c, f)
-		return
-	}
-	s := a.snapshot(c)
+	s := a.begin(c, &q)
 	if s == nil {
 		return
 	}
--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -72,11 +72,15 @@
 }
 
 func notOwnerToProto(e *port.NotOwnerError) *pb.NotOwner {
-	return &pb.NotOwner{Partition: e.Partition, Owner: e.Owner}
+	return &pb.NotOwner{Partition: e.Partition, Owner: e.Owner, MayHaveRun: e.MayHaveRun}
 }
 
 func notOwnerFromProto(m *pb.NotOwner) *port.NotOwnerError {
-	return &port.NotOwnerError{Partition: m.GetPartition(), Owner: m.GetOwner()}
+	return &port.NotOwnerError{
+		Partition:  m.GetPartition(),
+		Owner:      m.GetOwner(),
+		MayHaveRun: m.GetMayHaveRun(),
+	}
 }
 
 func programToProto(v port.ProgramView) *pb.Program {
@@ -158,6 +162,7 @@
 		Usage:      usageToProto(t.Usage),
 		Target:     t.Target,
 		TurnDigest: t.TurnDigest,
+		Failure:    t.Failure,
 	}
 }
 
@@ -174,6 +179,7 @@
 		Usage:      usageFromProto(m.GetUsage()),
 		Target:     m.GetTarget(),
 		TurnDigest: m.GetTurnDigest(),
+		Failure:    m.GetFailure(),
 	}
 }
 
--- a/internal/adapter/peer/peer_test.go
+++ b/internal/adapter/peer/peer_test.go
@@ -141,10 +141,10 @@
 			is.True(ok)
 			is.Equal(f, whole)
 		}},
-		{"not owner", errors.Trace(&port.NotOwnerError{Partition: 7, Owner: "h2"}), func(is *is.I, err error) {
+		{"not owner", errors.Trace(&port.NotOwnerError{Partition: 7, Owner: "h2", MayHaveRun: true}), func(is *is.I, err error) {
 			var n *port.NotOwnerError
 			is.True(errors.As(err, &n))
-			is.Equal(*n, port.NotOwnerError{Partition: 7, Owner: "h2"})
+			is.Equal(*n, port.NotOwnerError{Partition: 7, Owner: "h2", MayHaveRun: true})
 		}},
 		{"untyped", errors.New("secret"), func(is *is.I, err error) {
 			f, ok := fault.As(err)
@@ -198,6 +198,7 @@
 	turns := []port.Turn{
 		{Seq: 1, RequestID: "r1", Kind: port.KindModel, Input: text, Output: json.RawMessage(`null`)},
 		{Seq: 2, RequestID: "r2", Kind: port.KindService, Input: json.RawMessage(`{}`), Output: text},
+		{Seq: 3, RequestID: "r3", Kind: port.KindService, Failure: "outcome_unknown"},
 	}
 	h := &owner{history: func(context.Context, string) ([]port.Turn, error) { return turns, nil }}
 	client, _ := newClient(t)
@@ -367,3 +368,41 @@
 	}()
 	return l.Addr().String()
 }
+
+// gossiper answers each heartbeat with what it got, from itself.
+type gossiper struct{ got port.Gossip }
+
+func (g *gossiper) Receive(_ context.Context, m port.Gossip) (port.Gossip, error) {
+	g.got = m
+	m.From.ID = "me"
+	return m, nil
+}
+
+func (g *gossiper) Reach(_ context.Context, host string) (bool, error) { return host == "up", nil }
+
+func TestGossipTravelsWhole(t *testing.T) {
+	is := is.New(t)
+	g := &gossiper{}
+	host := serve(t, peer.Handlers{Gossip: g}, nil)
+	client, _ := newClient(t)
+	since := time.Now().Add(-time.Hour)
+	sent := port.Gossip{
+		From:    port.Host{ID: "a", DataCentre: "salem", Incarnation: 1 << 60, ClientAddress: "b"},
+		Leaving: true, ConfigVersion: 4, Digest: 1 << 63, Quarantined: []uint64{5, 1 << 63},
+		Rumours: []port.Member{{Host: port.Host{ID: "c"}, State: port.MemberDead, ConfigVersion: 3, Since: since, Revision: 9}},
+	}
+	reply, err := client.Gossip(context.Background(), host, sent)
+	is.NoErr(err)
+	is.Equal(reply.From.ID, "me")
+	is.Equal(reply.Digest, sent.Digest)
+	is.True(g.got.Rumours[0].Since.Sub(since).Abs() < time.Minute)
+	g.got.Rumours[0].Since = since
+	is.Equal(g.got, sent)
+	for id, want := range map[string]bool{"up": true, "down": false} {
+		reached, err := client.GossipVia(context.Background(), host, id)
+		is.NoErr(err)
+		is.Equal(reached, want)
+	}
+	_, err = client.Gossip(context.Background(), host, port.Gossip{})
+	is.True(err != nil)
+}
--- a/internal/entry/router_test.go
+++ b/internal/entry/router_test.go
@@ -311,16 +311,21 @@
 	post := port.Call{Kind: port.KindService, Service: "ledger", Operation: "post", Idempotent: false}
 	read := port.Call{Kind: port.KindService, Service: "ledger", Operation: "read", Idempotent: true}
 	model := port.Call{Kind: port.KindModel, Model: "m"}
+	moved := func(context.Context, port.Call, port.Sink) (port.Answer, error) {
+		return port.Answer{}, &port.NotOwnerError{Owner: self, MayHaveRun: true}
+	}
 	cases := []struct {
-		name string
-		call port.Call
-		sent bool
-		want fault.Run
+		name  string
+		call  port.Call
+		first callFunc
+		want  fault.Run
 	}{
-		{"posting after a lost owner", post, true, fault.NotRun},
-		{"read after a lost owner", read, true, fault.Unknown},
-		{"model call after a lost owner", model, true, fault.Unknown},
-		{"model call that was never sent", model, false, fault.NotRun},
+		{"posting after a lost owner", post, broken(other, true), fault.NotRun},
+		{"read after a lost owner", read, broken(other, true), fault.Unknown},
+		{"model call after a lost owner", model, broken(other, true), fault.Unknown},
+		{"model call that was never sent", model, broken(other, false), fault.NotRun},
+		{"model call that left before its owner changed", model, moved, fault.Unknown},
+		{"model call at a host that is not the owner", model, notOwner(self), fault.NotRun},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -328,7 +333,7 @@
 				is := is.New(t)
 				c.call.ProgramID = programAt(other, self, other)
 				local, _ := script(notOwner(other), refuses(overloaded))
-				peer, _ := script(broken(other, c.sent), notOwner(self))
+				peer, _ := script(c.first, notOwner(self))
 				r := newRouter(newMembers(self, other), local, map[string]callFunc{other: peer}, nil)
 				_, err := r.Call(context.Background(), c.call, nil)
 				f := fault.Of(err)
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -163,6 +163,9 @@
 	if s.attempts > 1 || e.Owner == self {
 		s.router.metrics.retried(reasonNotOwner)
 	}
+	if e.MayHaveRun {
+		s.lost[host] = true
+	}
 	s.hint = e.Owner
 	if e.Owner == host {
 		s.hint = ""
