--- a/internal/adapter/engine/generate_test.go
+++ b/internal/adapter/engine/generate_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"yuccausher/internal/port"
+	"yuccausher/internal/testutil"
 )
 
 var _ port.Engine = (*Client)(nil)
@@ -23,13 +23,6 @@
 	return port.Target{Name: "m-a", Address: server.URL}
 }
 
-func status(code int, body string) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(code)
-		_, _ = io.WriteString(w, body)
-	}
-}
-
 func events(text string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream;charset=utf-8")
@@ -37,8 +30,6 @@
 	}
 }
 
-func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
-
 // cutAfter sends a text and breaks the connection.
 func cutAfter(text string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -57,31 +48,22 @@
 	failed     = `event:error` + "\n" + `data:{"failure":"busy","message":"no"}` + "\n\n"
 )
 
-func failureOf(t *testing.T, err error) *port.TargetError {
-	t.Helper()
-	var failed *port.TargetError
-	if !errors.As(err, &failed) {
-		t.Fatalf("no *port.TargetError: %v", err)
-	}
-	return failed
-}
-
 func TestGenerateClassifiesFailures(t *testing.T) {
 	cases := map[string]struct {
 		handler http.HandlerFunc
 		want    port.Failure
 		output  int64
 	}{
-		"429 is busy":                   {status(429, ""), port.FailureBusy, 0},
-		"503 is busy":                   {status(503, "x"), port.FailureBusy, 0},
-		"503 of a leaving one":          {status(503, `{"failure":"draining"}`), port.FailureDraining, 0},
-		"400 is rejected":               {status(400, `{"failure":"busy"}`), port.FailureRejected, 0},
-		"500 may have run":              {status(500, `{"failure":"refused"}`), port.FailureBroken, 0},
-		"redirect may have run":         {status(307, ""), port.FailureBroken, 0},
-		"cut before the answer":         {cut, port.FailureBroken, 0},
+		"429 is busy":                   {testutil.Reply(429, ""), port.FailureBusy, 0},
+		"503 is busy":                   {testutil.Reply(503, "x"), port.FailureBusy, 0},
+		"503 of a leaving one":          {testutil.Reply(503, `{"failure":"draining"}`), port.FailureDraining, 0},
+		"400 is rejected":               {testutil.Reply(400, `{"failure":"busy"}`), port.FailureRejected, 0},
+		"500 may have run":              {testutil.Reply(500, `{"failure":"refused"}`), port.FailureBroken, 0},
+		"redirect may have run":         {testutil.Reply(307, ""), port.FailureBroken, 0},
+		"cut before the answer":         {testutil.Cut, port.FailureBroken, 0},
 		"cut in the stream":             {cutAfter(firstDelta), port.FailureBroken, 4},
 		"end without its type":          {events(firstDelta + lastDelta), port.FailureBroken, 7},
-		"no event stream":               {status(200, "{}"), port.FailureBroken, 0},
+		"no event stream":               {testutil.Reply(200, "{}"), port.FailureBroken, 0},
 		"gap":                           {events(lastDelta), port.FailureBroken, 0},
 		"repeat":                        {events(firstDelta + firstDelta), port.FailureBroken, 4},
 		"end before the whole output":   {events(firstDelta + done), port.FailureBroken, 4},
@@ -96,8 +78,8 @@
 			is := is.New(t)
 			call := port.ModelCall{ProgramID: "p", RequestID: "r"}
 			_, err := New().Generate(t.Context(), serve(t, c.handler), call, nil)
-			is.Equal(failureOf(t, err).Failure, c.want)
-			is.Equal(failureOf(t, err).Output, c.output)
+			is.Equal(testutil.ErrorAs[*port.TargetError](t, err).Failure, c.want)
+			is.Equal(testutil.ErrorAs[*port.TargetError](t, err).Output, c.output)
 		})
 	}
 }
@@ -107,23 +89,16 @@
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
 	_, err := New().Generate(t.Context(), port.Target{Address: server.URL}, port.ModelCall{}, nil)
-	is.Equal(failureOf(t, err).Failure, port.FailureRefused)
-	is.True(failureOf(t, err).NotRun())
-}
-
-// hang waits for the client to go, which the server sees once it has read the
-// request.
-func hang(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	<-r.Context().Done()
+	is.Equal(testutil.ErrorAs[*port.TargetError](t, err).Failure, port.FailureRefused)
+	is.True(testutil.ErrorAs[*port.TargetError](t, err).NotRun())
 }
 
 func TestGenerateTimesOut(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err := New().Generate(ctx, serve(t, hang), port.ModelCall{}, nil)
-	is.Equal(failureOf(t, err).Failure, port.FailureTimeout)
+	_, err := New().Generate(ctx, serve(t, testutil.Hang), port.ModelCall{}, nil)
+	is.Equal(testutil.ErrorAs[*port.TargetError](t, err).Failure, port.FailureTimeout)
 }
 
 func TestGenerateTimesOutOnASilentStream(t *testing.T) {
@@ -133,12 +108,12 @@
 	silent := func(w http.ResponseWriter, r *http.Request) {
 		events(firstDelta)(w, r)
 		_ = http.NewResponseController(w).Flush()
-		hang(w, r)
+		testutil.Hang(w, r)
 	}
 	call := port.ModelCall{ProgramID: "p", RequestID: "r"}
 	_, err := client.Generate(t.Context(), serve(t, silent), call, nil)
-	is.Equal(failureOf(t, err).Failure, port.FailureTimeout)
-	is.Equal(failureOf(t, err).Output, int64(4))
+	is.Equal(testutil.ErrorAs[*port.TargetError](t, err).Failure, port.FailureTimeout)
+	is.Equal(testutil.ErrorAs[*port.TargetError](t, err).Output, int64(4))
 }
 
 func TestGenerateHandsOnTheWholeAnswer(t *testing.T) {
@@ -156,6 +131,6 @@
 
 func TestOrderRefusedForItsEpochIsFenced(t *testing.T) {
 	is := is.New(t)
-	err := New().Order(t.Context(), serve(t, status(409, `{"failure":"fenced"}`)), port.Order{})
-	is.Equal(failureOf(t, err).Failure, port.FailureFenced)
+	err := New().Order(t.Context(), serve(t, testutil.Reply(409, `{"failure":"fenced"}`)), port.Order{})
+	is.Equal(testutil.ErrorAs[*port.TargetError](t, err).Failure, port.FailureFenced)
 }
--- a/internal/adapter/platformlog/client_test.go
+++ b/internal/adapter/platformlog/client_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -12,47 +10,26 @@
 	"github.com/matryer/is"
 
 	"yuccausher/internal/port"
+	"yuccausher/internal/testutil"
 )
 
 var _ port.Log = (*Client)(nil)
 
-func logErrorOf(t *testing.T, err error) *port.LogError {
-	t.Helper()
-	var failed *port.LogError
-	if !errors.As(err, &failed) {
-		t.Fatalf("no *port.LogError: %v", err)
-	}
-	return failed
-}
-
-func reply(code int, body string) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		w.WriteHeader(code)
-		_, _ = io.WriteString(w, body)
-	}
-}
-
-func hang(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	<-r.Context().Done()
-}
-
 func TestAppendClassifiesFailures(t *testing.T) {
 	cases := map[string]struct {
 		handler   http.HandlerFunc
 		ambiguous bool
 		limited   bool
 	}{
-		"rate limit":             {reply(429, ""), false, true},
-		"wrong request":          {reply(400, ""), false, false},
-		"server fault":           {reply(500, ""), true, false},
-		"gateway timeout":        {reply(504, ""), true, false},
-		"unavailable":            {reply(503, ""), true, false},
-		"redirect":               {reply(307, ""), true, false},
-		"cut":                    {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true, false},
-		"answer that is garbage": {reply(200, `{"offs`), true, false},
-		"no answer in time":      {hang, true, false},
+		"rate limit":             {testutil.Reply(429, ""), false, true},
+		"wrong request":          {testutil.Reply(400, ""), false, false},
+		"server fault":           {testutil.Reply(500, ""), true, false},
+		"gateway timeout":        {testutil.Reply(504, ""), true, false},
+		"unavailable":            {testutil.Reply(503, ""), true, false},
+		"redirect":               {testutil.Reply(307, ""), true, false},
+		"cut":                    {testutil.Cut, true, false},
+		"answer that is garbage": {testutil.Reply(200, `{"offs`), true, false},
+		"no answer in time":      {testutil.Hang, true, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -62,8 +39,8 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 			defer cancel()
 			_, err := New(server.URL).Append(ctx, "s", [][]byte{{1}})
-			is.Equal(logErrorOf(t, err).Ambiguous, c.ambiguous)
-			is.Equal(logErrorOf(t, err).Limited, c.limited)
+			is.Equal(testutil.ErrorAs[*port.LogError](t, err).Ambiguous, c.ambiguous)
+			is.Equal(testutil.ErrorAs[*port.LogError](t, err).Limited, c.limited)
 		})
 	}
 }
@@ -73,7 +50,7 @@
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
 	_, err := New(server.URL).Append(t.Context(), "s", [][]byte{{1}})
-	is.True(!logErrorOf(t, err).Ambiguous)
+	is.True(!testutil.ErrorAs[*port.LogError](t, err).Ambiguous)
 }
 
 func TestReadRefusesRecordsOutOfOrder(t *testing.T) {
@@ -87,7 +64,7 @@
 	for body, good := range cases {
 		t.Run(body, func(t *testing.T) {
 			is := is.New(t)
-			server := httptest.NewServer(reply(200, body))
+			server := httptest.NewServer(testutil.Reply(200, body))
 			defer server.Close()
 			_, err := New(server.URL).Read(t.Context(), "s", 3, 0)
 			is.Equal(err == nil, good)
--- a/internal/adapter/service/client_test.go
+++ b/internal/adapter/service/client_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -14,47 +12,26 @@
 	"github.com/matryer/is"
 
 	"yuccausher/internal/port"
+	"yuccausher/internal/testutil"
 )
 
 var _ port.Service = (*Client)(nil)
 
-func failureOf(t *testing.T, err error) *port.TargetError {
-	t.Helper()
-	var failed *port.TargetError
-	if !errors.As(err, &failed) {
-		t.Fatalf("no *port.TargetError: %v", err)
-	}
-	return failed
-}
-
-func reply(code int, body string) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		w.WriteHeader(code)
-		_, _ = io.WriteString(w, body)
-	}
-}
-
-func hang(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	<-r.Context().Done()
-}
-
 func TestInvokeClassifiesFailures(t *testing.T) {
 	cases := map[string]struct {
 		handler http.HandlerFunc
 		want    port.Failure
 	}{
-		"429 did not run":              {reply(429, ""), port.FailureBusy},
-		"503 of a leaving one":         {reply(503, `{"failure":"draining"}`), port.FailureDraining},
-		"422 is rejected":              {reply(422, ""), port.FailureRejected},
-		"500 may have run":             {reply(500, ""), port.FailureBroken},
-		"502 may have run":             {reply(502, `{"failure":"refused"}`), port.FailureBroken},
-		"cut after it ran":             {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, port.FailureBroken},
-		"answer of another request":    {reply(200, `{"request_id":"s","output":1}`), port.FailureMismatch},
-		"answer of no request":         {reply(200, `{"output":1}`), port.FailureMismatch},
-		"answer that ends before time": {reply(200, `{"request_id":"r","outp`), port.FailureBroken},
-		"no answer in time":            {hang, port.FailureTimeout},
+		"429 did not run":              {testutil.Reply(429, ""), port.FailureBusy},
+		"503 of a leaving one":         {testutil.Reply(503, `{"failure":"draining"}`), port.FailureDraining},
+		"422 is rejected":              {testutil.Reply(422, ""), port.FailureRejected},
+		"500 may have run":             {testutil.Reply(500, ""), port.FailureBroken},
+		"502 may have run":             {testutil.Reply(502, `{"failure":"refused"}`), port.FailureBroken},
+		"cut after it ran":             {testutil.Cut, port.FailureBroken},
+		"answer of another request":    {testutil.Reply(200, `{"request_id":"s","output":1}`), port.FailureMismatch},
+		"answer of no request":         {testutil.Reply(200, `{"output":1}`), port.FailureMismatch},
+		"answer that ends before time": {testutil.Reply(200, `{"request_id":"r","outp`), port.FailureBroken},
+		"no answer in time":            {testutil.Hang, port.FailureTimeout},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -64,7 +41,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 			defer cancel()
 			_, err := New().Invoke(ctx, port.Target{Address: server.URL}, port.ServiceCall{RequestID: "r"})
-			is.Equal(failureOf(t, err).Failure, c.want)
+			is.Equal(testutil.ErrorAs[*port.TargetError](t, err).Failure, c.want)
 		})
 	}
 }
@@ -74,12 +51,12 @@
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
 	_, err := New().Invoke(t.Context(), port.Target{Address: server.URL}, port.ServiceCall{})
-	is.True(failureOf(t, err).NotRun())
+	is.True(testutil.ErrorAs[*port.TargetError](t, err).NotRun())
 
 	gone, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err = New().Invoke(gone, port.Target{Address: server.URL}, port.ServiceCall{})
-	is.True(failureOf(t, err).NotRun())
+	is.True(testutil.ErrorAs[*port.TargetError](t, err).NotRun())
 }
 
 // A server that closes a connection that was kept open leaves it unknown
@@ -88,7 +65,7 @@
 func TestInvokeDialsAfreshForWhatMayNotBeRepeated(t *testing.T) {
 	is := is.New(t)
 	var dials atomic.Int64
-	server := httptest.NewUnstartedServer(reply(200, `{"request_id":"r"}`))
+	server := httptest.NewUnstartedServer(testutil.Reply(200, `{"request_id":"r"}`))
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			dials.Add(1)
@@ -107,7 +84,7 @@
 
 func TestOutcome(t *testing.T) {
 	is := is.New(t)
-	server := httptest.NewServer(reply(200, `{"known":true,"ran":true,"request_id":"r","output":{"a":1}}`))
+	server := httptest.NewServer(testutil.Reply(200, `{"known":true,"ran":true,"request_id":"r","output":{"a":1}}`))
 	defer server.Close()
 	target := port.Target{Address: server.URL}
 	result, ran, known, err := New().Outcome(t.Context(), target, "ledger", "r")
@@ -115,6 +92,6 @@
 	is.True(ran && known)
 	is.Equal(string(result.Output), `{"a":1}`)
 	_, _, known, err = New().Outcome(t.Context(), target, "ledger", "other")
-	is.Equal(failureOf(t, err).Failure, port.FailureMismatch)
+	is.Equal(testutil.ErrorAs[*port.TargetError](t, err).Failure, port.FailureMismatch)
 	is.True(!known)
 }
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"yuccausher/internal/port"
+	"yuccausher/internal/testutil"
 )
 
 var testTarget = port.Target{Name: "m-a"}
@@ -31,11 +31,7 @@
 
 func failureOf(t *testing.T, err error) port.Failure {
 	t.Helper()
-	var failed *port.TargetError
-	if !errors.As(err, &failed) {
-		t.Fatalf("no *port.TargetError: %v", err)
-	}
-	return failed.Failure
+	return testutil.ErrorAs[*port.TargetError](t, err).Failure
 }
 
 func TestEngineStreamsItsWholeOutput(t *testing.T) {
--- a/internal/standin/log_test.go
+++ b/internal/standin/log_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"yuccausher/internal/port"
+	"yuccausher/internal/testutil"
 )
 
 var _ port.Log = (*Log)(nil)
@@ -30,15 +30,6 @@
 	return out
 }
 
-func logErrorOf(t *testing.T, err error) *port.LogError {
-	t.Helper()
-	var failed *port.LogError
-	if !errors.As(err, &failed) {
-		t.Fatalf("no *port.LogError: %v", err)
-	}
-	return failed
-}
-
 func TestLogOffsetsGrowByOne(t *testing.T) {
 	is := is.New(t)
 	l := NewLog(LogOptions{})
@@ -81,9 +72,9 @@
 		l := NewLog(LogOptions{})
 		l.Down(time.Hour)
 		_, err := l.Append(t.Context(), "s", bytesOf("a"))
-		is.True(logErrorOf(t, err).Ambiguous)
+		is.True(testutil.ErrorAs[*port.LogError](t, err).Ambiguous)
 		_, err = l.Read(t.Context(), "s", 0, time.Minute)
-		is.True(!logErrorOf(t, err).Ambiguous)
+		is.True(!testutil.ErrorAs[*port.LogError](t, err).Ambiguous)
 		time.Sleep(time.Hour)
 		page, err := l.Read(t.Context(), "s", 0, 0)
 		is.NoErr(err)
@@ -96,7 +87,7 @@
 	l := NewLog(LogOptions{})
 	l.LostAck(1)
 	_, err := l.Append(t.Context(), "s", bytesOf("a"))
-	is.True(logErrorOf(t, err).Ambiguous)
+	is.True(testutil.ErrorAs[*port.LogError](t, err).Ambiguous)
 	page, err := l.Read(t.Context(), "s", 0, 0)
 	is.NoErr(err)
 	is.Equal(textsOf(page), []string{"a"})
@@ -111,7 +102,7 @@
 		var refused int
 		for range 5 {
 			if _, err := l.Append(t.Context(), "s", bytesOf("a")); err != nil {
-				failed := logErrorOf(t, err)
+				failed := testutil.ErrorAs[*port.LogError](t, err)
 				is.True(failed.Limited && !failed.Ambiguous)
 				refused++
 			}
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -17,6 +17,7 @@
 	"yuccausher/internal/adapter/service"
 	"yuccausher/internal/core/config"
 	"yuccausher/internal/port"
+	"yuccausher/internal/testutil"
 )
 
 func testServer(t *testing.T) (Platform, string) {
@@ -88,10 +89,10 @@
 
 	inject(t, base, `{"kind":"log_lost_ack"}`)
 	_, err = client.Append(t.Context(), "state-0", bytesOf("c"))
-	is.True(logErrorOf(t, err).Ambiguous)
+	is.True(testutil.ErrorAs[*port.LogError](t, err).Ambiguous)
 	inject(t, base, `{"kind":"log_down","duration_ms":60000}`)
 	_, err = client.Append(t.Context(), "state-0", bytesOf("d"))
-	is.True(logErrorOf(t, err).Ambiguous)
+	is.True(testutil.ErrorAs[*port.LogError](t, err).Ambiguous)
 	_, err = client.Read(t.Context(), "state-0", 0, 0)
 	is.True(err != nil)
 	inject(t, base, `{"kind":"log_down","duration_ms":0}`)
