--- a/internal/port/program.go
+++ b/internal/port/program.go
@@ -101,6 +101,9 @@
 	Usage      Usage           `json:"usage"`
 	Target     string          `json:"target"`
 	TurnDigest string          `json:"turn_digest"`
+	// Failure is the failure type of a call that has no answer but whose
+	// outcome is settled, such as outcome_unknown.
+	Failure string `json:"failure,omitempty"`
 }
 
 // Delta is a piece of a streamed answer. Offset is the position of Text in
@@ -129,12 +132,17 @@
 	End(ctx context.Context, id string) (ProgramView, error)
 }
 
-// NotOwnerError says that a host does not own a partition. Nothing was run.
+// NotOwnerError says that a host does not own a partition. Nothing was run,
+// unless MayHaveRun is set.
 type NotOwnerError struct {
 	Partition uint32
 	// Owner is the host that the answering host takes for the owner; empty
 	// if it knows none.
 	Owner string
+	// MayHaveRun says that the call had left for a target before the
+	// partition was lost. The same request is then still safe to send to the
+	// next owner, but a refusal of it must not say not_run.
+	MayHaveRun bool
 }
 
 // Error implements error.
