standin: a port for each target, closed while it is down

Behind one port a crashed target could only break connections, which proves nothing: a call that met a target in its restart looked like one that was in flight at a crash. Now its dial is refused.

--- /dev/null
+++ b/internal/cli/signal.go
@@ -0,0 +1,13 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// untilSignal returns a context that ends at SIGTERM or SIGINT.
+func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -26,6 +26,8 @@
 	events   eventLog
 	report   port.EngineStatus
 	faults   engineFaults
+	// crashed is closed at the next crash.
+	crashed chan struct{}
 }
 
 // engineState is what orders and operators change.
@@ -48,7 +50,7 @@
 
 // NewEngine returns an engine that is up and empty.
 func NewEngine(options EngineOptions) *Engine {
-	e := &Engine{options: options.withDefaults()}
+	e := &Engine{options: options.withDefaults(), crashed: make(chan struct{})}
 	e.state.model = options.Model
 	e.state.incarnation = 1
 	e.events = eventLog{delay: e.options.EventDelay, loss: e.options.EventLoss}
--- a/internal/standin/engine_faults.go
+++ b/internal/standin/engine_faults.go
@@ -19,8 +19,20 @@
 	e.report = port.EngineStatus{}
 	e.state.incarnation++
 	e.state.downUntil = now.Add(e.options.RestartAfter)
+	close(e.crashed)
+	e.crashed = make(chan struct{})
 }
 
+// Crashed returns a channel that is closed at the next crash.
+func (e *Engine) Crashed() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed
+}
+
+// RestartTime returns how long a crash keeps the engine down.
+func (e *Engine) RestartTime() time.Duration { return e.options.RestartAfter }
+
 // CrashOn makes the engine crash when it runs an input that contains match.
 // An empty match ends that.
 func (e *Engine) CrashOn(match string) {
--- a/internal/standin/layout.go
+++ b/internal/standin/layout.go
@@ -143,9 +143,11 @@
 	return services
 }
 
-// Document returns a configuration of the platform's targets, which are
-// reached below a base URL.
-func (p Platform) Document(base string) *config.Document {
+// Bases maps the names of targets to the URLs of the servers that serve them.
+type Bases map[string]string
+
+// Document returns a configuration of the platform's targets.
+func (p Platform) Document(bases Bases) *config.Document {
 	return &config.Document{
 		Format:     config.Format,
 		Partitions: partitions,
@@ -166,7 +168,7 @@
 			{Name: ClassPatient, Priority: 2},
 		},
 		Models:   []config.Model{model(ModelLarge), model(ModelSmall)},
-		Targets:  p.documentTargets(base),
+		Targets:  p.documentTargets(bases),
 		Services: documentServices(),
 	}
 }
@@ -194,13 +196,13 @@
 	}
 }
 
-func (p Platform) documentTargets(base string) []config.Target {
+func (p Platform) documentTargets(bases Bases) []config.Target {
 	var targets []config.Target
 	for _, name := range p.Fleet.EngineNames() {
 		o := p.Fleet.Engine(name).options
 		targets = append(targets, config.Target{
 			Name:          name,
-			Address:       base + pathEngines + "/" + name,
+			Address:       bases[name] + pathEngines + "/" + name,
 			DataCentre:    o.DataCentre,
 			Model:         o.Model,
 			Role:          "mixed",
@@ -209,10 +211,10 @@
 			KVTokens:      o.KVTokens,
 		})
 	}
-	return append(targets, p.documentServiceTargets(base)...)
+	return append(targets, p.documentServiceTargets(bases)...)
 }
 
-func (p Platform) documentServiceTargets(base string) []config.Target {
+func (p Platform) documentServiceTargets(bases Bases) []config.Target {
 	var targets []config.Target
 	for _, name := range p.Fleet.TargetNames() {
 		s := p.Fleet.Service(name)
@@ -221,7 +223,7 @@
 		}
 		targets = append(targets, config.Target{
 			Name:        name,
-			Address:     base + pathServices + "/" + name,
+			Address:     bases[name] + pathServices + "/" + name,
 			DataCentre:  s.options.DataCentre,
 			Services:    s.options.Services,
 			Concurrency: serviceCalls,
@@ -260,7 +262,7 @@
 }
 
 // Publish appends the first configuration document, if the stream is empty.
-func (p Platform) Publish(ctx context.Context, base string) error {
+func (p Platform) Publish(ctx context.Context, bases Bases) error {
 	page, err := p.Log.Read(ctx, StreamConfig, 0, 0)
 	if err != nil {
 		return errors.Trace(err)
@@ -268,7 +270,7 @@
 	if page.End > 0 {
 		return nil
 	}
-	data, err := json.Marshal(configRecord{Document: p.Document(base)})
+	data, err := json.Marshal(configRecord{Document: p.Document(bases)})
 	if err != nil {
 		return errors.Annotate(err, "encode configuration")
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -63,11 +63,6 @@
 	return router
 }
 
-// HTTPServer returns an HTTP server of the routes.
-func (s *Server) HTTPServer() *http.Server {
-	return &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerReadTimeout}
-}
-
 func limitBody(c *gin.Context) {
 	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxRequestBytes)
 }
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -1,9 +1,9 @@
 package standin
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -23,16 +23,26 @@
 func testServer(t *testing.T) (Platform, string) {
 	t.Helper()
 	p := NewPlatform([]port.ListedHost{{ID: "127.0.0.1:1", DataCentre: "concord"}})
-	server := httptest.NewServer(NewServer(p, logr.Discard()).Handler())
-	t.Cleanup(server.Close)
-	return p, server.URL
+	listening, err := Listen(t.Context(), p, anyPort, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(listening.Close)
+	return p, listening.Base
 }
 
-// targetOf returns a target as the platform's document has it.
-func targetOf(t *testing.T, p Platform, base, name string) port.Target {
+// targetOf returns a target as the published document has it.
+func targetOf(t *testing.T, p Platform, name string) port.Target {
 	t.Helper()
-	snapshot := config.NewSnapshot(1, p.Document(base))
-	found := snapshot.Target(name)
+	page, err := p.Log.Read(t.Context(), StreamConfig, 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var record configRecord
+	if err := json.Unmarshal(page.Records[0].Data, &record); err != nil {
+		t.Fatal(err)
+	}
+	found := config.NewSnapshot(1, record.Document).Target(name)
 	if found == nil {
 		t.Fatalf("no target %s", name)
 	}
@@ -74,8 +84,7 @@
 	is := is.New(t)
 	p, base := testServer(t)
 	client := platformlog.New(base)
-	is.NoErr(p.Publish(t.Context(), base))
-	is.NoErr(p.Publish(t.Context(), base)) // a second time adds nothing
+	is.NoErr(p.Publish(t.Context(), nil)) // there is a document already
 	offset, err := client.Append(t.Context(), "state-0", bytesOf("a", "b"))
 	is.NoErr(err)
 	is.Equal(offset, int64(0))
@@ -105,7 +114,7 @@
 	is := is.New(t)
 	p, base := testServer(t)
 	client := engine.New()
-	target := targetOf(t, p, base, "large-1")
+	target := targetOf(t, p, "large-1")
 	var streamed string
 	result, err := client.Generate(t.Context(), target, largeCall("r1"), func(d port.Delta) error {
 		streamed += d.Text
@@ -131,24 +140,54 @@
 	inject(t, base, `{"kind":"crash_on_match","match":"much"}`)
 	_, err = client.Generate(t.Context(), target, largeCall("r3"), nil)
 	is.Equal(failureOf(t, err), port.FailureBroken)
-	_, err = client.Status(t.Context(), target)
-	is.Equal(failureOf(t, err), port.FailureBroken)
+	status = waitUp(t, client, target)
+	is.Equal(status.Incarnation, uint64(2)) // it is up again at the same address
 	inject(t, base, `{"kind":"target_leaving","target":"large-2"}`)
-	_, err = client.Generate(t.Context(), targetOf(t, p, base, "large-2"), largeCall("r4"), nil)
+	_, err = client.Generate(t.Context(), targetOf(t, p, "large-2"), largeCall("r4"), nil)
 	is.Equal(failureOf(t, err), port.FailureDraining)
 }
 
+// waitUp asks an engine for its status until it answers.
+func waitUp(t *testing.T, client *engine.Client, target port.Target) port.EngineStatus {
+	t.Helper()
+	for {
+		status, err := client.Status(t.Context(), target)
+		if err == nil {
+			return status
+		}
+		time.Sleep(relistenEvery)
+	}
+}
+
+func TestServerRefusesDialsOfACrashedTarget(t *testing.T) {
+	e := NewEngine(EngineOptions{Name: "large-1", Model: ModelLarge, RestartAfter: time.Hour})
+	p := NewPlatform(nil)
+	p.Fleet = NewFleet([]*Engine{e}, nil, nil, 0)
+	listening, err := Listen(t.Context(), p, anyPort, logr.Discard())
+	is.New(t).NoErr(err)
+	defer listening.Close()
+	target, client := targetOf(t, p, "large-1"), engine.New()
+	e.Crash()
+	for {
+		_, err := client.Status(t.Context(), target)
+		if failureOf(t, err) == port.FailureRefused {
+			return
+		}
+		time.Sleep(relistenEvery)
+	}
+}
+
 func TestServerServesServices(t *testing.T) {
 	is := is.New(t)
 	p, base := testServer(t)
 	client := service.New()
-	target := targetOf(t, p, base, "ledger-1")
+	target := targetOf(t, p, "ledger-1")
 	inject(t, base, `{"kind":"service_lost_answer","service":"ledger"}`)
 	_, err := client.Invoke(t.Context(), target, posting("r"))
 	is.Equal(failureOf(t, err), port.FailureBroken)
 	_, counts := call(t, http.MethodGet, base+PathRuns+"?service=ledger", "")
 	is.Equal(counts, `{"r":1}`)
-	other := targetOf(t, p, base, "ledger-2")
+	other := targetOf(t, p, "ledger-2")
 	result, ran, known, err := client.Outcome(t.Context(), other, "ledger", "r")
 	is.NoErr(err)
 	is.True(ran && known)
--- a/internal/standin/service_faults.go
+++ b/internal/standin/service_faults.go
@@ -38,6 +38,16 @@
 	s.downUntil = time.Now().Add(s.options.RestartAfter)
 }
 
+// Crashed returns a channel that is closed at the next crash.
+func (s *Service) Crashed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashed
+}
+
+// RestartTime returns how long a crash keeps the target down.
+func (s *Service) RestartTime() time.Duration { return s.options.RestartAfter }
+
 // Running returns how many calls are running.
 func (s *Service) Running() int {
 	s.mu.Lock()
