--- a/internal/standin/layout.go
+++ b/internal/standin/layout.go
@@ -12,9 +12,6 @@
 	"yuccausher/internal/port"
 )
 
-// StreamConfig is the log stream that carries the configuration.
-const StreamConfig = "config"
-
 // The names in the initial configuration document.
 const (
 	FirmAnnuities = "pettengill-crane"
@@ -255,25 +252,23 @@
 	}
 }
 
-// configRecord is one record of the configuration stream.
-type configRecord struct {
-	Base     int64            `json:"base"`
-	Document *config.Document `json:"document"`
-}
-
 // Publish appends the first configuration document, if the stream is empty.
 func (p Platform) Publish(ctx context.Context, bases Bases) error {
-	page, err := p.Log.Read(ctx, StreamConfig, 0, 0)
+	page, err := p.Log.Read(ctx, config.Stream, 0, 0)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	if page.End > 0 {
 		return nil
 	}
-	data, err := json.Marshal(configRecord{Document: p.Document(bases)})
+	document, err := json.Marshal(p.Document(bases))
 	if err != nil {
 		return errors.Annotate(err, "encode configuration")
 	}
-	_, err = p.Log.Append(ctx, StreamConfig, [][]byte{data})
+	record, err := config.NewChange(0, 0, "first", document).Encode()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = p.Log.Append(ctx, config.Stream, [][]byte{record})
 	return errors.Trace(err)
 }
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -31,18 +30,27 @@
 	return p, listening.Base
 }
 
-// targetOf returns a target as the published document has it.
-func targetOf(t *testing.T, p Platform, name string) port.Target {
+// published returns the document that the platform has published, checked as
+// its readers check it.
+func published(t *testing.T, p Platform) *config.Document {
 	t.Helper()
-	page, err := p.Log.Read(t.Context(), StreamConfig, 0, 0)
+	page, err := p.Log.Read(t.Context(), config.Stream, 0, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var record configRecord
-	if err := json.Unmarshal(page.Records[0].Data, &record); err != nil {
-		t.Fatal(err)
+	var replay config.Replay
+	replay.Begin(page.Oldest)
+	event := replay.Apply(page.Records[0].Offset, page.Records[0].AppendedAt, page.Records[0].Data)
+	if event.Outcome != config.Taken {
+		t.Fatalf("first configuration is %s: %v", event.Outcome, event.Err)
 	}
-	found := config.NewSnapshot(1, record.Document).Target(name)
+	return replay.View().Document
+}
+
+// targetOf returns a target as the published document has it.
+func targetOf(t *testing.T, p Platform, name string) port.Target {
+	t.Helper()
+	found := config.NewSnapshot(1, published(t, p)).Target(name)
 	if found == nil {
 		t.Fatalf("no target %s", name)
 	}
@@ -80,6 +88,16 @@
 	return c
 }
 
+func TestFirstServiceIsNotIdempotent(t *testing.T) {
+	is := is.New(t)
+	p, _ := testServer(t)
+	document := published(t, p)
+	is.True(!document.Services[0].Idempotent)
+	snapshot := config.NewSnapshot(1, document)
+	is.True(!snapshot.IsIdempotent(ServiceLedger, OperationPayout))
+	is.True(snapshot.IsIdempotent(ServiceLedger, OperationShares))
+}
+
 func TestServerServesTheLog(t *testing.T) {
 	is := is.New(t)
 	p, base := testServer(t)
@@ -160,9 +178,9 @@
 }
 
 func TestServerRefusesDialsOfACrashedTarget(t *testing.T) {
-	e := NewEngine(EngineOptions{Name: "large-1", Model: ModelLarge, RestartAfter: time.Hour})
 	p := NewPlatform(nil)
-	p.Fleet = NewFleet([]*Engine{e}, nil, nil, 0)
+	e := p.Fleet.Engine("large-1")
+	e.options.RestartAfter = time.Hour
 	listening, err := Listen(t.Context(), p, anyPort, logr.Discard())
 	is.New(t).NoErr(err)
 	defer listening.Close()
