service: write no call after its last moment

The owner's deadline for a call that may not be repeated is kept where bytes are written: the connection looks at the clock before each write, and a call of which nothing was written is refused.

--- a/internal/adapter/httpcall/call.go
+++ b/internal/adapter/httpcall/call.go
@@ -7,17 +7,14 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 )
 
 const (
-	dialTimeout     = 2 * time.Second
 	idleConnTimeout = 30 * time.Second
 	idleConns       = 512
 	idleConnsPerOne = 64
@@ -29,20 +26,20 @@
 
 // Client makes HTTP calls. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http     *http.Client
+	unpooled bool
 }
 
 // New returns a client that keeps connections open between calls.
 func New() *Client { return newClient(false) }
 
-// NewUnpooled returns a client that dials for each call, so that a refused
-// dial proves that the call did not leave.
+// NewUnpooled returns a client that dials for each call, so that it knows
+// whether any byte of the call was written.
 func NewUnpooled() *Client { return newClient(true) }
 
 func newClient(unpooled bool) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialExchange,
 		MaxIdleConns:           idleConns,
 		MaxIdleConnsPerHost:    idleConnsPerOne,
 		IdleConnTimeout:        idleConnTimeout,
@@ -50,7 +47,10 @@
 		DisableKeepAlives:      unpooled,
 		DisableCompression:     true,
 	}
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
+	return &Client{
+		http:     &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+		unpooled: unpooled,
+	}
 }
 
 // refuseRedirect hands a redirect to the caller, who takes it for a failure.
@@ -86,19 +86,39 @@
 // Open sends a request with in as its JSON body, if in is not nil, and returns
 // the answer with its body unread. Its error is a *TransportError.
 func (c *Client) Open(ctx context.Context, method, url string, in any) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), method, url, in)
+	return c.OpenBy(ctx, time.Time{}, method, url, in)
+}
+
+// OpenBy is Open for a call of which no byte may be written after a moment on
+// the monotonic clock; zero means none. A client that keeps connections open
+// looks at the clock before it takes one, an unpooled one before each write.
+func (c *Client) OpenBy(ctx context.Context, leaveBy time.Time, method, url string, in any) (*http.Response, error) {
+	call := &exchange{leaveBy: leaveBy}
+	if call.isLate() {
+		return nil, &TransportError{Cause: &LateError{}}
+	}
+	request, err := newRequest(c.watch(ctx, call), method, url, in)
 	if err != nil {
 		return nil, &TransportError{Cause: err}
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, &TransportError{Sent: connected.Load(), Cause: errors.Trace(err)}
+		return nil, &TransportError{Sent: call.left.Load(), Cause: errors.Trace(err)}
 	}
 	return response, nil
 }
 
+// watch returns a context that tells the exchange what has left. A connection
+// that was kept open serves many exchanges, so that a call that got one is
+// taken to have left.
+func (c *Client) watch(ctx context.Context, call *exchange) context.Context {
+	if c.unpooled {
+		return withExchange(ctx, call)
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { call.left.Store(true) }}
+	return httptrace.WithClientTrace(ctx, trace)
+}
+
 func newRequest(ctx context.Context, method, url string, in any) (*http.Request, error) {
 	if in == nil {
 		return http.NewRequestWithContext(ctx, method, url, nil)
@@ -118,7 +138,12 @@
 // Do sends a request and reads the whole answer. Its error is a
 // *TransportError.
 func (c *Client) Do(ctx context.Context, method, url string, in any) (status int, body []byte, err error) {
-	response, err := c.Open(ctx, method, url, in)
+	return c.DoBy(ctx, time.Time{}, method, url, in)
+}
+
+// DoBy is Do with the bound of OpenBy.
+func (c *Client) DoBy(ctx context.Context, leaveBy time.Time, method, url string, in any) (status int, body []byte, err error) {
+	response, err := c.OpenBy(ctx, leaveBy, method, url, in)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/standin/errors.go
+++ b/internal/standin/errors.go
@@ -8,6 +8,7 @@
 // The reasons of the stand-ins.
 const (
 	ReasonDown           Reason = "down"
+	ReasonLate           Reason = "last moment has passed"
 	ReasonLostAnswer     Reason = "answer lost"
 	ReasonRateLimit      Reason = "rate limit"
 	ReasonNoRecords      Reason = "no records"
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -119,8 +119,11 @@
 func (s *Service) enter(call port.ServiceCall) (<-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	switch {
-	case time.Now().Before(s.downUntil):
+	case !call.LeaveBy.IsZero() && now.After(call.LeaveBy):
+		return nil, targetError(s.Name(), port.FailureRefused, ReasonLate)
+	case now.Before(s.downUntil):
 		return nil, targetError(s.Name(), port.FailureRefused, ReasonDown)
 	case s.leaving:
 		return nil, targetError(s.Name(), port.FailureDraining, ReasonLeaving)
