app, cli: one host from its parts, and serve, check-config and ctl

One binary now runs a whole host: fx modules per part with their start and stop, listeners opened first so that a taken address is told at once, a planned stop that announces, releases and then waits for what is in flight, and an abrupt one. Wrong settings are reported all at once with exit code 2.

--- a/cmd/yuccausher/main.go
+++ b/cmd/yuccausher/main.go
@@ -1,4 +1,11 @@
 // Command yuccausher schedules agent programs between callers and targets.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"yuccausher/internal/cli"
+)
+
+func main() { os.Exit(cli.Main(context.Background(), os.Args[1:])) }
--- a/internal/adapter/httpapi/api.go
+++ b/internal/adapter/httpapi/api.go
@@ -55,6 +55,9 @@
 	Snapshots     *config.Holder
 	Configuration port.Configuration
 	Operations    port.Operations
+	// Leaving says that the host is about to stop, so that connections are
+	// not kept for another request; nil means never.
+	Leaving func() bool
 	// Metrics serves /metrics.
 	Metrics http.Handler
 	Limits  Limits
@@ -77,7 +80,7 @@
 	a := &API{Params: p, metrics: newMetrics(p.Scope), engine: gin.New()}
 	a.engine.HandleMethodNotAllowed = true
 	a.engine.Use(gin.CustomRecoveryWithWriter(nil, a.recovered))
-	a.engine.Use(a.renewDeadline)
+	a.engine.Use(a.prepare)
 	a.engine.NoRoute(a.noRoute)
 	a.engine.NoMethod(a.noMethod)
 	a.routeCallers()
@@ -129,11 +132,14 @@
 
 const maxHeaderBytes = 64 << 10
 
-// renewDeadline replaces the write deadline that an earlier request left on
-// the connection.
-func (a *API) renewDeadline(c *gin.Context) {
+// prepare replaces the write deadline that an earlier request left on the
+// connection, and lets a leaving host's connections end.
+func (a *API) prepare(c *gin.Context) {
 	control := http.NewResponseController(c.Writer)
 	_ = control.SetWriteDeadline(time.Now().Add(a.Limits.BodyTimeout + a.Limits.WriteTimeout))
+	if a.Leaving != nil && a.Leaving() {
+		c.Header("Connection", "close")
+	}
 	c.Next()
 }
 
--- a/internal/adapter/httpapi/operators.go
+++ b/internal/adapter/httpapi/operators.go
@@ -12,7 +12,8 @@
 	"yuccausher/internal/port"
 )
 
-type hostView struct {
+// HostView is one host as another sees it.
+type HostView struct {
 	ID            string           `json:"id"`
 	DataCentre    string           `json:"data_centre"`
 	Incarnation   uint64           `json:"incarnation"`
@@ -23,19 +24,23 @@
 	SinceMS int64 `json:"since_ms"`
 }
 
-type hostsReply struct {
-	Hosts []hostView `json:"hosts"`
+// HostsReply answers GET /v1/hosts.
+type HostsReply struct {
+	Hosts []HostView `json:"hosts"`
 }
 
-type targetsReply struct {
+// TargetsReply answers GET /v1/targets.
+type TargetsReply struct {
 	Targets []port.TargetView `json:"targets"`
 }
 
-type partitionsReply struct {
+// PartitionsReply answers GET /v1/partitions.
+type PartitionsReply struct {
 	Partitions []port.PartitionView `json:"partitions"`
 }
 
-type versionReply struct {
+// VersionReply answers PUT /v1/config.
+type VersionReply struct {
 	Version int64 `json:"version"`
 }
 
@@ -44,9 +49,9 @@
 }
 
 func (a *API) getHosts(c *gin.Context) {
-	hosts := []hostView{}
+	hosts := []HostView{}
 	for _, m := range a.Operations.Hosts() {
-		hosts = append(hosts, hostView{
+		hosts = append(hosts, HostView{
 			ID:            m.ID,
 			DataCentre:    m.DataCentre,
 			Incarnation:   m.Incarnation,
@@ -56,17 +61,17 @@
 			SinceMS:       time.Since(m.Since).Milliseconds(),
 		})
 	}
-	a.write(c, http.StatusOK, hostsReply{Hosts: hosts})
+	a.write(c, http.StatusOK, HostsReply{Hosts: hosts})
 }
 
 func (a *API) getTargets(c *gin.Context) {
 	targets := append([]port.TargetView{}, a.Operations.Targets()...)
-	a.write(c, http.StatusOK, targetsReply{Targets: targets})
+	a.write(c, http.StatusOK, TargetsReply{Targets: targets})
 }
 
 func (a *API) getPartitions(c *gin.Context) {
 	partitions := append([]port.PartitionView{}, a.Operations.Partitions()...)
-	a.write(c, http.StatusOK, partitionsReply{Partitions: partitions})
+	a.write(c, http.StatusOK, PartitionsReply{Partitions: partitions})
 }
 
 func (a *API) postDrain(c *gin.Context) {
@@ -118,7 +123,7 @@
 		return
 	}
 	c.Header("ETag", tag(version))
-	a.write(c, http.StatusOK, versionReply{Version: version})
+	a.write(c, http.StatusOK, VersionReply{Version: version})
 }
 
 func tag(version int64) string { return strconv.Quote(strconv.FormatInt(version, 10)) }
--- a/internal/adapter/httpapi/render.go
+++ b/internal/adapter/httpapi/render.go
@@ -21,12 +21,13 @@
 
 const contentJSON = "application/json; charset=utf-8"
 
-// errorBody is the JSON of every failure.
-type errorBody struct {
-	Error errorDetail `json:"error"`
+// ErrorBody is the JSON of every failure.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
 }
 
-type errorDetail struct {
+// ErrorDetail is a failure as callers see it.
+type ErrorDetail struct {
 	Type         fault.Type    `json:"type"`
 	Run          fault.Run     `json:"run"`
 	Message      string        `json:"message"`
@@ -35,8 +36,8 @@
 	Fields       []fault.Field `json:"fields,omitempty"`
 }
 
-func bodyOf(f *fault.Fault) errorBody {
-	return errorBody{Error: errorDetail{
+func bodyOf(f *fault.Fault) ErrorBody {
+	return ErrorBody{Error: ErrorDetail{
 		Type:         f.Type,
 		Run:          f.Run,
 		Message:      f.Message,
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -75,7 +75,7 @@
 
 func (s *Serve) addLimits() {
 	g := &s.group
-	g.add("log-level", "info", "how much this process logs", strings.Join(logging.Levels, " or "), takeOne(&s.LogLevel, logging.Levels))
+	g.add("log-level", "info", "how much this process logs", "LEVEL "+strings.Join(logging.Levels, ", "), takeOne(&s.LogLevel, logging.Levels))
 	g.add("memory-limit", "0", "soft limit of this process's memory; 0 means none", "SIZE in bytes, KiB, MiB or GiB", takeSize(&s.MemoryLimit, 0, maxSize))
 	g.add("max-requests", "4096", "callers' requests served at a time", "NUMBER from 1 to 1000000", takeNumber(&s.MaxRequests, 1, 1_000_000))
 	g.add("max-body", "4MiB", "longest body of a caller's request", "SIZE from 1KiB to 12MiB", takeSize(&s.MaxBody, 1<<10, 12<<20))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,7 +73,7 @@
 func (g *group) add(name, standard, usage, allowed string, take func(string) bool) {
 	s := &setting{name: name, text: standard, allowed: allowed, take: take}
 	g.settings = append(g.settings, s)
-	g.flags.Var(s, name, usage+"; "+allowed+" (`"+kindOf(allowed)+"`)")
+	g.flags.Var(s, name, usage+"; `"+kindOf(allowed)+"`"+strings.TrimPrefix(allowed, kindOf(allowed)))
 }
 
 // kindOf returns the first word of what is allowed.
