--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -157,7 +157,7 @@
 		Scheduler:   p.Scheduler,
 		Config:      p.Holder,
 		Metrics:     p.Scope.SubScope("owner"),
-		Logger:      p.Options.Logger.WithName("owner"),
+		Logger:      p.Options.Logger,
 		Quarantined: p.Quarantine.learnOne,
 		Settings: owner.Settings{
 			AppendsPerSecond: float64(set.AppendRate),
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -131,11 +131,12 @@
 // stop cuts what is still in flight.
 func (s *servers) stop(ctx context.Context) error {
 	_ = s.http.Close()
-	s.listeners.close()
 	if s.stopPeer == nil {
+		s.listeners.close()
 		return nil
 	}
 	s.stopPeer()
+	s.listeners.close()
 	select {
 	case <-s.peerEnded:
 	case <-time.After(peerStopTimeout):
