--- a/internal/adapter/peer/convert_gossip.go
+++ b/internal/adapter/peer/convert_gossip.go
@@ -32,6 +32,7 @@
 		Leaving:       g.Leaving,
 		ConfigVersion: g.ConfigVersion,
 		Quarantined:   g.Quarantined,
+		Digest:        g.Digest,
 	}
 	for _, r := range g.Rumours {
 		m.Rumours = append(m.Rumours, &pb.Member{
@@ -39,6 +40,7 @@
 			State:         string(r.State),
 			ConfigVersion: r.ConfigVersion,
 			AgeMs:         age(r.Since, now).Milliseconds(),
+			Revision:      r.Revision,
 		})
 	}
 	return m
@@ -51,6 +53,7 @@
 		Leaving:       m.GetLeaving(),
 		ConfigVersion: m.GetConfigVersion(),
 		Quarantined:   m.GetQuarantined(),
+		Digest:        m.GetDigest(),
 	}
 	for _, r := range m.GetRumours() {
 		g.Rumours = append(g.Rumours, port.Member{
@@ -58,6 +61,7 @@
 			State:         port.MemberState(r.GetState()),
 			ConfigVersion: r.GetConfigVersion(),
 			Since:         now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
+			Revision:      r.GetRevision(),
 		})
 	}
 	return g
--- a/internal/membership/run.go
+++ b/internal/membership/run.go
@@ -88,9 +88,11 @@
 }
 
 func (s *Service) withQuarantine(g port.Gossip) port.Gossip {
-	if s.Quarantine != nil {
-		g.Quarantined = s.Quarantine.Recent(maxQuarantined)
+	if s.Quarantine == nil {
+		return g
 	}
+	known := s.Quarantine.Quarantined()
+	g.Quarantined = known[max(0, len(known)-maxQuarantined):]
 	return g
 }
 
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -57,10 +57,10 @@
 // Quarantine keeps the fingerprints of poisoned content that hosts tell each
 // other.
 type Quarantine interface {
-	// Recent returns the newest fingerprints, at most as many as asked.
-	Recent(most int) []uint64
-	// Learn takes fingerprints from another host.
-	Learn(fingerprints []uint64)
+	// Quarantined returns the known fingerprints, the newest last.
+	Quarantined() []uint64
+	// Quarantine takes fingerprints from another host.
+	Quarantine(fingerprints ...uint64)
 }
 
 // Params are what a Service needs.
@@ -217,6 +217,6 @@
 
 func (s *Service) learn(fingerprints []uint64) {
 	if s.Quarantine != nil && len(fingerprints) > 0 {
-		s.Quarantine.Learn(fingerprints)
+		s.Quarantine.Quarantine(fingerprints...)
 	}
 }
--- a/internal/port/target.go
+++ b/internal/port/target.go
@@ -51,7 +51,11 @@
 
 // EngineStatus is an engine's own report, which lags.
 type EngineStatus struct {
-	Model       string
+	Model string
+	// Adapter, Version and Role are what the engine was last ordered to be.
+	Adapter     string
+	Version     string
+	Role        string
 	Running     int
 	Queued      int
 	KVTokens    int64
--- a/internal/standin/engine_control.go
+++ b/internal/standin/engine_control.go
@@ -65,6 +65,9 @@
 func (e *Engine) observe(now time.Time) port.EngineStatus {
 	return port.EngineStatus{
 		Model:       e.state.model,
+		Adapter:     e.state.adapter,
+		Version:     e.state.version,
+		Role:        e.state.role,
 		Running:     e.running,
 		Queued:      len(e.waiting),
 		KVTokens:    e.kv.used,
