--- a/internal/owner/budget.go
+++ b/internal/owner/budget.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/juju/errors"
-
 	"yuccausher/internal/core/ledger"
 	"yuccausher/internal/core/partition"
 	"yuccausher/internal/fault"
@@ -18,22 +16,17 @@
 // reserve takes need tokens of the tree's escrow. It asks for a further slice
 // and waits for it only if the escrow is too small.
 func (p *part) reserve(ctx context.Context, r *running, need int64) error {
-	reconciled := false
+	if err := p.awaitSettled(ctx, partition.RootKey(r.call.ProgramID)); err != nil {
+		return err
+	}
 	for {
 		done, slice, err := p.tryReserve(r, need)
-		if done {
-			return nil
-		}
-		if slice != nil {
-			if err := await(ctx, slice); err != nil && !isRefused(err) {
-				return sliceFault(ctx, err)
-			}
-			continue
-		}
-		if reconciled || !p.reconcile(ctx, r) {
+		if done || err != nil {
 			return err
 		}
-		reconciled = true
+		if err := await(ctx, slice); err != nil && !isRefused(err) {
+			return sliceFault(ctx, err)
+		}
 	}
 }
 
@@ -115,115 +108,3 @@
 		delete(p.reserved, key)
 	}
 }
-
-// settlement is what the engines say about a tree's unsettled escrow.
-type settlement struct {
-	charge  int64
-	holders map[string][]string
-}
-
-// reconcile asks the engines what an earlier owner has spent of the unsettled
-// escrow, and records it. Where one engine can't tell, all of it stays spent.
-func (p *part) reconcile(ctx context.Context, r *running) bool {
-	p.mu.Lock()
-	t := p.l.Tree(partition.RootKey(r.call.ProgramID))
-	if t == nil || t.Unsettled == 0 || p.l.Epoch != r.epoch {
-		p.mu.Unlock()
-		return false
-	}
-	unsettled, baseline := t.Unsettled, t.Targets
-	recorded := p.recordedRequests(t)
-	p.mu.Unlock()
-	s, err := p.s.settle(ctx, recorded, baseline)
-	if err != nil {
-		p.s.count("reconciles_failed")
-		p.s.p.Logger.V(1).Info("Escrow stays unsettled.", "partition", p.id, "error", err.Error())
-		return false
-	}
-	return p.recordSettlement(ctx, r, unsettled, s)
-}
-
-// recordedRequests returns, for each program of a tree, the request IDs that
-// have an outcome.
-func (p *part) recordedRequests(t *ledger.Tree) map[string]map[string]bool {
-	recorded := make(map[string]map[string]bool)
-	t.Programs(func(g *ledger.Program) {
-		ids := make(map[string]bool, len(g.Turns))
-		for _, turn := range g.Turns {
-			ids[turn.RequestId] = true
-		}
-		recorded[g.ID] = ids
-	})
-	return recorded
-}
-
-// settle sums up what requests without an outcome have spent. Each is
-// cancelled first, so that its spending does not grow any more.
-func (s *Service) settle(ctx context.Context, recorded map[string]map[string]bool, baseline map[string]uint64) (settlement, error) {
-	result := settlement{holders: make(map[string][]string)}
-	for _, target := range s.engineTargets() {
-		known, ok := baseline[target.Name]
-		if !ok {
-			return result, &UnsettledError{Target: target.Name}
-		}
-		for id, ids := range recorded {
-			spent, err := s.spentAt(ctx, target, known, id, ids)
-			if err != nil {
-				return result, err
-			}
-			if spent > 0 {
-				result.charge += spent
-				result.holders[id] = append(result.holders[id], target.Name)
-			}
-		}
-	}
-	return result, nil
-}
-
-func (s *Service) spentAt(ctx context.Context, target port.Target, baseline uint64, programID string, recorded map[string]bool) (int64, error) {
-	first, _, err := s.p.Engine.ProgramUsage(ctx, target, programID)
-	if err != nil {
-		return 0, errors.Annotate(err, "usage can't be read")
-	}
-	for id := range first {
-		if recorded[id] {
-			continue
-		}
-		if err := s.p.Engine.Cancel(ctx, target, id); err != nil {
-			return 0, errors.Annotate(err, "call can't be cancelled")
-		}
-	}
-	usage, incarnation, err := s.p.Engine.ProgramUsage(ctx, target, programID)
-	if err != nil {
-		return 0, errors.Annotate(err, "usage can't be read")
-	}
-	if incarnation != baseline {
-		return 0, &UnsettledError{Target: target.Name}
-	}
-	var spent int64
-	for id, u := range usage {
-		if !recorded[id] {
-			spent += u.PromptTokens + u.OutputTokens
-		}
-	}
-	return spent, nil
-}
-
-func (p *part) recordSettlement(ctx context.Context, r *running, unsettled int64, s settlement) bool {
-	sent := p.submitAt(r.epoch, &record.Record{Body: &record.Record_Reconcile{Reconcile: &record.Reconcile{
-		ProgramId: r.call.ProgramID,
-		Unsettled: unsettled,
-		Charge:    s.charge,
-		Holders:   s.holders[r.call.ProgramID],
-	}}})
-	err := await(ctx, sent)
-	return err == nil || isRefused(err)
-}
-
-// UnsettledError says that a target can't tell what was spent.
-type UnsettledError struct{ Target string }
-
-// Error implements error.
-func (e *UnsettledError) Error() string {
-	return "target " + e.Target + " may have forgotten its spending"
-}
--- a/internal/owner/locate.go
+++ b/internal/owner/locate.go
@@ -12,13 +12,15 @@
 // and takes new work there. It waits for a claim of this host or a release on
 // its way, and otherwise answers *port.NotOwnerError.
 func (s *Service) locate(ctx context.Context, rootKey string) (*part, error) {
-	l := s.layout.Load()
-	if l == nil {
+	ctx, cancel := context.WithTimeout(ctx, s.p.Settings.ClaimWait)
+	defer cancel()
+	select {
+	case <-s.ready:
+	case <-ctx.Done():
 		return nil, notReady()
 	}
+	l := s.layout.Load()
 	p := l.parts[partition.OfKey(rootKey, uint32(len(l.parts)))]
-	ctx, cancel := context.WithTimeout(ctx, s.p.Settings.ClaimWait)
-	defer cancel()
 	for {
 		p.mu.Lock()
 		if p.held() && !p.releasing {
--- a/internal/owner/model.go
+++ b/internal/owner/model.go
@@ -212,7 +212,7 @@
 	call := port.ModelCall{
 		ProgramID:  m.call.ProgramID,
 		Seq:        m.call.Seq,
-		RequestID:  m.call.RequestID,
+		RequestID:  engineRequest(m.call.ProgramID, m.call.RequestID),
 		Model:      m.call.Model,
 		Prompt:     m.prompt,
 		MaxTokens:  m.call.MaxTokens,
@@ -227,6 +227,10 @@
 	})
 }
 
+// engineRequest returns the ID by which engines know a model call. Programs
+// may use the same request IDs.
+func engineRequest(programID, requestID string) string { return programID + "/" + requestID }
+
 func resumable(err error) bool {
 	var te *port.TargetError
 	return errors.As(err, &te) && te.Failure == port.FailureBroken
@@ -239,7 +243,7 @@
 		return err
 	}
 	mismatch := &port.TargetError{Target: target.Name, Failure: port.FailureMismatch}
-	if result.RequestID != m.call.RequestID || result.ProgramID != m.call.ProgramID {
+	if result.RequestID != engineRequest(m.call.ProgramID, m.call.RequestID) || result.ProgramID != m.call.ProgramID {
 		m.p.s.count("crossed_answers")
 		return mismatch
 	}
@@ -280,7 +284,7 @@
 	}
 	m.lostTokens += m.need
 	m.holders = append(m.holders, target.Name)
-	m.p.s.spawn(func() { m.p.s.cancelAt(target, m.call.RequestID) })
+	m.p.s.spawn(func() { m.p.s.cancelAt(target, engineRequest(m.call.ProgramID, m.call.RequestID)) })
 }
 
 func (s *Service) cancelAt(target port.Target, requestID string) {
--- a/internal/owner/part.go
+++ b/internal/owner/part.go
@@ -33,6 +33,9 @@
 	reserved           map[string]int64
 	// sent holds records on their way that must not be sent twice at once.
 	sent map[string]*pending
+	// settling holds the trees whose escrow is being reconciled; a channel is
+	// closed when that has ended.
+	settling map[string]chan struct{}
 	// restated is when the log last got the claim or said it again.
 	restated time.Time
 	// busy counts calls under way and records on their way.
@@ -204,6 +207,7 @@
 	p.reserved = make(map[string]int64)
 	p.sent = make(map[string]*pending)
 	p.restated = time.Now()
+	p.startSettling()
 	p.l.Programs(func(g *ledger.Program) {
 		if g.Intent != nil {
 			p.startResolve(g)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -28,6 +28,8 @@
 	limiter *rate.Limiter
 	// layout is nil until the first configuration is in force.
 	layout atomic.Pointer[layout]
+	// ready is closed once there is a layout.
+	ready chan struct{}
 	// changed wakes the claim loop.
 	changed chan struct{}
 	leaving atomic.Bool
@@ -60,6 +62,7 @@
 		p:       p,
 		limiter: rate.NewLimiter(rate.Limit(p.Settings.AppendsPerSecond), p.Settings.AppendBurst),
 		changed: make(chan struct{}, 1),
+		ready:   make(chan struct{}),
 	}
 }
 
@@ -102,6 +105,7 @@
 	}
 	l := s.newLayout(snapshot.Document)
 	s.layout.Store(l)
+	close(s.ready)
 	for _, t := range l.streams {
 		s.spawn(func() { t.tail(s.ctx) })
 		s.spawn(func() { t.writer.run(s.ctx) })
