--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -254,12 +254,12 @@
 // end publishes the result of a running call and makes room for the next.
 func (p *part) end(r *running, answer port.Answer, err error) {
 	defer r.cancel()
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if err != nil {
 		err = r.fault(err)
 		p.s.countFault(err)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	r.answer, r.err = answer, err
 	close(r.done)
 	if v := p.live[r.call.ProgramID]; v != nil && v.running == r {
--- a/internal/owner/gate_test.go
+++ b/internal/owner/gate_test.go
@@ -176,3 +176,13 @@
 	defer g.mu.Unlock()
 	change(g)
 }
+
+func encodeAll(records []*record.Record) [][]byte {
+	var all [][]byte
+	for _, r := range records {
+		if data, err := proto.Marshal(r); err == nil {
+			all = append(all, data)
+		}
+	}
+	return all
+}
