An owner uses its escrow only while it sees the log

An owner that is cut off from the log can have a successor that reconciles the escrow. The old one stops after a lease; the new one reconciles after it. port: a grant that was not used after all says so.

--- a/internal/owner/budget.go
+++ b/internal/owner/budget.go
@@ -16,11 +16,11 @@
 // reserve takes need tokens of the tree's escrow. It asks for a further slice
 // and waits for it only if the escrow is too small.
 func (p *part) reserve(ctx context.Context, r *running, need int64) error {
-	if err := p.awaitSettled(ctx, partition.RootKey(r.call.ProgramID)); err != nil {
-		return err
-	}
 	for {
 		done, slice, err := p.tryReserve(r, need)
+		if err != nil && p.awaitSettled(ctx, partition.RootKey(r.call.ProgramID)) {
+			continue
+		}
 		if done || err != nil {
 			return err
 		}
--- a/internal/owner/model.go
+++ b/internal/owner/model.go
@@ -175,16 +175,19 @@
 	}
 }
 
-// attempt dispatches the call once, and resumes it once if its stream broke.
+// attempt dispatches the call once while the escrow is surely its own, and resumes it once if its stream broke.
 func (m *modelRun) attempt() (port.ModelResult, string, error) {
 	s := m.p.s
+	if err := m.p.stream.awaitFresh(m.ctx); err != nil {
+		return port.ModelResult{}, "", err
+	}
 	grant, err := s.p.Scheduler.Acquire(m.ctx, m.work)
 	if err != nil {
 		return port.ModelResult{}, "", err
 	}
 	target := grant.Target()
 	if err := m.p.stream.awaitFresh(m.ctx); err != nil {
-		grant.Done(port.Result{Err: &port.TargetError{Target: target.Name, Failure: port.FailureRefused}})
+		grant.Done(port.Result{Unused: true})
 		return port.ModelResult{}, "", err
 	}
 	begun := time.Now()
--- a/internal/owner/params.go
+++ b/internal/owner/params.go
@@ -57,6 +57,9 @@
 	// ClockAllowance covers the difference of two hosts' clock rates when an
 	// intent in doubt is waited out.
 	ClockAllowance time.Duration
+	// SliceLease is how long after its last look at the log an owner may use
+	// its escrow. A later owner waits as long before it reconciles it.
+	SliceLease time.Duration
 	// CallTimeout bounds calls that set no timeout.
 	CallTimeout time.Duration
 	// EarlyCalls is how far ahead of a program's next seq a call may wait.
@@ -76,6 +79,7 @@
 	defaultClaimWait         = 5 * time.Second
 	defaultDispatchAllowance = 2 * time.Second
 	defaultClockAllowance    = 500 * time.Millisecond
+	defaultSliceLease        = 10 * time.Second
 	defaultCallTimeout       = 60 * time.Second
 	defaultEarlyCalls        = 8
 	defaultSliceTokens       = 8192
@@ -100,6 +104,7 @@
 	orDefault(&s.ClaimWait, defaultClaimWait)
 	orDefault(&s.DispatchAllowance, defaultDispatchAllowance)
 	orDefault(&s.ClockAllowance, defaultClockAllowance)
+	orDefault(&s.SliceLease, defaultSliceLease)
 	orDefault(&s.CallTimeout, defaultCallTimeout)
 	orDefault(&s.EarlyCalls, defaultEarlyCalls)
 	orDefault(&s.SliceTokens, defaultSliceTokens)
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,68 +22,96 @@
 )
 
 // startSettling asks the engines what earlier owners have spent of the escrow
-// that they left. No call of such a tree is dispatched before that has ended.
-// The caller has the lock.
+// that they left, once they can't use it any more. The caller has the lock.
 func (p *part) startSettling() {
 	p.settling = make(map[string]chan struct{})
-	var trees []*treeClaim
 	p.l.Trees(func(t *ledger.Tree) {
 		if t.Unsettled > 0 {
-			c := p.claimOf(t)
-			p.settling[t.RootKey] = c.done
-			trees = append(trees, c)
+			p.settling[t.RootKey] = make(chan struct{})
 		}
 	})
-	if len(trees) > 0 {
-		p.s.spawn(func() { p.settleAll(trees) })
+	if len(p.settling) == 0 {
+		return
+	}
+	epoch, trees := p.l.Epoch, maps.Clone(p.settling)
+	p.s.spawn(func() { p.settleAll(epoch, trees) })
+}
+
+func (p *part) settleAll(epoch int64, trees map[string]chan struct{}) {
+	lease := p.s.p.Settings.SliceLease + p.s.p.Settings.ClockAllowance
+	if !sleep(p.s.ctx, lease) {
+		return
+	}
+	var group errgroup.Group
+	group.SetLimit(settleAtOnce)
+	for key, done := range trees {
+		group.Go(func() error {
+			p.settleTree(epoch, key)
+			p.settlingEnded(key, done)
+			return nil
+		})
+	}
+	// No function of the group returns an error.
+	_ = group.Wait()
+}
+
+// settlingEnded notes that a tree's reconciliation has ended.
+func (p *part) settlingEnded(key string, done chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.settling[key] == done {
+		delete(p.settling, key)
 	}
+	close(done)
 }
 
 // treeClaim is what one tree's reconciliation has to know.
 type treeClaim struct {
-	epoch     int64
 	programID string
 	unsettled int64
 	baseline  map[string]uint64
-	// recorded holds, for each program, the engines' request IDs with an outcome.
-	recorded map[string][]string
-	done     chan struct{}
+	programs  map[string]*requests
 }
 
-func (p *part) claimOf(t *ledger.Tree) *treeClaim {
-	c := &treeClaim{
-		epoch:     p.l.Epoch,
-		unsettled: t.Unsettled,
-		baseline:  t.Targets,
-		recorded:  make(map[string][]string),
-		done:      make(chan struct{}),
+// requests are a program's request IDs as the engines know them.
+type requests struct {
+	// recorded have an outcome; running run under the present claim.
+	recorded []string
+	running  string
+}
+
+// claimOf returns what there is to settle, or nil.
+func (p *part) claimOf(epoch int64, key string) *treeClaim {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.l.Tree(key)
+	if t == nil || t.Unsettled == 0 || p.l.Epoch != epoch || !p.held() {
+		return nil
 	}
+	c := &treeClaim{unsettled: t.Unsettled, baseline: t.Targets, programs: make(map[string]*requests)}
 	t.Programs(func(g *ledger.Program) {
-		var ids []string
-		for _, turn := range g.Turns {
-			ids = append(ids, engineRequest(g.ID, turn.RequestId))
-		}
-		c.recorded[g.ID] = ids
 		c.programID = g.ID
+		c.programs[g.ID] = p.requestsOf(g)
 	})
 	return c
 }
 
-func (p *part) settleAll(trees []*treeClaim) {
-	var group errgroup.Group
-	group.SetLimit(settleAtOnce)
-	for _, c := range trees {
-		group.Go(func() error {
-			defer close(c.done)
-			p.settleTree(c)
-			return nil
-		})
+func (p *part) requestsOf(g *ledger.Program) *requests {
+	r := &requests{}
+	for _, turn := range g.Turns {
+		r.recorded = append(r.recorded, engineRequest(g.ID, turn.RequestId))
 	}
-	// No function of the group returns an error.
-	_ = group.Wait()
+	if v := p.live[g.ID]; v != nil && v.running != nil {
+		r.running = engineRequest(g.ID, v.running.call.RequestID)
+	}
+	return r
 }
 
-func (p *part) settleTree(c *treeClaim) {
+func (p *part) settleTree(epoch int64, key string) {
+	c := p.claimOf(epoch, key)
+	if c == nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(p.s.ctx, settleTimeout)
 	defer cancel()
 	charge, holders, err := p.s.settle(ctx, c)
@@ -92,7 +121,7 @@
 		return
 	}
 	p.s.count("reconciles")
-	_ = await(p.s.ctx, p.submitAt(c.epoch, &record.Record{Body: &record.Record_Reconcile{Reconcile: &record.Reconcile{
+	_ = await(p.s.ctx, p.submitAt(epoch, &record.Record{Body: &record.Record_Reconcile{Reconcile: &record.Reconcile{
 		ProgramId: c.programID,
 		Unsettled: c.unsettled,
 		Charge:    charge,
@@ -133,8 +162,8 @@
 		return 0, &UnsettledError{Target: target.Name}
 	}
 	var sum int64
-	for id, recorded := range c.recorded {
-		spent, incarnation, err := s.programSpent(ctx, target, id, recorded)
+	for id, r := range c.programs {
+		spent, incarnation, err := s.programSpent(ctx, target, id, r)
 		if err != nil {
 			return 0, err
 		}
@@ -147,14 +176,15 @@
 }
 
 // programSpent cancels the requests without an outcome first, so that their
-// spending does not grow any more.
-func (s *Service) programSpent(ctx context.Context, target port.Target, programID string, recorded []string) (int64, uint64, error) {
+// spending does not grow any more. One that runs under the present claim is
+// left alone; its earlier spending counts too.
+func (s *Service) programSpent(ctx context.Context, target port.Target, programID string, r *requests) (int64, uint64, error) {
 	usage, _, err := s.p.Engine.ProgramUsage(ctx, target, programID)
 	if err != nil {
 		return 0, 0, errors.Annotate(err, "usage can't be read")
 	}
 	for id := range usage {
-		if slices.Contains(recorded, id) {
+		if id == r.running || slices.Contains(r.recorded, id) {
 			continue
 		}
 		if err := s.p.Engine.Cancel(ctx, target, id); err != nil {
@@ -167,26 +197,27 @@
 	}
 	var spent int64
 	for id, u := range usage {
-		if !slices.Contains(recorded, id) {
+		if !slices.Contains(r.recorded, id) {
 			spent += u.PromptTokens + u.OutputTokens
 		}
 	}
 	return spent, incarnation, nil
 }
 
-// awaitSettled waits until a tree's reconciliation has ended.
-func (p *part) awaitSettled(ctx context.Context, key string) error {
+// awaitSettled waits for a tree's reconciliation, and says whether there was
+// one under way.
+func (p *part) awaitSettled(ctx context.Context, key string) bool {
 	p.mu.Lock()
 	done := p.settling[key]
 	p.mu.Unlock()
 	if done == nil {
-		return nil
+		return false
 	}
 	select {
 	case <-done:
-		return nil
+		return true
 	case <-ctx.Done():
-		return ctx.Err()
+		return false
 	}
 }
 
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"yuccausher/internal/core/ledger"
+	"yuccausher/internal/fault"
 	"yuccausher/internal/gen/record"
 	"yuccausher/internal/port"
 )
@@ -17,9 +18,6 @@
 	readWait = time.Second
 	// readTimeout bounds a read as a whole.
 	readTimeout = 5 * time.Second
-	// freshFor is how old the end of the last read may be before a dispatch:
-	// a process that was paused for longer reads first.
-	freshFor = readTimeout + time.Second
 )
 
 // stream follows one state stream and applies its records to the partitions.
@@ -35,8 +33,8 @@
 
 	// current is set while the last read reached the end of the stream.
 	current atomic.Bool
-	// polled is when the last read came back, whatever its result.
-	polled atomic.Pointer[time.Time]
+	// confirmed is when the last read began that reached the end.
+	confirmed atomic.Pointer[time.Time]
 }
 
 func newStream(s *Service, name string) *stream {
@@ -53,9 +51,11 @@
 func (t *stream) tail(ctx context.Context) {
 	pause := retryPauseMin
 	for ctx.Err() == nil {
+		begun := time.Now()
 		err := t.read(ctx)
-		now := time.Now()
-		t.polled.Store(&now)
+		if err == nil && t.current.Load() {
+			t.confirmed.Store(&begun)
+		}
 		if err == nil {
 			pause = retryPauseMin
 			continue
@@ -154,17 +154,21 @@
 	t.s.p.Metrics.Tagged(map[string]string{"verdict": string(v)}).Counter("ledger_records").Inc(1)
 }
 
-// awaitFresh waits until a read came back lately. After a pause of the
-// process the first read tells of claims that were made meanwhile; if the log
-// is down, no claim can be made either.
+// awaitFresh waits until the log was read lately. An owner that was paused,
+// or is cut off from the log, may have a successor that it knows nothing of.
 func (t *stream) awaitFresh(ctx context.Context) error {
-	for {
-		at := t.polled.Load()
-		if at != nil && time.Since(*at) < freshFor {
-			return nil
-		}
+	ctx, cancel := context.WithTimeout(ctx, t.s.p.Settings.ClaimWait)
+	defer cancel()
+	for !t.fresh() {
 		if !sleep(ctx, retryPauseMin) {
-			return ctx.Err()
+			t.s.count("dispatches_without_log")
+			return logUnavailable(fault.NotRun)
 		}
 	}
+	return nil
+}
+
+func (t *stream) fresh() bool {
+	at := t.confirmed.Load()
+	return at != nil && time.Since(*at) < t.s.p.Settings.SliceLease
 }
--- a/internal/owner/tool.go
+++ b/internal/owner/tool.go
@@ -147,11 +147,11 @@
 	target := grant.Target()
 	leaveBy, err := r.intend(target.Name)
 	if err != nil {
-		grant.Done(port.Result{})
+		grant.Done(port.Result{Unused: true})
 		return port.Answer{}, err
 	}
 	if !r.mayLeave(leaveBy) {
-		grant.Done(port.Result{})
+		grant.Done(port.Result{Unused: true})
 		return port.Answer{}, r.withdraw(logUnavailable(fault.NotRun))
 	}
 	// The call goes on when its callers have gone; only its deadline and the
--- a/internal/port/schedule.go
+++ b/internal/port/schedule.go
@@ -42,6 +42,9 @@
 	FirstToken time.Duration
 	Total      time.Duration
 	Usage      Usage
+	// Unused says that nothing was dispatched after all, so that the result
+	// says nothing about the target.
+	Unused bool
 }
 
 // Grant is permission to dispatch one call to one target.
