--- a/internal/owner/engines.go
+++ b/internal/owner/engines.go
@@ -40,11 +40,8 @@
 // pollEngines keeps the engines' incarnations. A claim carries them, so that
 // a later owner can prove that an engine has forgotten nothing since.
 func (s *Service) pollEngines() {
-	for {
+	for sleep(s.ctx, enginePeriod) {
 		s.askEngines()
-		if !sleep(s.ctx, enginePeriod) {
-			return
-		}
 	}
 }
 
@@ -89,3 +86,15 @@
 	}
 	return maps.Clone(*m)
 }
+
+// heldIncarnations returns the incarnations from the claim, with engines that
+// are new since. One that has restarted keeps its old entry, since calls that
+// it has forgotten may have no outcome yet. The caller has the lock.
+func (p *part) heldIncarnations() map[string]uint64 {
+	m := p.s.engineIncarnations()
+	if m == nil {
+		m = make(map[string]uint64)
+	}
+	maps.Copy(m, p.l.Targets)
+	return m
+}
--- a/internal/owner/gate_test.go
+++ b/internal/owner/gate_test.go
@@ -29,7 +29,12 @@
 	// twice sends each append a second time.
 	twice bool
 	// orphan makes appends lose their answers with this delay of effect.
-	orphan  time.Duration
+	orphan time.Duration
+	// cut fails the log's traffic only; mangle changes the answers to reads.
+	cut    bool
+	mangle func(port.Page) port.Page
+	// inflate adds to the usage that engines report.
+	inflate int64
 	appends int
 	bytes   int
 }
@@ -90,7 +95,7 @@
 	if hook != nil {
 		hook(decodeAll(records))
 	}
-	if !g.pass() {
+	if !g.pass() || g.isCut() {
 		return 0, &port.LogError{Op: "append", Stream: stream, Ambiguous: true}
 	}
 	if orphan > 0 {
@@ -121,13 +126,29 @@
 	if !g.pass() {
 		return port.Page{}, &port.LogError{Op: "read", Stream: stream}
 	}
+	if g.isCut() {
+		time.Sleep(appendTime)
+		return port.Page{}, &port.LogError{Op: "read", Stream: stream}
+	}
 	page, err := g.log.Read(ctx, stream, from, wait)
-	if !g.pass() {
+	if !g.pass() || g.isCut() {
 		return port.Page{}, &port.LogError{Op: "read", Stream: stream}
 	}
+	g.mu.Lock()
+	mangle := g.mangle
+	g.mu.Unlock()
+	if err == nil && mangle != nil {
+		page = mangle(page)
+	}
 	return page, err
 }
 
+func (g *gate) isCut() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cut
+}
+
 func (g *gate) Invoke(ctx context.Context, target port.Target, call port.ServiceCall) (port.ServiceResult, error) {
 	g.mu.Lock()
 	before, after := g.onInvoke, g.afterInvoke
@@ -167,6 +188,9 @@
 	if !g.pass() {
 		return port.ModelResult{}, &port.TargetError{Target: target.Name, Failure: port.FailureBroken}
 	}
+	g.mu.Lock()
+	result.Usage.OutputTokens += g.inflate
+	g.mu.Unlock()
 	return result, err
 }
 
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -110,6 +110,7 @@
 		s.spawn(func() { t.tail(s.ctx) })
 		s.spawn(func() { t.writer.run(s.ctx) })
 	}
+	s.askEngines()
 	s.spawn(s.pollEngines)
 	s.spawn(s.sweep)
 	s.claimLoop()
--- a/internal/owner/sweep.go
+++ b/internal/owner/sweep.go
@@ -90,7 +90,7 @@
 	}
 	p.restated = now
 	p.sendOnce("hold", &record.Record{
-		Body: &record.Record_Hold{Hold: &record.Hold{Targets: p.s.engineIncarnations()}},
+		Body: &record.Record_Hold{Hold: &record.Hold{Targets: p.heldIncarnations()}},
 	})
 }
 
