--- /dev/null
+++ b/internal/owner/budget_test.go
@@ -0,0 +1,179 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yuccausher/internal/core/config"
+	"yuccausher/internal/core/partition"
+	"yuccausher/internal/fault"
+	"yuccausher/internal/port"
+	"yuccausher/internal/standin"
+)
+
+// spentByTree sums up what the engines account to all programs of a tree.
+func (c *cluster) spentByTree(ids ...string) int64 {
+	var sum int64
+	for _, id := range ids {
+		sum += c.spentAtEngines(id)
+	}
+	return sum
+}
+
+func (c *cluster) openChildren(parent string, n int) []string {
+	var ids []string
+	for i := range n {
+		s := spec(fmt.Sprint("child", i), 0)
+		s.Parent = parent
+		v, err := c.tryOpen(s)
+		c.is.NoErr(err)
+		c.is.Equal(partition.RootKey(v.ProgramID), partition.RootKey(parent))
+		ids = append(ids, v.ProgramID)
+	}
+	return ids
+}
+
+// TestSubAgentsRaceForTheLastTokens lets a hundred sub-agents spend one
+// budget at once.
+func TestSubAgentsRaceForTheLastTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const budget = 1000
+		c := newCluster(t, 2, standin.LogOptions{}, nil)
+		defer c.stop()
+		root := c.open("root", budget)
+		ids := c.openChildren(root.ProgramID, 100)
+		results := make(chan error, len(ids))
+		for _, id := range ids {
+			go func() {
+				_, err := c.call(modelCall(id, 1, "r1"))
+				results <- err
+			}()
+		}
+		served := 0
+		for range ids {
+			err := <-results
+			if err == nil {
+				served++
+				continue
+			}
+			refusedAs(c, err, fault.BudgetExceeded)
+		}
+		all := append(ids, root.ProgramID)
+		spent := c.spentByTree(all...)
+		c.is.True(served > 0)
+		c.is.True(served < len(ids))
+		c.is.True(spent <= budget)
+		c.is.Equal(c.view(root.ProgramID).SpentTokens, spent)
+		c.is.Equal(c.view(root.ProgramID).ReservedTokens, int64(0))
+	})
+}
+
+// TestTakeoverWithUnsettledSlices kills the owner while calls spend. What it
+// had let out counts as spent until the engines tell how much it was.
+func TestTakeoverWithUnsettledSlices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const budget = 600
+		c := newCluster(t, 2, standin.LogOptions{}, nil)
+		defer c.stop()
+		root := c.open("root", budget)
+		ids := c.openChildren(root.ProgramID, 4)
+		owner := c.owner(root.ProgramID)
+		for _, id := range ids {
+			go func() { _, _ = owner.Call(context.Background(), modelCall(id, 1, "r1"), nil) }()
+		}
+		time.Sleep(10 * time.Millisecond)
+		c.kill(owner)
+		// The whole budget was let out, so that the next call has to wait.
+		_, err := c.call(modelCall(ids[0], 1, "r1"))
+		c.is.NoErr(err)
+		c.is.True(c.view(root.ProgramID).ReservedTokens == 0)
+		all := append(ids, root.ProgramID)
+		for seq := int64(2); err == nil && seq < 50; seq++ {
+			_, err = c.call(modelCall(ids[0], seq, fmt.Sprint("r", seq)))
+		}
+		refusedAs(c, err, fault.BudgetExceeded)
+		spent := c.spentByTree(all...)
+		c.is.True(spent <= budget)
+		c.is.True(c.view(root.ProgramID).SpentTokens >= spent)
+	})
+}
+
+// TestEngineForgets restarts an engine before the takeover: nobody can tell
+// any more what was spent, so that all of it stays spent.
+func TestEngineForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("root", 600)
+		owner := c.owner(v.ProgramID)
+		go func() { _, _ = owner.Call(context.Background(), modelCall(v.ProgramID, 1, "r1"), nil) }()
+		time.Sleep(10 * time.Millisecond)
+		c.kill(owner)
+		c.fleet.Engine("e1").Crash()
+		_, err := c.call(modelCall(v.ProgramID, 1, "r1"))
+		refusedAs(c, err, fault.BudgetExceeded)
+		c.is.Equal(c.view(v.ProgramID).ReservedTokens, int64(600))
+	})
+}
+
+// TestTargetReportsMoreThanReserved charges what was used and lets no further
+// call start beyond the budget.
+func TestTargetReportsMoreThanReserved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("root", 300)
+		c.nodes[0].gate.set(func(g *gate) { g.inflate = 1000 })
+		_, err := c.call(modelCall(v.ProgramID, 1, "r1"))
+		c.is.NoErr(err)
+		c.is.True(c.view(v.ProgramID).SpentTokens > 1000)
+		_, err = c.call(modelCall(v.ProgramID, 2, "r2"))
+		refusedAs(c, err, fault.BudgetExceeded)
+	})
+}
+
+// TestLoopLimits stops programs that loop.
+func TestLoopLimits(t *testing.T) {
+	limits := map[string]func(*config.Agent){
+		reasonTurns:    func(a *config.Agent) { a.MaxTurns = 3 },
+		reasonTokens:   func(a *config.Agent) { a.MaxTokens = 60 },
+		reasonRepeats:  func(a *config.Agent) { a.MaxRepeats = 3 },
+		reasonWallTime: func(a *config.Agent) { a.MaxWallMS = 2500 },
+	}
+	for reason, set := range limits {
+		t.Run(reason, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1, standin.LogOptions{}, func(d *config.Document) { set(&d.Agents[0]) })
+				defer c.stop()
+				v := c.open("open", 1<<20)
+				var err error
+				served := 0
+				for seq := int64(1); err == nil && seq < 10; seq++ {
+					call := modelCall(v.ProgramID, seq, fmt.Sprint("r", seq))
+					call.Input = []byte(`"again"`)
+					_, err = c.call(call)
+					served++
+					time.Sleep(500 * time.Millisecond)
+				}
+				refusedAs(c, err, fault.ProgramStopped)
+				c.is.True(served > 1)
+				time.Sleep(time.Second)
+				c.is.Equal(c.view(v.ProgramID).State, port.ProgramStopped)
+				c.noKV(v.ProgramID)
+			})
+		})
+	}
+}
+
+// noKV checks that no engine holds KV cache for a program.
+func (c *cluster) noKV(id string) {
+	c.t.Helper()
+	for _, name := range c.fleet.EngineNames() {
+		for _, held := range c.fleet.Engine(name).Now().KVPrograms {
+			c.is.True(held != id)
+		}
+	}
+}
