entry: don't join two different outputs of one call

After an owner was lost, another target may write the answer anew. The router now compares what it gets again with what it passed on and stops passing pieces at the first difference; the final event is whole.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -28,6 +28,7 @@
 	retries   map[reason]tally.Counter
 	forwards  map[string]tally.Histogram
 	exhausted tally.Counter
+	diverged  tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -40,7 +41,9 @@
 		forwards:  make(map[string]tally.Histogram, len(operations)),
 		exhausted: s.Counter("search_exhausted"),
 	}
+	m.diverged = s.Counter("streams_diverged")
 	m.exhausted.Inc(0)
+	m.diverged.Inc(0)
 	for _, r := range reasons {
 		m.retries[r] = s.Tagged(map[string]string{"reason": string(r)}).Counter("retries")
 		m.retries[r].Inc(0)
--- a/internal/entry/pieces.go
+++ b/internal/entry/pieces.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/uber-go/tally/v4"
+
 	"yuccausher/internal/port"
 )
 
@@ -11,12 +13,17 @@
 type pieces struct {
 	sink port.Sink
 
+	// diverged counts outputs that do not continue what was passed on.
+	diverged tally.Counter
+
 	mu sync.Mutex
-	// next is the offset of the first byte that was not passed on.
-	next int64
-	err  error
+	// passed is what was passed on.
+	passed []byte
+	err    error
 	// latest numbers the attempt whose pieces count.
 	latest int
+	// isStopped says that no piece is passed on any more.
+	isStopped bool
 }
 
 // attempt returns the sink of a new attempt, or nil if nobody listens. Late
@@ -32,24 +39,34 @@
 	return func(d port.Delta) error { return p.pass(number, d) }
 }
 
-// pass hands on what is new in a piece. A piece behind a gap is dropped: the
-// final answer is whole in any case. The mutex orders the pieces of the one
-// caller; nothing else waits for it.
+// pass hands on what is new in a piece. A piece behind a gap is dropped, and
+// so is all that follows a piece that differs from what was passed on, as when
+// another target wrote the answer anew: the final answer is whole in any case.
+// The mutex orders the pieces of the one caller; nothing else waits for it.
 func (p *pieces) pass(number int, d port.Delta) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.err != nil {
 		return p.err
 	}
-	end := d.Offset + int64(len(d.Text))
-	if number != p.latest || d.Offset > p.next || end <= p.next {
+	next := int64(len(p.passed))
+	if number != p.latest || p.isStopped || d.Offset > next {
+		return nil
+	}
+	known := min(next-d.Offset, int64(len(d.Text)))
+	if d.Text[:known] != string(p.passed[d.Offset:d.Offset+known]) {
+		p.isStopped = true
+		p.diverged.Inc(1)
+		return nil
+	}
+	if known == int64(len(d.Text)) {
 		return nil
 	}
-	fresh := port.Delta{Offset: p.next, Text: d.Text[p.next-d.Offset:]}
+	fresh := port.Delta{Offset: next, Text: d.Text[known:]}
 	if p.err = p.sink(fresh); p.err != nil {
 		return p.err
 	}
-	p.next = end
+	p.passed = append(p.passed, fresh.Text...)
 	return nil
 }
 
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -86,7 +86,7 @@
 func (r *Router) Call(ctx context.Context, call port.Call, sink port.Sink) (port.Answer, error) {
 	started := time.Now()
 	timeout := r.callTimeout(call)
-	pieces := &pieces{sink: sink}
+	pieces := &pieces{sink: sink, diverged: r.metrics.diverged}
 	req := request{
 		op:            "call",
 		key:           partition.RootKey(call.ProgramID),
--- a/internal/entry/router_test.go
+++ b/internal/entry/router_test.go
@@ -389,6 +389,29 @@
 	})
 }
 
+// TestOutputThatDiffersIsNotJoined: when a second attempt writes another
+// answer, none of it is joined to what the caller has.
+func TestOutputThatDiffersIsNotJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		scope := tally.NewTestScope("", nil)
+		peer, _ := script(
+			streams("one answer", 0, 5, 3, &port.PeerError{Host: other, Sent: true}),
+			streams("two answers", 0, 11, 3, nil),
+		)
+		r := newRouter(newMembers(other), notOwner(other), map[string]callFunc{other: peer}, scope)
+		var got string
+		a, err := r.Call(context.Background(), modelCall("a.1"), func(d port.Delta) error {
+			got += d.Text
+			return nil
+		})
+		is.NoErr(err)
+		is.Equal(got, "one a")
+		is.Equal(string(a.Output), `"two answers"`)
+		is.Equal(scope.Snapshot().Counters()["entry.streams_diverged+"].Value(), int64(1))
+	})
+}
+
 // streams sends output[from:to] in pieces and then fails with err, or answers.
 func streams(output string, from, to, size int, err error) callFunc {
 	return func(_ context.Context, c port.Call, sink port.Sink) (port.Answer, error) {
