--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -25,9 +25,6 @@
 	hosts hostFlag
 }
 
-// NewStandinCommand returns the command "standin".
-func NewStandinCommand() subcommands.Command { return &standinCommand{} }
-
 // Name implements subcommands.Command.
 func (*standinCommand) Name() string { return "standin" }
 
--- a/internal/cli/standin_test.go
+++ b/internal/cli/standin_test.go
@@ -27,7 +27,7 @@
 func TestStandinRefusesWrongFlags(t *testing.T) {
 	for _, args := range [][]string{{}, {"-port", "0"}, {"-port", "70000"}, {"-port", "7000", "more"}} {
 		is := is.New(t)
-		command := NewStandinCommand()
+		command := &standinCommand{}
 		f := flag.NewFlagSet("standin", flag.ContinueOnError)
 		f.SetOutput(io.Discard)
 		command.SetFlags(f)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -46,11 +46,14 @@
 	return f
 }
 
-// SetHosts changes the list of hosts.
-func (f *Fleet) SetHosts(hosts []port.ListedHost) {
+// ListLag is how late the list shows a change.
+func (f *Fleet) ListLag() time.Duration { return f.listLag }
+
+// SetHosts changes the list of hosts after a lag.
+func (f *Fleet) SetHosts(hosts []port.ListedHost, lag time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hosts.set(time.Now().Add(f.listLag), slices.Clone(hosts))
+	f.hosts.set(time.Now().Add(lag), slices.Clone(hosts))
 }
 
 // Leave makes a target leave, or come back, and lists that. It returns
