--- a/internal/configuration/tail.go
+++ b/internal/configuration/tail.go
@@ -13,13 +13,16 @@
 // tail reads the stream until ctx ends.
 func (s *Service) tail(ctx context.Context) {
 	pause := s.newBackoff()
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		if err := s.readPage(ctx); err != nil {
+		if err := s.readPage(ctx, wait); err != nil {
 			s.logReadFailed(ctx, err)
 			sleep(ctx, pause.NextBackOff())
+			wait = 0
 			continue
 		}
 		pause.Reset()
+		wait = s.Settings.ReadWait
 	}
 }
 
@@ -39,10 +42,11 @@
 	s.Logger.V(1).Info("read failed", "error", err.Error())
 }
 
-// readPage reads and applies the next records, if any come in time.
-func (s *Service) readPage(ctx context.Context) error {
+// readPage reads and applies the next records, if any come in time. The first
+// read does not wait, so that a host knows at once that a stream is empty.
+func (s *Service) readPage(ctx context.Context, wait time.Duration) error {
 	from := s.replay.View().Next
-	page, err := s.Log.Read(ctx, config.Stream, from, s.Settings.ReadWait)
+	page, err := s.Log.Read(ctx, config.Stream, from, wait)
 	if err != nil {
 		return err
 	}
