orders: one steward per target, re-asserted until shown, loads share places

The first host in rendezvous order claims a target when it finds that the target does not show what the configuration wants. The claim's offset plus one is the fencing number. A target that ignores the number and takes a late order is brought back, since the steward goes on reading what it shows.

The tail of a stream, shared with the configuration, is a package of its own.

--- a/internal/configuration/copy.go
+++ b/internal/configuration/copy.go
@@ -7,6 +7,7 @@
 	"yuccausher/internal/core/config"
 	"yuccausher/internal/core/partition"
 	"yuccausher/internal/port"
+	"yuccausher/internal/tail"
 )
 
 // copyKey orders the hosts by who publishes the version in force again.
@@ -16,7 +17,7 @@
 func (s *Service) keepCopied(ctx context.Context) {
 	plan := s.Settings.copyPlan()
 	for ctx.Err() == nil {
-		sleep(ctx, s.Settings.CopyInterval)
+		tail.Sleep(ctx, s.Settings.CopyInterval)
 		view := s.view.Load()
 		if plan.Due(time.Now(), *view, s.rank()) {
 			s.appendCopy(ctx, view)
--- a/internal/configuration/peers.go
+++ b/internal/configuration/peers.go
@@ -7,6 +7,7 @@
 
 	"yuccausher/internal/core/config"
 	"yuccausher/internal/port"
+	"yuccausher/internal/tail"
 )
 
 // maxPeersAsked bounds how many peers are asked in one round.
@@ -17,7 +18,7 @@
 func (s *Service) followPeers(ctx context.Context) {
 	var behindSince time.Time
 	for ctx.Err() == nil {
-		sleep(ctx, s.Settings.PeerInterval)
+		tail.Sleep(ctx, s.Settings.PeerInterval)
 		now := time.Now()
 		ahead := s.membersAhead()
 		if len(ahead) == 0 {
--- a/internal/configuration/publish.go
+++ b/internal/configuration/publish.go
@@ -10,6 +10,7 @@
 	"yuccausher/internal/core/config"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/port"
+	"yuccausher/internal/tail"
 )
 
 // publication is a change that this host is publishing.
@@ -83,7 +84,7 @@
 
 // append appends the change until the log acknowledges it or ctx ends.
 func (s *Service) append(ctx context.Context, p *publication) (int64, error) {
-	pause := s.newBackoff()
+	pause := tail.NewBackoff(s.Settings.RetryLeast, s.Settings.RetryMost)
 	for {
 		offset, err := s.appendOnce(ctx, p)
 		if err == nil {
@@ -91,7 +92,7 @@
 		}
 		p.ambiguous = p.ambiguous || mayHaveRun(err)
 		s.Metrics.Counter("publish_retries").Inc(1)
-		sleep(ctx, pause.NextBackOff())
+		tail.Sleep(ctx, pause.NextBackOff())
 		if version := p.taken.Load(); version != 0 {
 			return version, nil
 		}
--- a/internal/configuration/tail.go
+++ b/internal/configuration/tail.go
@@ -2,60 +2,38 @@
 
 import (
 	"context"
-	"time"
-
-	"github.com/cenkalti/backoff/v5"
 
 	"yuccausher/internal/core/config"
 	"yuccausher/internal/port"
+	"yuccausher/internal/tail"
 )
 
 // tail reads the stream until ctx ends.
 func (s *Service) tail(ctx context.Context) {
-	pause := s.newBackoff()
-	wait := time.Duration(0)
-	for ctx.Err() == nil {
-		if err := s.readPage(ctx, wait); err != nil {
-			s.logReadFailed(ctx, err)
-			sleep(ctx, pause.NextBackOff())
-			wait = 0
-			continue
-		}
-		pause.Reset()
-		wait = s.Settings.ReadWait
-	}
+	tail.Run(ctx, tail.Params{
+		Log:        s.Log,
+		Stream:     config.Stream,
+		Next:       func() int64 { return s.replay.View().Next },
+		Take:       s.take,
+		Failed:     s.readFailed,
+		ReadWait:   s.Settings.ReadWait,
+		RetryLeast: s.Settings.RetryLeast,
+		RetryMost:  s.Settings.RetryMost,
+	})
 }
 
-func (s *Service) newBackoff() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = s.Settings.RetryLeast
-	b.MaxInterval = s.Settings.RetryMost
-	b.Reset()
-	return b
-}
-
-func (s *Service) logReadFailed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
+func (s *Service) readFailed(err error) {
 	s.Metrics.Counter("log_read_failures").Inc(1)
 	s.Logger.V(1).Info("read failed", "error", err.Error())
 }
 
-// readPage reads and applies the next records, if any come in time. The first
-// read does not wait, so that a host knows at once that a stream is empty.
-func (s *Service) readPage(ctx context.Context, wait time.Duration) error {
-	from := s.replay.View().Next
-	page, err := s.Log.Read(ctx, config.Stream, from, wait)
-	if err != nil {
-		return err
-	}
+// take applies the records of a page.
+func (s *Service) take(page port.Page) {
 	s.replay.Begin(page.Oldest)
 	for i := range page.Records {
 		s.apply(&page.Records[i])
 	}
 	s.advance()
-	return nil
 }
 
 // apply takes one record and tells the publication that waits for it.
@@ -100,12 +78,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/internal/orders/act.go
@@ -0,0 +1,135 @@
+package orders
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"yuccausher/internal/core/config"
+	core "yuccausher/internal/core/orders"
+	"yuccausher/internal/port"
+)
+
+// act takes a step and returns the pause until the target is looked at again.
+func (s *Service) act(ctx context.Context, t *config.Target, incarnation uint64, d core.Decision) time.Duration {
+	switch d.Step {
+	case core.StepClaim:
+		s.append(ctx, core.Record{Kind: core.KindClaim, Target: t.Name, Holder: s.self})
+	case core.StepQueue:
+		s.append(ctx, core.Record{Kind: core.KindLoad, Target: t.Name, Holder: s.self, Epoch: d.Epoch})
+	case core.StepLoaded:
+		s.remember(t.Name, port.Order{}, incarnation)
+		s.append(ctx, core.Record{Kind: core.KindLoaded, Target: t.Name, Holder: s.self, Epoch: d.Epoch})
+	case core.StepOrder:
+		if !s.isRecent(t.Name, d.Order, incarnation) && s.order(ctx, t, d) {
+			s.remember(t.Name, d.Order, incarnation)
+		}
+	case core.StepNone:
+		s.remember(t.Name, port.Order{}, incarnation)
+		return s.Settings.AssertInterval
+	}
+	return s.Settings.Interval
+}
+
+// isRecent says whether the target took the same order a short time ago. What
+// it shows may lag.
+func (s *Service) isRecent(target string, o port.Order, incarnation uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.watched[target]
+	if w == nil || w.last != o || w.lastIncarnation != incarnation {
+		return false
+	}
+	interval := s.Settings.RepeatInterval
+	if core.FetchesWeights(o.Kind) {
+		interval = s.Settings.Rules.LoadTimeout
+	}
+	return time.Since(w.lastAt) < interval
+}
+
+func (s *Service) remember(target string, o port.Order, incarnation uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w := s.watched[target]; w != nil {
+		w.last, w.lastAt, w.lastIncarnation = o, time.Now(), incarnation
+	}
+}
+
+// append writes one record. A failed or ambiguous append needs no settling:
+// the next step is decided from what the stream then shows.
+func (s *Service) append(ctx context.Context, r core.Record) {
+	data, err := r.Encode()
+	if err != nil {
+		s.Logger.Error(err, "record not encoded")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.CallTimeout)
+	defer cancel()
+	kind := map[string]string{"kind": string(r.Kind)}
+	if _, err := s.Log.Append(ctx, core.Stream, [][]byte{data}); err != nil {
+		s.Metrics.Tagged(kind).Counter("append_failures").Inc(1)
+		return
+	}
+	s.Metrics.Tagged(kind).Counter("appends").Inc(1)
+}
+
+// order gives an order within the lease that a fresh read of the stream
+// grants, and says whether the target took it.
+func (s *Service) order(ctx context.Context, t *config.Target, d core.Decision) bool {
+	began := time.Now()
+	if !s.confirm(ctx, t.Name, d.Epoch) {
+		return false
+	}
+	deadline := began.Add(min(s.Settings.Rules.Lease, s.Settings.CallTimeout))
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if ctx.Err() != nil {
+		s.Metrics.Counter("leases_lapsed").Inc(1)
+		return false
+	}
+	err := s.Engine.Order(ctx, portTarget(t), d.Order)
+	s.countOrder(t, d, err)
+	return err == nil
+}
+
+// confirm reads the stream to its end and says whether the claim still holds.
+func (s *Service) confirm(ctx context.Context, target string, epoch int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.CallTimeout)
+	defer cancel()
+	for {
+		page, err := s.Log.Read(ctx, core.Stream, s.next(), 0)
+		if err != nil {
+			s.Metrics.Counter("log_read_failures").Inc(1)
+			return false
+		}
+		s.take(page)
+		if s.next() >= page.End {
+			return s.holds(target, epoch)
+		}
+	}
+}
+
+func (s *Service) holds(target string, epoch int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	claim, ok := s.ledger.Claim(target)
+	return ok && claim.Holder == s.self && claim.Epoch == epoch
+}
+
+// countOrder reports how an order went.
+func (s *Service) countOrder(t *config.Target, d core.Decision, err error) {
+	kind := string(d.Order.Kind)
+	if err == nil {
+		s.Metrics.Tagged(map[string]string{"kind": kind}).Counter("given").Inc(1)
+		s.Logger.Info("order given", "target", t.Name, "kind", kind, "value", d.Order.Value, "epoch", d.Epoch)
+		return
+	}
+	reason := "other"
+	var failed *port.TargetError
+	if errors.As(err, &failed) {
+		reason = string(failed.Failure)
+	}
+	s.Metrics.Tagged(map[string]string{"kind": kind, "reason": reason}).Counter("order_refusals").Inc(1)
+	s.Logger.Info("order failed", "target", t.Name, "kind", kind, "reason", reason)
+}
