--- a/internal/port/host.go
+++ b/internal/port/host.go
@@ -81,6 +81,16 @@
 	Digest uint64
 	// Quarantined lists fingerprints of poisoned content.
 	Quarantined []uint64
+	// Marks lists the newest crashes with content in flight.
+	Marks []CrashMark
+}
+
+// CrashMark says that a target crashed while content was in flight on it.
+type CrashMark struct {
+	Fingerprint uint64
+	Target      string
+	// At is when the crash was seen, in nanoseconds since 1970.
+	At int64
 }
 
 // Peers reaches other hosts. Errors of its transport are *PeerError.
