app: all hosts learn of a crash before its content runs again

A caller whose request crashed a target may send it again through another owner. The host that sees the crash now exchanges heartbeats with all live hosts at once, and heartbeats carry the newest marks both ways.

--- a/internal/adapter/peer/convert_gossip.go
+++ b/internal/adapter/peer/convert_gossip.go
@@ -43,6 +43,9 @@
 			Revision:      r.Revision,
 		})
 	}
+	for _, k := range g.Marks {
+		m.Marks = append(m.Marks, &pb.CrashMark{Fingerprint: k.Fingerprint, Target: k.Target, AtNs: k.At})
+	}
 	return m
 }
 
@@ -64,6 +67,9 @@
 			Revision:      r.GetRevision(),
 		})
 	}
+	for _, k := range m.GetMarks() {
+		g.Marks = append(g.Marks, port.CrashMark{Fingerprint: k.GetFingerprint(), Target: k.GetTarget(), At: k.GetAtNs()})
+	}
 	return g
 }
 
--- a/internal/adapter/peer/peer_test.go
+++ b/internal/adapter/peer/peer_test.go
@@ -390,6 +390,7 @@
 		From:    port.Host{ID: "a", DataCentre: "salem", Incarnation: 1 << 60, ClientAddress: "b"},
 		Leaving: true, ConfigVersion: 4, Digest: 1 << 63, Quarantined: []uint64{5, 1 << 63},
 		Rumours: []port.Member{{Host: port.Host{ID: "c"}, State: port.MemberDead, ConfigVersion: 3, Since: since, Revision: 9}},
+		Marks:   []port.CrashMark{{Fingerprint: 1 << 63, Target: "t", At: 12}},
 	}
 	reply, err := client.Gossip(context.Background(), host, sent)
 	is.NoErr(err)
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -49,13 +49,14 @@
 func newMembership(p membershipParams) *membership.Service {
 	s := membership.New(membership.Params{
 		Self:       p.Self,
-		Peers:      p.Peers,
+		Peers:      &markingPeers{Peers: p.Peers, quarantine: p.Quarantine},
 		HostList:   p.HostList,
 		Holder:     p.Holder,
 		Quarantine: p.Quarantine,
 		Metrics:    p.Scope,
 		Logger:     p.Options.Logger,
 	})
+	p.Quarantine.members.Store(s)
 	follow(p.Lifecycle, s)
 	return s
 }
@@ -120,6 +121,7 @@
 		Metrics:      p.Scope.SubScope("sched"),
 		Log:          p.Options.Logger,
 		OnQuarantine: p.Quarantine.found,
+		OnCrash:      p.Quarantine.crashed,
 	})
 	p.Quarantine.registry.Store(s)
 	follow(p.Lifecycle, s)
--- a/internal/app/quarantine.go
+++ b/internal/app/quarantine.go
@@ -26,6 +26,7 @@
 type quarantine struct {
 	registry atomic.Pointer[sched.Scheduler]
 	recorder atomic.Pointer[owner.Service]
+	members  atomic.Pointer[membership.Service]
 	// known holds what others told, which need not be recorded again.
 	known *lru.Cache[uint64, struct{}]
 }
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -39,6 +39,7 @@
 	Drain         *drain
 	Metrics       *metrics.Metrics
 	Log           port.Log
+	Quarantine    *quarantine
 	Scope         tally.Scope
 }
 
@@ -56,7 +57,7 @@
 	peerServer, err := peer.NewServer(peer.ServerParams{
 		Handlers: peer.Handlers{
 			Programs: p.Owner,
-			Gossip:   p.Members,
+			Gossip:   &markingGossiper{Service: p.Members, quarantine: p.Quarantine},
 			Config:   p.Configuration,
 			Log:      p.Log,
 		},
