--- a/internal/adapter/metrics/log.go
+++ b/internal/adapter/metrics/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -23,6 +24,9 @@
 	limited   tally.Counter
 	ambiguous tally.Counter
 	readFails tally.Counter
+	scope     tally.Scope
+	// lags holds a gauge per stream.
+	lags sync.Map
 }
 
 // MeasureLog returns inner with its use measured in scope.
@@ -40,6 +44,7 @@
 		limited:   failures("limited"),
 		ambiguous: failures("ambiguous"),
 		readFails: s.Counter("read_failures"),
+		scope:     s,
 	}
 }
 
@@ -71,8 +76,28 @@
 // Read implements port.Log.
 func (l *Log) Read(ctx context.Context, stream string, from int64, wait time.Duration) (port.Page, error) {
 	page, err := l.Log.Read(ctx, stream, from, wait)
-	if err != nil && ctx.Err() == nil {
+	switch {
+	case err == nil:
+		l.lagOf(stream).Update(float64(lag(page, from)))
+	case ctx.Err() == nil:
 		l.readFails.Inc(1)
 	}
 	return page, err
 }
+
+// lag returns how many records of the stream are behind a page.
+func lag(page port.Page, from int64) int64 {
+	next := from
+	if n := len(page.Records); n > 0 {
+		next = page.Records[n-1].Offset + 1
+	}
+	return max(0, page.End-next)
+}
+
+func (l *Log) lagOf(stream string) tally.Gauge {
+	if g, ok := l.lags.Load(stream); ok {
+		return g.(tally.Gauge)
+	}
+	g, _ := l.lags.LoadOrStore(stream, l.scope.Tagged(map[string]string{"stream": stream}).Gauge("lag"))
+	return g.(tally.Gauge)
+}
--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -33,6 +33,7 @@
 		OnRegisterError:  onError,
 	})
 	sanitize := prometheus.DefaultSanitizerOpts
+	sanitize.ValueCharacters.Characters = tally.UnderscoreDashCharacters
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -79,6 +79,7 @@
 		ownerModule,
 		entryModule,
 		drainModule,
+		gaugeModule,
 		serverModule,
 		fx.Populate(&a.drain),
 		fx.StartTimeout(startTimeout),
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -33,16 +33,18 @@
 // fleet is three hosts before the stand-ins, in one process.
 type fleet struct {
 	*is.I
-	t        *testing.T
+	t        testing.TB
 	platform standin.Platform
 	hosts    []*app.App
 	gates    []*gate.Gate
+	// seed keeps the requests of one fleet apart from those of another.
+	seed int64
 	// down marks hosts that callers have stopped using.
 	down [3]atomic.Bool
 }
 
-func newFleet(t *testing.T) *fleet {
-	f := &fleet{I: is.New(t), t: t, platform: standin.NewPlatform(nil)}
+func newFleet(t testing.TB) *fleet {
+	f := &fleet{I: is.New(t), t: t, platform: standin.NewPlatform(nil), seed: time.Now().UnixNano()}
 	listening, err := standin.Listen(t.Context(), f.platform, "127.0.0.1:0", logr.Discard())
 	f.NoErr(err)
 	t.Cleanup(listening.Close)
@@ -228,6 +230,29 @@
 	}
 }
 
+// reportsMetrics checks that operators see counters before their first event.
+func (f *fleet) reportsMetrics() {
+	f.eventually("metrics are reported", func() bool {
+		_, data := f.send(0, "GET", "/metrics", nil)
+		for _, want := range []string{
+			`yuccausher_http_refusals{type="overloaded"} 0`,
+			`yuccausher_entry_retries{reason="broken"} 0`,
+			`yuccausher_sched_refusals{type="poisoned"} 0`,
+			`yuccausher_peer_client_garbage 0`,
+			`yuccausher_log_lag{stream="state-0"} 0`,
+			`yuccausher_host_hosts_alive 3`,
+			`yuccausher_host_queue 0`,
+			`yuccausher_log_append_bucket`,
+		} {
+			if !bytes.Contains(data, []byte(want)) {
+				f.t.Log("not yet:", want)
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // TestPlannedStopCutsNothing: while a host is drained under load, no request
 // is cut or refused, and its partitions go to the others.
 func TestPlannedStopCutsNothing(t *testing.T) {
@@ -253,6 +278,7 @@
 func TestKilledHost(t *testing.T) {
 	f := newFleet(t)
 	const programs = 90
+	f.reportsMetrics()
 	c := f.load(programs, func() {
 		f.gates[1].Close()
 		f.hosts[1].Kill()
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -118,7 +118,7 @@
 		HostList:     p.HostList,
 		Self:         p.Self,
 		Members:      p.Members,
-		Metrics:      p.Scope.SubScope("sched"),
+		Metrics:      p.Scope,
 		Log:          p.Options.Logger,
 		OnQuarantine: p.Quarantine.found,
 		OnCrash:      p.Quarantine.crashed,
--- a/internal/owner/lifecycle.go
+++ b/internal/owner/lifecycle.go
@@ -158,6 +158,7 @@
 	}
 	p.signalProgram(id)
 	if g := p.l.Program(id); g != nil {
+		p.recordLatency(g)
 		p.startEvict(g)
 	}
 }
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -1,10 +1,27 @@
 package owner
 
 import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/core/ledger"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/port"
 )
 
+// programBuckets bound the time from a program's opening to its end.
+var programBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 24)
+
+// recordLatency records how long a program took, at its owner alone. The
+// caller has the lock.
+func (p *part) recordLatency(g *ledger.Program) {
+	if !p.held() || g.EndedAt.IsZero() {
+		return
+	}
+	p.s.p.Metrics.Histogram("program_latency", programBuckets).RecordDuration(g.EndedAt.Sub(g.OpenedAt))
+}
+
 // countFault counts a failed call by its type.
 func (s *Service) countFault(err error) {
 	name := "not_owner"
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -50,6 +50,13 @@
 	return p
 }
 
+// queued returns how many calls wait.
+func (p *pool) queued() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Len()
+}
+
 func (p *pool) setTargets(targets []*target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
