--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -57,7 +57,6 @@
 	if p.Metrics == nil {
 		p.Metrics = tally.NoopScope
 	}
-	p.Logger = p.Logger.WithName("owner")
 	return &Service{
 		p:       p,
 		limiter: rate.NewLimiter(rate.Limit(p.Settings.AppendsPerSecond), p.Settings.AppendBurst),
