--- a/internal/core/ledger/machine_test.go
+++ b/internal/core/ledger/machine_test.go
@@ -122,8 +122,22 @@
 	return m.hosts[rapid.IntRange(0, machineHosts-1).Draw(t, "host")]
 }
 
+// drawHolder draws a process that believes that it owns the partition. It has
+// mostly read all before, and sometimes not.
 func (m *machine) drawHolder(t *rapid.T) *process {
-	h := m.draw(t)
+	var holders []*process
+	for _, h := range m.hosts {
+		if h.holds() {
+			holders = append(holders, h)
+		}
+	}
+	if len(holders) == 0 {
+		t.Skip("nobody owns the partition")
+	}
+	h := rapid.SampledFrom(holders).Draw(t, "holder")
+	if rapid.IntRange(0, 3).Draw(t, "reads first") > 0 {
+		m.tail(h, int64(len(m.log)))
+	}
 	if !h.holds() {
 		t.Skip("holds nothing")
 	}
@@ -147,6 +161,9 @@
 
 func (m *machine) claim(t *rapid.T) {
 	h := m.draw(t)
+	if rapid.Bool().Draw(t, "reads first") {
+		m.tail(h, int64(len(m.log)))
+	}
 	m.write(h, &record.Record{Body: &record.Record_Claim{Claim: &record.Claim{}}})
 }
 
@@ -321,7 +338,7 @@
 		})
 	})
 	if m.saved(from) && rapid.Bool().Draw(t, "trim") {
-		m.oldest = max(m.oldest, from-rapid.Int64Range(0, 10).Draw(t, "kept"))
+		m.oldest = max(m.oldest, from-rapid.Int64Range(0, 40).Draw(t, "kept"))
 	}
 }
 
@@ -417,7 +434,7 @@
 func TestInterleavings(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine()
-		t.Repeat(map[string]func(*rapid.T){
+		actions := map[string]func(*rapid.T){
 			"claim":     m.claim,
 			"tail":      m.tailSome,
 			"catch up":  m.tailAll,
@@ -436,6 +453,9 @@
 			"end":       m.end,
 			"save":      m.saveAndTrim,
 			"":          m.check,
-		})
+		}
+		for range 5 {
+			t.Repeat(actions)
+		}
 	})
 }
--- a/internal/owner/budget_test.go
+++ b/internal/owner/budget_test.go
@@ -101,6 +101,66 @@
 	})
 }
 
+// TestCutOffOwnerSpends has an owner that is cut off from the log go on to
+// spend while its successor does, too.
+func TestCutOffOwnerSpends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const budget = 600
+		c := newCluster(t, 2, standin.LogOptions{}, nil)
+		defer c.stop()
+		root := c.open("root", budget)
+		ids := c.openChildren(root.ProgramID, 20)
+		old := c.owner(root.ProgramID)
+		old.gate.set(func(g *gate) { g.cut = true })
+		c.bury(old)
+		for i, id := range ids {
+			go func() {
+				time.Sleep(time.Duration(i) * time.Second)
+				_, _ = old.Call(context.Background(), modelCall(id, 1, "r1"), nil)
+			}()
+		}
+		others := &cluster{t: t, is: c.is, nodes: without(c.nodes, old)}
+		began := time.Now()
+		for seq := int64(1); time.Since(began) < 30*time.Second; {
+			_, err := others.call(modelCall(root.ProgramID, seq, fmt.Sprint("r", seq)))
+			if err == nil {
+				seq++
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		spent := c.spentByTree(append(ids, root.ProgramID)...)
+		c.is.True(spent > budget/2)
+		c.is.True(spent <= budget)
+	})
+}
+
+// TestReconcileCancels has a call of the lost owner run on at its engine,
+// which costs more with each second.
+func TestReconcileCancels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const budget = 200
+		c := newCluster(t, 2, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("root", budget)
+		child := c.openChildren(v.ProgramID, 1)[0]
+		owner := c.owner(v.ProgramID)
+		slow := modelCall(child, 1, "r1")
+		slow.Model, slow.MaxTokens = "slow", 150
+		go func() { _, _ = owner.Call(context.Background(), slow, nil) }()
+		time.Sleep(time.Second)
+		c.kill(owner)
+		var err error
+		for seq := int64(1); err == nil; seq++ {
+			_, err = c.call(modelCall(v.ProgramID, seq, fmt.Sprint("r", seq)))
+		}
+		refusedAs(c, err, fault.BudgetExceeded)
+		time.Sleep(time.Minute)
+		c.is.True(c.spentByTree(v.ProgramID, child) <= budget)
+		c.is.True(c.spentAtEngines(v.ProgramID) > 0)
+		c.is.Equal(c.fleet.Engine("slow").Now().Running, 0)
+	})
+}
+
 // TestEngineForgets restarts an engine before the takeover: nobody can tell
 // any more what was spent, so that all of it stays spent.
 func TestEngineForgets(t *testing.T) {
--- a/internal/owner/doubt_test.go
+++ b/internal/owner/doubt_test.go
@@ -19,6 +19,7 @@
 		c := newCluster(t, 2, standin.LogOptions{}, nil)
 		defer c.stop()
 		v := c.open("open", 1000)
+		child := c.openChildren(v.ProgramID, 1)[0]
 		old := c.owner(v.ProgramID)
 		old.gate.set(func(g *gate) { g.cut = true })
 		c.bury(old)
@@ -38,10 +39,9 @@
 		c.is.NoErr(err)
 		time.Sleep(30 * time.Second)
 		// The old owner starts nothing any more: its escrow is not its own.
-		before := c.spentAtEngines(v.ProgramID)
-		_, err = old.Call(context.Background(), modelCall(v.ProgramID, 1, "late"), nil)
-		c.is.True(err != nil)
-		c.is.Equal(c.spentAtEngines(v.ProgramID), before)
+		_, err = old.Call(context.Background(), modelCall(child, 1, "late"), nil)
+		refusedAs(c, err, fault.LogUnavailable)
+		c.is.Equal(c.spentAtEngines(child), int64(0))
 
 		old.gate.set(func(g *gate) { g.cut = false })
 		for range 2 {
@@ -116,31 +116,53 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, 2, standin.LogOptions{}, nil)
 				defer c.stop()
-				v := c.open("open", 5000)
+				var ids []string
+				for i := range 6 {
+					ids = append(ids, c.open(fmt.Sprint("open", i), 5000).ProgramID)
+				}
 				for _, n := range c.nodes {
 					n.gate.set(func(*gate) { arm(c, n) })
 				}
-				for seq := int64(1); seq <= 4; seq++ {
-					call := posting(v.ProgramID, seq, fmt.Sprint("pay", seq))
-					_, err := c.untilSettled(call)
-					c.is.NoErr(err)
+				done := make(chan struct{}, len(ids))
+				for _, id := range ids {
+					go func() {
+						c.fewCalls(id)
+						done <- struct{}{}
+					}()
+				}
+				for range ids {
+					<-done
 				}
-				_, err := c.untilSettled(modelCall(v.ProgramID, 5, "r5"))
-				c.is.NoErr(err)
 				time.Sleep(10 * time.Second)
-				c.is.Equal(c.runs.Of("post"), map[string]int{"pay1": 1, "pay2": 1, "pay3": 1, "pay4": 1})
-				c.is.Equal(len(c.history(v.ProgramID)), 5)
-				c.sameEverywhere(v.ProgramID)
+				c.is.Equal(len(c.runs.Of("post")), 3*len(ids))
+				for _, runs := range c.runs.Of("post") {
+					c.is.Equal(runs, 1)
+				}
+				for _, id := range ids {
+					c.is.Equal(len(c.history(id)), 4)
+					c.sameEverywhere(id)
+				}
 			})
 		})
 	}
 }
 
+// fewCalls makes three postings and a model call.
+func (c *cluster) fewCalls(id string) {
+	for seq := int64(1); seq <= 3; seq++ {
+		_, err := c.untilSettled(posting(id, seq, fmt.Sprint(id, "/", seq)))
+		c.is.NoErr(err)
+	}
+	_, err := c.untilSettled(modelCall(id, 4, "r4"))
+	c.is.NoErr(err)
+}
+
 // untilSettled sends a call again while it is refused as not run.
 func (c *cluster) untilSettled(call port.Call) (port.Answer, error) {
 	for range 20 {
 		answer, err := c.call(call)
 		f, refused := fault.As(err)
+		c.is.True(!refused || f.Type != fault.Internal)
 		if !refused || (f.Run != fault.NotRun && f.Type != fault.Timeout) {
 			return answer, err
 		}
@@ -162,7 +184,10 @@
 		}
 		c.log.Down(time.Hour)
 		began := time.Now()
-		_, err := c.call(posting(ids[0], 1, "pay0"))
+		// The target can't say later whether the call ran.
+		first := posting(ids[0], 1, "pay0")
+		first.Service = "mute"
+		_, err := c.call(first)
 		f, ok := fault.As(err)
 		c.is.True(ok)
 		c.is.Equal(f.Type, fault.LogUnavailable)
@@ -194,13 +219,14 @@
 		c.is.NoErr(err)
 		c.is.Equal(c.spentAtEngines(ids[1]), spent)
 		// The refused posting may run now, once.
-		c.is.Equal(c.runs.Of("post")["pay0"], 0)
-		_, err = c.untilSettled(posting(ids[0], 1, "pay0"))
+		c.is.Equal(len(c.runs.Of("mute")), 0)
+		_, err = c.untilSettled(first)
 		c.is.NoErr(err)
+		c.is.Equal(c.runs.Of("mute"), map[string]int{"pay0": 1})
 		for _, runs := range c.runs.Of("post") {
 			c.is.Equal(runs, 1)
 		}
-		c.is.Equal(len(c.runs.Of("post")), len(ids)-1)
+		c.is.Equal(len(c.runs.Of("post")), len(ids)-2)
 	})
 }
 
--- a/internal/owner/fixture_test.go
+++ b/internal/owner/fixture_test.go
@@ -49,7 +49,11 @@
 
 func newCluster(t *testing.T, nodes int, options standin.LogOptions, change func(*config.Document)) *cluster {
 	runs := standin.NewRuns()
-	engines := []*standin.Engine{newEngine("e1"), newEngine("e2")}
+	engines := []*standin.Engine{
+		newEngine("e1", "m", time.Millisecond),
+		newEngine("e2", "m", time.Millisecond),
+		newEngine("slow", "slow", time.Second),
+	}
 	services := []*standin.Service{
 		standin.NewService(standin.ServiceOptions{Name: "s1", Latency: 20 * time.Millisecond, Runs: runs}),
 		standin.NewService(standin.ServiceOptions{Name: "mute", Latency: 20 * time.Millisecond, CannotSay: true, Runs: runs}),
@@ -81,12 +85,12 @@
 	return c
 }
 
-func newEngine(name string) *standin.Engine {
+func newEngine(name, model string, perToken time.Duration) *standin.Engine {
 	return standin.NewEngine(standin.EngineOptions{
 		Name:           name,
-		Model:          "m",
+		Model:          model,
 		KVTokens:       1 << 20,
-		PerOutputToken: time.Millisecond,
+		PerOutputToken: perToken,
 		OutputTokens:   func(c port.ModelCall) int64 { return min(c.MaxTokens, 20) },
 	})
 }
@@ -98,10 +102,11 @@
 		Streams:    1,
 		Firms:      []config.Firm{{Name: "f", BudgetTokens: 1 << 30}},
 		Agents:     []config.Agent{{Name: "a", Firm: "f"}},
-		Models:     []config.Model{{Name: "m", ContextTokens: 1 << 20}},
+		Models:     []config.Model{{Name: "m", ContextTokens: 1 << 20}, {Name: "slow", ContextTokens: 1 << 20}},
 		Targets: []config.Target{
 			{Name: "e1", Model: "m"},
 			{Name: "e2", Model: "m"},
+			{Name: "slow", Model: "slow"},
 			{Name: "s1", Services: []string{"post", "read"}},
 			{Name: "mute", Services: []string{"mute"}},
 		},
--- a/internal/owner/gate_test.go
+++ b/internal/owner/gate_test.go
@@ -35,6 +35,10 @@
 	mangle func(port.Page) port.Page
 	// inflate adds to the usage that engines report.
 	inflate int64
+	// crossed makes the next answers carry another request's ID.
+	crossed int
+	// keepKV makes evictions fail.
+	keepKV  bool
 	appends int
 	bytes   int
 }
@@ -164,6 +168,9 @@
 		return port.ServiceResult{}, refused
 	}
 	result, err := g.service.Invoke(ctx, target, call)
+	if g.cross() {
+		result.RequestID = "another"
+	}
 	if after != nil {
 		after(call)
 	}
@@ -191,9 +198,32 @@
 	g.mu.Lock()
 	result.Usage.OutputTokens += g.inflate
 	g.mu.Unlock()
+	if g.cross() {
+		result.RequestID = "another"
+	}
 	return result, err
 }
 
+func (g *gate) cross() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.crossed == 0 {
+		return false
+	}
+	g.crossed--
+	return true
+}
+
+func (g *gate) Evict(ctx context.Context, target port.Target, programID string) error {
+	g.mu.Lock()
+	keep := g.keepKV
+	g.mu.Unlock()
+	if !g.pass() || keep {
+		return &port.TargetError{Target: target.Name, Failure: port.FailureBroken}
+	}
+	return g.Engine.Evict(ctx, target, programID)
+}
+
 // set changes the gate's switches.
 func (g *gate) set(change func(*gate)) {
 	g.mu.Lock()
--- a/internal/owner/lifecycle_test.go
+++ b/internal/owner/lifecycle_test.go
@@ -133,3 +133,26 @@
 		}
 	})
 }
+
+// TestFlappingHostTakesNothing shows another host for less than the hold-down,
+// again and again.
+func TestFlappingHostTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standin.LogOptions{}, nil)
+		defer c.stop()
+		n := c.nodes[0]
+		c.open("open", 5000)
+		before := n.Partitions()
+		for range 10 {
+			for _, id := range []string{"x", "y", "z"} {
+				n.members.set(id, 1, port.MemberAlive)
+			}
+			time.Sleep(defaultHoldDown - time.Second)
+			for _, id := range []string{"x", "y", "z"} {
+				n.members.set(id, 1, port.MemberDead)
+			}
+			time.Sleep(time.Second)
+		}
+		c.is.Equal(n.Partitions(), before)
+	})
+}
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -78,10 +78,20 @@
 	if err != nil {
 		return err
 	}
+	before := t.next
 	t.take(page)
+	if t.next == before && !t.current.Load() {
+		return &port.LogError{Op: "read", Stream: t.name, Cause: &GapError{Next: before, End: page.End}}
+	}
 	return nil
 }
 
+// GapError says that a page lacks the next record although there is one.
+type GapError struct{ Next, End int64 }
+
+// Error implements error.
+func (e *GapError) Error() string { return "page lacks the next record" }
+
 func (t *stream) take(page port.Page) {
 	if page.Oldest > t.next {
 		t.restart(page.Oldest)
@@ -93,6 +103,7 @@
 		if r.Offset > t.next {
 			t.logger.Info("Page has a gap.", "stream", t.name, "offset", r.Offset)
 			t.s.count("log_page_gaps")
+			t.current.Store(false)
 			return
 		}
 		t.apply(r)
--- /dev/null
+++ b/internal/owner/target_test.go
@@ -0,0 +1,138 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"yuccausher/internal/fault"
+	"yuccausher/internal/port"
+	"yuccausher/internal/standin"
+)
+
+// TestLostAnswerOfAPosting loses the answer of a call that ran. Where the
+// target can say, its answer is found; otherwise nothing is claimed and the
+// call never runs again.
+func TestLostAnswerOfAPosting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("open", 5000)
+		c.runs.LoseAnswers("post", 1)
+		c.runs.LoseAnswers("mute", 1)
+		_, err := c.call(posting(v.ProgramID, 1, "pay"))
+		c.is.NoErr(err)
+		mute := posting(v.ProgramID, 2, "quiet")
+		mute.Service = "mute"
+		for range 2 {
+			_, err = c.call(mute)
+			f, ok := fault.As(err)
+			c.is.True(ok)
+			c.is.Equal(f.Type, fault.OutcomeUnknown)
+			c.is.Equal(f.Run, fault.Unknown)
+		}
+		_, err = c.call(posting(v.ProgramID, 3, "next"))
+		c.is.NoErr(err)
+		c.is.Equal(c.runs.Of("mute"), map[string]int{"quiet": 1})
+		c.is.Equal(c.runs.Of("post"), map[string]int{"pay": 1, "next": 1})
+		c.is.Equal(c.history(v.ProgramID)[1].Failure, string(fault.OutcomeUnknown))
+	})
+}
+
+// TestPostingRunsAfterItsOwner has the call run at the target some time after
+// the owner has died; the next owner finds its answer.
+func TestPostingRunsAfterItsOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("open", 5000)
+		c.runs.Hang("post", 1, 3*time.Second)
+		owner := c.owner(v.ProgramID)
+		go func() { _, _ = owner.Call(context.Background(), posting(v.ProgramID, 1, "pay"), nil) }()
+		time.Sleep(200 * time.Millisecond)
+		c.kill(owner)
+		_, err := c.call(posting(v.ProgramID, 1, "pay"))
+		c.is.NoErr(err)
+		c.is.Equal(c.runs.Of("post"), map[string]int{"pay": 1})
+	})
+}
+
+// TestCrossedAnswers hands the answers of other requests to the owner.
+func TestCrossedAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("open", 5000)
+		cross := func() { c.nodes[0].gate.set(func(g *gate) { g.crossed = 1 }) }
+		cross()
+		posted, err := c.call(posting(v.ProgramID, 1, "pay"))
+		c.is.NoErr(err)
+		c.is.Equal(posted.RequestID, "pay")
+		cross()
+		answer, err := c.call(modelCall(v.ProgramID, 2, "r2"))
+		c.is.NoErr(err)
+		c.is.Equal(answer.RequestID, "r2")
+		c.is.Equal(c.runs.Of("post"), map[string]int{"pay": 1})
+		// What the dropped answer cost is charged too.
+		c.is.True(c.view(v.ProgramID).SpentTokens >= c.spentAtEngines(v.ProgramID))
+		c.is.True(answer.Usage.PromptTokens+answer.Usage.OutputTokens < c.spentAtEngines(v.ProgramID))
+	})
+}
+
+// TestRefusalAfterADispatchIsNotNotRun refuses the second attempt of a call
+// whose first one ran.
+func TestRefusalAfterADispatchIsNotNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("open", 80)
+		c.nodes[0].gate.set(func(g *gate) { g.crossed = 1 })
+		_, err := c.call(modelCall(v.ProgramID, 1, "r1"))
+		f, ok := fault.As(err)
+		c.is.True(ok)
+		c.is.Equal(f.Type, fault.BudgetExceeded)
+		c.is.Equal(f.Run, fault.Unknown)
+		c.is.True(c.view(v.ProgramID).SpentTokens >= c.spentAtEngines(v.ProgramID))
+	})
+}
+
+// TestOutputDoesNotContinue feeds pieces of a second attempt that differ from
+// what a caller was given.
+func TestOutputDoesNotContinue(t *testing.T) {
+	is := is.New(t)
+	r := &running{changed: make(chan struct{})}
+	is.NoErr(r.push(port.Delta{Offset: 0, Text: "one two"}))
+	is.NoErr(r.push(port.Delta{Offset: 0, Text: "one t"}))
+	is.NoErr(r.push(port.Delta{Offset: 4, Text: "two three"}))
+	text, _ := r.from(0)
+	is.Equal(text, "one two three")
+	_, broken := r.push(port.Delta{Offset: 4, Text: "five"}).(*OutputError)
+	is.True(broken) // a caller has it already
+	_, broken = r.push(port.Delta{Offset: 20, Text: "gap"}).(*OutputError)
+	is.True(broken)
+	text, _ = r.from(0)
+	is.Equal(text, "one two three")
+}
+
+// TestNextOwnerEvicts ends a program whose owner dies before an engine has
+// obeyed.
+func TestNextOwnerEvicts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("open", 5000)
+		_, err := c.call(modelCall(v.ProgramID, 1, "r1"))
+		c.is.NoErr(err)
+		owner := c.owner(v.ProgramID)
+		owner.gate.set(func(g *gate) { g.keepKV = true })
+		_, err = owner.End(context.Background(), v.ProgramID)
+		c.is.NoErr(err)
+		time.Sleep(time.Second)
+		c.kill(owner)
+		time.Sleep(5 * time.Second)
+		c.noKV(v.ProgramID)
+	})
+}
