--- a/internal/owner/budget.go
+++ b/internal/owner/budget.go
@@ -10,8 +10,13 @@
 	"yuccausher/internal/port"
 )
 
-// sliceCalls is how many calls like the last one a new slice covers.
-const sliceCalls = 2
+const (
+	// sliceCalls is how many calls like the last one a new slice covers.
+	sliceCalls = 2
+	// sliceShare is the part of a budget that a slice takes at most, unless
+	// its calls need more: what is let out is in doubt after a lost owner.
+	sliceShare = 4
+)
 
 // reserve takes need tokens of the tree's escrow. It asks for a further slice
 // and waits for it only if the escrow is too small.
@@ -76,12 +81,14 @@
 	p.s.count("slices_awaited")
 	return p.sendOnce("slice/"+t.RootKey, &record.Record{Body: &record.Record_Slice{Slice: &record.Slice{
 		ProgramId: programID,
-		Granted:   min(t.Budget, t.Spent+t.Unsettled+out+need+p.sliceSize(need)),
+		Granted:   min(t.Budget, t.Spent+t.Unsettled+out+need+p.s.sliceSize(t.Budget, need)),
 	}}})
 }
 
-func (p *part) sliceSize(need int64) int64 {
-	return max(p.s.p.Settings.SliceTokens, sliceCalls*need)
+// sliceSize returns the escrow to let out at once, for calls that need so
+// much each.
+func (s *Service) sliceSize(budget, need int64) int64 {
+	return max(min(s.p.Settings.SliceTokens, budget/sliceShare), sliceCalls*need)
 }
 
 // nextSlice returns the escrow to grant with a turn, so that the next call
@@ -93,7 +100,7 @@
 		return 0
 	}
 	others := max(0, p.reserved[key]-need)
-	return min(t.Budget, t.Spent+t.Unsettled+charge+others+p.sliceSize(need))
+	return min(t.Budget, t.Spent+t.Unsettled+charge+others+p.s.sliceSize(t.Budget, need))
 }
 
 // unreserve gives reserved tokens back, unless the partition was lost since.
--- a/internal/owner/budget_test.go
+++ b/internal/owner/budget_test.go
@@ -71,6 +71,15 @@
 	})
 }
 
+// granted returns the escrow of a program's tree.
+func (n *node) granted(id string) int64 {
+	key := partition.RootKey(id)
+	p := n.layout.Load().parts[partition.OfKey(key, testPartitions)]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.l.Tree(key).Granted
+}
+
 // TestTakeoverWithUnsettledSlices kills the owner while calls spend. What it
 // had let out counts as spent until the engines tell how much it was.
 func TestTakeoverWithUnsettledSlices(t *testing.T) {
@@ -81,18 +90,26 @@
 		root := c.open("root", budget)
 		ids := c.openChildren(root.ProgramID, 4)
 		owner := c.owner(root.ProgramID)
+		large := func(id string) port.Call {
+			call := modelCall(id, 1, "r1")
+			call.MaxTokens = budget/int64(len(ids)) - 10
+			return call
+		}
 		for _, id := range ids {
-			go func() { _, _ = owner.Call(context.Background(), modelCall(id, 1, "r1"), nil) }()
+			go func() { _, _ = owner.Call(context.Background(), large(id), nil) }()
 		}
-		time.Sleep(10 * time.Millisecond)
+		for owner.granted(root.ProgramID) < budget {
+			time.Sleep(time.Millisecond)
+		}
+		c.is.True(c.spentByTree(ids...) > 0)
 		c.kill(owner)
 		// The whole budget was let out, so that the next call has to wait.
-		_, err := c.call(modelCall(ids[0], 1, "r1"))
+		_, err := c.call(large(root.ProgramID))
 		c.is.NoErr(err)
 		c.is.True(c.view(root.ProgramID).ReservedTokens == 0)
 		all := append(ids, root.ProgramID)
 		for seq := int64(2); err == nil && seq < 50; seq++ {
-			_, err = c.call(modelCall(ids[0], seq, fmt.Sprint("r", seq)))
+			_, err = c.call(modelCall(root.ProgramID, seq, fmt.Sprint("r", seq)))
 		}
 		refusedAs(c, err, fault.BudgetExceeded)
 		spent := c.spentByTree(all...)
@@ -169,11 +186,13 @@
 		defer c.stop()
 		v := c.open("root", 600)
 		owner := c.owner(v.ProgramID)
-		go func() { _, _ = owner.Call(context.Background(), modelCall(v.ProgramID, 1, "r1"), nil) }()
-		time.Sleep(10 * time.Millisecond)
+		large := modelCall(v.ProgramID, 1, "r1")
+		large.MaxTokens = 550
+		go func() { _, _ = owner.Call(context.Background(), large, nil) }()
+		time.Sleep(2 * appendTime)
 		c.kill(owner)
 		c.fleet.Engine("e1").Crash()
-		_, err := c.call(modelCall(v.ProgramID, 1, "r1"))
+		_, err := c.call(large)
 		refusedAs(c, err, fault.BudgetExceeded)
 		c.is.Equal(c.view(v.ProgramID).ReservedTokens, int64(600))
 	})
--- a/internal/owner/open.go
+++ b/internal/owner/open.go
@@ -136,7 +136,7 @@
 func (p *part) startOpen(key string, want *record.Open) *pending {
 	want.ProgramId = partition.ID(key, uuid.NewString())
 	if want.Parent == "" {
-		want.Slice = min(want.BudgetTokens, p.s.p.Settings.SliceTokens)
+		want.Slice = p.s.sliceSize(want.BudgetTokens, 0)
 	}
 	request := "open/" + key + "\x00" + want.Firm + "\x00" + want.RequestId
 	return p.sendOnce(request, &record.Record{Body: &record.Record_Open{Open: want}})
--- a/internal/owner/params.go
+++ b/internal/owner/params.go
@@ -64,7 +64,8 @@
 	CallTimeout time.Duration
 	// EarlyCalls is how far ahead of a program's next seq a call may wait.
 	EarlyCalls int64
-	// SliceTokens is the least escrow that is granted at once.
+	// SliceTokens is the escrow that is let out at once, unless the budget is
+	// small or the calls are large.
 	SliceTokens int64
 }
 
@@ -79,7 +80,7 @@
 	defaultClaimWait         = 5 * time.Second
 	defaultDispatchAllowance = 2 * time.Second
 	defaultClockAllowance    = 500 * time.Millisecond
-	defaultSliceLease        = 10 * time.Second
+	defaultSliceLease        = 5 * time.Second
 	defaultCallTimeout       = 60 * time.Second
 	defaultEarlyCalls        = 8
 	defaultSliceTokens       = 8192
--- a/internal/owner/resolve.go
+++ b/internal/owner/resolve.go
@@ -59,7 +59,7 @@
 	if !there {
 		return r.concludeFailure(intent.Target, fault.OutcomeUnknown)
 	}
-	result, ran, known := s.askOutcome(target, intent.Service, intent.RequestId)
+	result, ran, known := s.askOutcome(target, intent.Service, intent.RequestId, true)
 	switch {
 	case known && ran:
 		return r.concludeService(result, target.Name)
--- a/internal/owner/tool.go
+++ b/internal/owner/tool.go
@@ -271,7 +271,7 @@
 		return r.concludeRejected(te)
 	}
 	r.p.s.count("answers_lost")
-	if result, ran, known := r.p.s.askOutcome(target, r.call.Service, r.call.RequestID); known && ran {
+	if result, ran, known := r.p.s.askOutcome(target, r.call.Service, r.call.RequestID, false); known && ran {
 		return r.concludeService(result, target.Name)
 	}
 	return r.concludeFailure(target.Name, fault.OutcomeUnknown)
@@ -285,8 +285,9 @@
 	outcomeTimeout  = time.Second
 )
 
-// askOutcome asks a target whether a request ran, a few times.
-func (s *Service) askOutcome(target port.Target, service, requestID string) (port.ServiceResult, bool, bool) {
+// askOutcome asks a target whether a request ran, a few times. final says
+// that it can't come any more, so that an answer that it did not run stands.
+func (s *Service) askOutcome(target port.Target, service, requestID string, final bool) (port.ServiceResult, bool, bool) {
 	var result port.ServiceResult
 	known := false
 	for attempt := range outcomeAttempts {
@@ -297,8 +298,8 @@
 		if err != nil {
 			continue
 		}
-		if knows && ran {
-			return answer, true, true
+		if knows && (ran || final) {
+			return answer, ran, true
 		}
 		result, known = answer, knows
 	}
