owner: a miss is a denial only after the log was read to its end

A host that wakes from a pause still takes itself for the owner, and its state lacks what its successor wrote. Ruled out: retention (no forget record), routing (the refusing host held an older claim). Change: before a program is denied the stream is read to the end it has now; a look-up by a host whose last whole read is old reads first. If the log can't be read, the answer is log_unavailable with not_run, and known programs are served. Before: TestWokenOwnerDeniesNothing and TestMissDuringOutageIsNoDenial fail (unknown_program); after: both pass. Conclusion: a denial costs one read of the log; a hit costs none.

--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -24,6 +24,13 @@
 	deadline := time.Now().Add(call.Timeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	return confirmed(ctx, s, call.ProgramID, func() (port.Answer, error) {
+		return s.callUntil(ctx, call, deadline, sink)
+	})
+}
+
+// callUntil runs a valid call, joins it or repeats its answer.
+func (s *Service) callUntil(ctx context.Context, call port.Call, deadline time.Time, sink port.Sink) (port.Answer, error) {
 	key := partition.RootKey(call.ProgramID)
 	fingerprint := fingerprintOf(call)
 	for {
--- a/internal/owner/lifecycle.go
+++ b/internal/owner/lifecycle.go
@@ -34,6 +34,15 @@
 
 // find returns a program with its partition locked.
 func (s *Service) find(ctx context.Context, id string) (*part, *ledger.Program, error) {
+	var g *ledger.Program
+	p, err := confirmed(ctx, s, id, func() (p *part, err error) {
+		p, g, err = s.findNow(ctx, id)
+		return p, err
+	})
+	return p, g, err
+}
+
+func (s *Service) findNow(ctx context.Context, id string) (*part, *ledger.Program, error) {
 	p, err := s.locate(ctx, partition.RootKey(id))
 	if err != nil {
 		return nil, nil, err
--- a/internal/owner/open.go
+++ b/internal/owner/open.go
@@ -26,6 +26,11 @@
 	if spec.Parent != "" {
 		key = partition.RootKey(spec.Parent)
 	}
+	return confirmed(ctx, s, key, func() (port.ProgramView, error) { return s.openUnder(ctx, key, spec) })
+}
+
+// openUnder opens a program of a valid specification under a root key.
+func (s *Service) openUnder(ctx context.Context, key string, spec port.ProgramSpec) (port.ProgramView, error) {
 	for {
 		p, err := s.locate(ctx, key)
 		if err != nil {
--- /dev/null
+++ b/internal/owner/stale_test.go
@@ -0,0 +1,89 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yuccausher/internal/core/partition"
+	"yuccausher/internal/fault"
+	"yuccausher/internal/port"
+	"yuccausher/internal/standin"
+)
+
+// deposed returns a cluster whose first node owned the partition of a request,
+// was paused, and has just woken after another opened that program.
+func deposed(t *testing.T) (c *cluster, old *node, id string) {
+	c = newCluster(t, 2, standin.LogOptions{}, nil)
+	time.Sleep(time.Second)
+	request, old := requestOwnedBy(c, 0)
+	old.gate.hold()
+	c.bury(old)
+	time.Sleep(3 * time.Second)
+	old.dead = true
+	view := c.open(request, 1000)
+	_, err := c.call(modelCall(view.ProgramID, 1, "m1"))
+	c.is.NoErr(err)
+	old.dead = false
+	return c, old, view.ProgramID
+}
+
+// requestOwnedBy returns a request ID whose program a node would own.
+func requestOwnedBy(c *cluster, i int) (string, *node) {
+	n := c.nodes[i]
+	for request := 'a'; ; request++ {
+		key := partition.NewRootKey("f", string(request))
+		for _, v := range n.Partitions() {
+			if v.Partition == partition.OfKey(key, testPartitions) && v.State == "owned" {
+				return string(request), n
+			}
+		}
+	}
+}
+
+// TestWokenOwnerDeniesNothing found an owner that woke from a pause and called
+// a program unknown that its successor had opened.
+func TestWokenOwnerDeniesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, old, id := deposed(t)
+		defer c.stop()
+		old.gate.open()
+		var moved *port.NotOwnerError
+		_, err := old.Program(context.Background(), id)
+		c.is.True(errors.As(err, &moved))
+		_, err = old.Call(context.Background(), modelCall(id, 2, "m2"), nil)
+		c.is.True(errors.As(err, &moved))
+		child := spec("child", 0)
+		child.Parent = id
+		_, err = old.Open(context.Background(), child)
+		c.is.True(errors.As(err, &moved))
+	})
+}
+
+// TestMissDuringOutageIsNoDenial: while the log can't be read, a program that
+// is not in the state may still be in the log.
+func TestMissDuringOutageIsNoDenial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, old, id := deposed(t)
+		defer c.stop()
+		old.gate.set(func(g *gate) { g.cut = true })
+		old.gate.open()
+		_, err := old.Call(context.Background(), modelCall(id, 2, "m2"), nil)
+		f, ok := fault.As(err)
+		c.is.True(ok)
+		c.is.Equal(f.Type, fault.LogUnavailable)
+		c.is.Equal(f.Run, fault.NotRun)
+	})
+}
+
+// TestUnknownProgramIsDenied: with the log at hand, a miss is a denial.
+func TestUnknownProgramIsDenied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standin.LogOptions{}, nil)
+		defer c.stop()
+		_, err := c.call(modelCall("nobody.1", 1, "m1"))
+		c.is.Equal(fault.Of(err).Type, fault.UnknownProgram)
+	})
+}
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -35,6 +35,8 @@
 	current atomic.Bool
 	// confirmed is when the last read began that reached the end.
 	confirmed atomic.Pointer[time.Time]
+	// applied is the offset up to which records are in the state.
+	applied atomic.Int64
 }
 
 func newStream(s *Service, name string) *stream {
@@ -108,6 +110,7 @@
 		}
 		t.apply(r)
 		t.next = r.Offset + 1
+		t.applied.Store(t.next)
 	}
 	caughtUp := t.next >= page.End
 	if caughtUp && !t.current.Swap(true) {
@@ -125,6 +128,7 @@
 		t.s.count("log_trimmed_unread")
 	}
 	t.next = floor
+	t.applied.Store(floor)
 	t.marks = make(ledger.Marks)
 	for _, p := range t.s.partitionsOf(t) {
 		p.restart(floor)
