--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -159,7 +159,7 @@
 		Scheduler:   p.Scheduler,
 		Config:      p.Holder,
 		Metrics:     p.Scope.SubScope("owner"),
-		Logger:      p.Options.Logger,
+		Logger:      p.Options.Logger.WithName("owner"),
 		Quarantined: p.Quarantine.learnOne,
 		Settings: owner.Settings{
 			AppendsPerSecond: float64(set.AppendRate),
