config: records of the stream are compressed

Change: a record is JSON under gzip; a plain one is still read. The size after decompression is bounded. Conclusion: the bound is a quarter of the control bytes; a document that compresses four times only would still be inside all of them.

--- a/internal/core/config/record.go
+++ b/internal/core/config/record.go
@@ -37,10 +37,15 @@
 	return Record{Version: &version, End: &end, Document: document}
 }
 
-// Encode returns the record as it stands in the stream.
+// Encode returns the record as it stands in the stream: JSON under gzip, since
+// every host reads every version.
 func (r Record) Encode() ([]byte, error) {
-	data, err := json.Marshal(r)
-	return data, errors.Annotate(err, "encode configuration record")
+	text, err := json.Marshal(r)
+	if err != nil {
+		return nil, errors.Annotate(err, "encode configuration record")
+	}
+	data, err := compress(text)
+	return data, errors.Annotate(err, "compress configuration record")
 }
 
 // RecordError says why a record of the stream is not taken.
@@ -65,7 +70,11 @@
 // versions of the program may add some.
 func decodeRecord(data []byte) (Record, error) {
 	var r Record
-	if err := json.Unmarshal(data, &r); err != nil {
+	text, err := decompress(data)
+	if err != nil {
+		return r, err
+	}
+	if err := json.Unmarshal(text, &r); err != nil {
 		return r, &RecordError{Reason: "not valid JSON", Cause: err}
 	}
 	if (r.Base == nil) == (r.Version == nil) {
