--- a/internal/owner/doubt_test.go
+++ b/internal/owner/doubt_test.go
@@ -202,15 +202,20 @@
 		c.is.Equal(f.Type, fault.Timeout)
 		time.Sleep(time.Hour - 20*time.Second)
 		c.is.Equal(len(c.runs.Of("post")), 0)
+		c.is.Equal(len(c.runs.Of("mute")), 0)
 
 		results := make(chan error, len(ids))
+		go func() {
+			_, err := c.untilSettled(first) // refused as not run, it may run now
+			results <- err
+		}()
 		for i, id := range ids[2:] {
 			go func() {
 				_, err := c.untilSettled(posting(id, 1, fmt.Sprint("queued", i)))
 				results <- err
 			}()
 		}
-		for range ids[2:] {
+		for range ids[1:] {
 			c.is.NoErr(<-results)
 		}
 		// The held turn is there without a second run.
@@ -218,10 +223,6 @@
 		_, err = c.call(modelCall(ids[1], 1, "m1"))
 		c.is.NoErr(err)
 		c.is.Equal(c.spentAtEngines(ids[1]), spent)
-		// The refused posting may run now, once.
-		c.is.Equal(len(c.runs.Of("mute")), 0)
-		_, err = c.untilSettled(first)
-		c.is.NoErr(err)
 		c.is.Equal(c.runs.Of("mute"), map[string]int{"pay0": 1})
 		for _, runs := range c.runs.Of("post") {
 			c.is.Equal(runs, 1)
--- /dev/null
+++ b/internal/owner/faults_test.go
@@ -0,0 +1,297 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"yuccausher/internal/fault"
+	"yuccausher/internal/port"
+	"yuccausher/internal/standin"
+)
+
+// step is one fault of a drawn plan.
+type step struct {
+	Kind string
+	Host int
+	// After is the time since the last step, For how long the fault lasts.
+	After, For time.Duration
+}
+
+const (
+	planHosts    = 3
+	planPrograms = 4
+	planCalls    = 6
+	planBudget   = 1500
+	// planEnd is when the last fault of a plan is over at the latest.
+	planEnd = 2 * time.Minute
+)
+
+func drawPlan(t *rapid.T) []step {
+	kinds := []string{"kill", "pause", "cut", "log down", "lost answers", "late appends", "slow", "lost posting", "planned stop"}
+	one := rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Kind:  rapid.SampledFrom(kinds).Draw(t, "kind"),
+			Host:  rapid.IntRange(0, planHosts-1).Draw(t, "host"),
+			After: time.Duration(rapid.IntRange(0, 3000).Draw(t, "after")) * time.Millisecond,
+			For:   time.Duration(rapid.IntRange(1, 12000).Draw(t, "for")) * time.Millisecond,
+		}
+	})
+	return rapid.SliceOfN(one, 1, 6).Draw(t, "plan")
+}
+
+// world runs one plan.
+type world struct {
+	*cluster
+	mu      sync.Mutex
+	starts  uint64
+	answers map[string]port.Answer
+	wrong   []string
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wrong = append(w.wrong, fmt.Sprintf(format, args...))
+}
+
+// live returns the present process of a host.
+func (w *world) live(host int) *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var last *node
+	for _, n := range w.nodes {
+		if n.members.self.ID == fmt.Sprint("h", host) {
+			last = n
+		}
+	}
+	return last
+}
+
+// all returns the processes that are not dead.
+func (w *world) all() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var live []*node
+	for _, n := range w.nodes {
+		if !n.dead {
+			live = append(live, n)
+		}
+	}
+	return live
+}
+
+func (w *world) replace(n *node) {
+	w.mu.Lock()
+	again := n.dead
+	n.dead = true
+	w.mu.Unlock()
+	if again {
+		return
+	}
+	n.gate.sever()
+	_ = n.Stop(context.Background())
+	time.Sleep(time.Second)
+	w.mu.Lock()
+	w.bury(n)
+	w.starts++
+	next := w.add(n.members.self.ID, w.starts)
+	w.mu.Unlock()
+	_ = next.Start(context.Background())
+}
+
+func (w *world) apply(s step) {
+	n := w.live(s.Host)
+	switch s.Kind {
+	case "kill":
+		w.replace(n)
+	case "planned stop":
+		ctx, cancel := context.WithTimeout(context.Background(), s.For)
+		_ = n.Release(ctx)
+		cancel()
+		w.replace(n)
+	case "pause":
+		w.during(n, s.For, func() { n.gate.hold() }, func() { n.gate.open() })
+	case "cut":
+		w.during(n, s.For, func() { n.gate.set(func(g *gate) { g.cut = true }) }, func() { n.gate.set(func(g *gate) { g.cut = false }) })
+	case "late appends":
+		n.gate.set(func(g *gate) { g.orphan = 300 * time.Millisecond })
+		time.Sleep(s.For)
+		n.gate.set(func(g *gate) { g.orphan = 0 })
+	case "log down":
+		w.log.Down(s.For)
+	case "slow":
+		w.log.Slow(s.For, time.Second)
+	case "lost answers":
+		w.log.LostAck(10)
+	case "lost posting":
+		w.runs.LoseAnswers("post", 1)
+		w.runs.LoseAnswers("mute", 1)
+	}
+}
+
+// during has the others take a host for dead while a fault lasts.
+func (w *world) during(n *node, d time.Duration, start, stop func()) {
+	start()
+	others := func(state port.MemberState) {
+		for _, other := range w.all() {
+			if other != n {
+				other.members.set(n.members.self.ID, n.members.self.Incarnation, state)
+			}
+		}
+	}
+	if d > time.Second {
+		time.Sleep(time.Second)
+		others(port.MemberDead)
+		d -= time.Second
+	}
+	time.Sleep(d)
+	stop()
+	if !n.dead {
+		others(port.MemberAlive)
+	}
+}
+
+// send sends a request again, to any host, until its outcome is known.
+func (w *world) send(call port.Call) (port.Answer, error) {
+	var err error
+	for try := 0; try < 400; try++ {
+		nodes := w.all()
+		if len(nodes) == 0 {
+			time.Sleep(300 * time.Millisecond)
+			continue
+		}
+		n := nodes[try%len(nodes)]
+		var answer port.Answer
+		answer, err = n.Call(context.Background(), call, nil)
+		if err == nil {
+			return answer, nil
+		}
+		if f, ok := fault.As(err); ok && (f.Type == fault.OutcomeUnknown || f.Type == fault.BudgetExceeded || f.Type == fault.SeqConflict) {
+			return answer, err
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return port.Answer{}, err
+}
+
+// caller drives one program through its calls.
+func (w *world) caller(id string, index int) {
+	for seq := int64(1); seq <= planCalls; seq++ {
+		request := fmt.Sprint("p", index, "/", seq)
+		call := posting(id, seq, request)
+		switch seq % 3 {
+		case 1:
+			call = modelCall(id, seq, request)
+		case 2:
+			call.Service = "mute"
+		}
+		call.Timeout = 20 * time.Second
+		answer, err := w.send(call)
+		f, _ := fault.As(err)
+		switch {
+		case err == nil:
+			w.mu.Lock()
+			w.answers[request] = answer
+			w.mu.Unlock()
+		case f != nil && f.Type == fault.OutcomeUnknown:
+			// A posting whose outcome can't be told has its place in the history.
+		case f != nil && f.Type == fault.BudgetExceeded:
+			return
+		default:
+			w.fail("%s ended with %v", request, err)
+			return
+		}
+	}
+}
+
+func (w *world) check(ids []string) {
+	for _, service := range []string{"post", "mute"} {
+		for request, runs := range w.runs.Of(service) {
+			if runs > 1 {
+				w.fail("%s ran %d times", request, runs)
+			}
+		}
+	}
+	for i, id := range ids {
+		w.checkProgram(i, id)
+	}
+}
+
+func (w *world) checkProgram(index int, id string) {
+	var turns []port.Turn
+	var err error
+	for _, n := range w.all() {
+		if turns, err = n.History(context.Background(), id); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		w.fail("no owner for %s: %v", id, err)
+	}
+	for i, turn := range turns {
+		request := fmt.Sprint("p", index, "/", i+1)
+		if turn.RequestID != request {
+			w.fail("turn %d is of %s", i+1, turn.RequestID)
+		}
+		answer, handed := w.answers[request]
+		if handed && (answer.TurnDigest != turn.TurnDigest || string(answer.Output) != string(turn.Output)) {
+			w.fail("%s changed after it was handed out", request)
+		}
+		delete(w.answers, request)
+	}
+	for request := range w.answers {
+		if len(request) > 1 && request[1] == byte('0'+index) {
+			w.fail("%s was handed out and forgotten", request)
+		}
+	}
+	if spent := w.spentAtEngines(id); spent > planBudget {
+		w.fail("spent %d of %d", spent, planBudget)
+	}
+}
+
+// runPlan returns what went wrong.
+func runPlan(t *testing.T, plan []step) []string {
+	var wrong []string
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{
+			cluster: newCluster(t, planHosts, standin.LogOptions{}, nil),
+			starts:  1,
+			answers: make(map[string]port.Answer),
+		}
+		defer w.stop()
+		var ids []string
+		for i := range planPrograms {
+			ids = append(ids, w.open(fmt.Sprint("open", i), planBudget).ProgramID)
+		}
+		var callers, faults sync.WaitGroup
+		for i, id := range ids {
+			callers.Go(func() { w.caller(id, i) })
+		}
+		for _, s := range plan {
+			time.Sleep(s.After)
+			faults.Go(func() { w.apply(s) })
+		}
+		faults.Wait()
+		time.Sleep(time.Until(time.Now().Add(planEnd)))
+		callers.Wait()
+		w.check(ids)
+		wrong = w.wrong
+	})
+	return wrong
+}
+
+// TestDrawnFaults runs callers through drawn plans of faults.
+func TestDrawnFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := drawPlan(rt)
+		if wrong := runPlan(t, plan); len(wrong) > 0 {
+			rt.Fatalf("%+v\n%v", plan, wrong)
+		}
+	})
+}
--- a/internal/owner/fixture_test.go
+++ b/internal/owner/fixture_test.go
@@ -56,6 +56,7 @@
 	}
 	services := []*standin.Service{
 		standin.NewService(standin.ServiceOptions{Name: "s1", Latency: 20 * time.Millisecond, Runs: runs}),
+		standin.NewService(standin.ServiceOptions{Name: "late", Latency: 3 * time.Second, Runs: runs}),
 		standin.NewService(standin.ServiceOptions{Name: "mute", Latency: 20 * time.Millisecond, CannotSay: true, Runs: runs}),
 	}
 	if options.Latency == 0 {
@@ -91,7 +92,12 @@
 		Model:          model,
 		KVTokens:       1 << 20,
 		PerOutputToken: perToken,
-		OutputTokens:   func(c port.ModelCall) int64 { return min(c.MaxTokens, 20) },
+		OutputTokens: func(c port.ModelCall) int64 {
+			if model == "slow" {
+				return c.MaxTokens
+			}
+			return min(c.MaxTokens, 20)
+		},
 	})
 }
 
@@ -109,8 +115,9 @@
 			{Name: "slow", Model: "slow"},
 			{Name: "s1", Services: []string{"post", "read"}},
 			{Name: "mute", Services: []string{"mute"}},
+			{Name: "late", Services: []string{"late"}},
 		},
-		Services: []config.Service{{Name: "post"}, {Name: "mute"}, {Name: "read", Idempotent: true}},
+		Services: []config.Service{{Name: "post"}, {Name: "mute"}, {Name: "late"}, {Name: "read", Idempotent: true}},
 	}
 }
 
@@ -270,6 +277,9 @@
 func (m *members) set(id string, incarnation uint64, state port.MemberState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.table[id].Incarnation > incarnation {
+		return // news of an earlier process
+	}
 	m.table[id] = port.Member{Host: port.Host{ID: id, Incarnation: incarnation}, State: state}
 	close(m.changed)
 	m.changed = make(chan struct{})
--- a/internal/owner/gate_test.go
+++ b/internal/owner/gate_test.go
@@ -11,6 +11,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
+// crossedOutput is what the answer to another request says.
+const crossedOutput = "somebody else's"
+
 // gate stands between one node and the platform. A closed gate holds all
 // traffic, as a paused process does; a severed one fails it.
 type gate struct {
@@ -170,6 +173,7 @@
 	result, err := g.service.Invoke(ctx, target, call)
 	if g.cross() {
 		result.RequestID = "another"
+		result.Output = []byte(`"` + crossedOutput + `"`)
 	}
 	if after != nil {
 		after(call)
--- a/internal/owner/target_test.go
+++ b/internal/owner/target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,14 +50,18 @@
 		c := newCluster(t, 2, standin.LogOptions{}, nil)
 		defer c.stop()
 		v := c.open("open", 5000)
-		c.runs.Hang("post", 1, 3*time.Second)
+		call := posting(v.ProgramID, 1, "pay")
+		call.Service = "late"
 		owner := c.owner(v.ProgramID)
-		go func() { _, _ = owner.Call(context.Background(), posting(v.ProgramID, 1, "pay"), nil) }()
+		go func() { _, _ = owner.Call(context.Background(), call, nil) }()
 		time.Sleep(200 * time.Millisecond)
-		c.kill(owner)
-		_, err := c.call(posting(v.ProgramID, 1, "pay"))
+		go c.kill(owner)
+		time.Sleep(time.Millisecond)
+		others := &cluster{t: t, is: c.is, nodes: without(c.nodes, owner)}
+		_, err := others.call(call)
 		c.is.NoErr(err)
-		c.is.Equal(c.runs.Of("post"), map[string]int{"pay": 1})
+		time.Sleep(10 * time.Second)
+		c.is.Equal(c.runs.Of("late"), map[string]int{"pay": 1})
 	})
 }
 
@@ -71,6 +76,7 @@
 		posted, err := c.call(posting(v.ProgramID, 1, "pay"))
 		c.is.NoErr(err)
 		c.is.Equal(posted.RequestID, "pay")
+		c.is.True(!strings.Contains(string(posted.Output), crossedOutput))
 		cross()
 		answer, err := c.call(modelCall(v.ProgramID, 2, "r2"))
 		c.is.NoErr(err)
