--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -39,6 +39,7 @@
 	Drain         *drain
 	Metrics       *metrics.Metrics
 	Log           port.Log
+	Quarantine    *quarantine
 	Scope         tally.Scope
 }
 
@@ -56,7 +57,7 @@
 	peerServer, err := peer.NewServer(peer.ServerParams{
 		Handlers: peer.Handlers{
 			Programs: p.Owner,
-			Gossip:   p.Members,
+			Gossip:   &markingGossiper{Service: p.Members, quarantine: p.Quarantine},
 			Config:   p.Configuration,
 			Log:      p.Log,
 		},
@@ -131,11 +132,12 @@
 // stop cuts what is still in flight.
 func (s *servers) stop(ctx context.Context) error {
 	_ = s.http.Close()
-	s.listeners.close()
 	if s.stopPeer == nil {
+		s.listeners.close()
 		return nil
 	}
 	s.stopPeer()
+	s.listeners.close()
 	select {
 	case <-s.peerEnded:
 	case <-time.After(peerStopTimeout):
