httpapi: bound the bodies of all requests together

4096 requests of 4 MiB each would be more memory than a small host has. A request that does not fit is refused as overloaded before its body is read.

--- a/internal/adapter/httpapi/api.go
+++ b/internal/adapter/httpapi/api.go
@@ -20,6 +20,8 @@
 type Limits struct {
 	// BodyBytes bounds the body of a caller's request.
 	BodyBytes int64
+	// BodyBytesTotal bounds the bodies of all callers' requests being served.
+	BodyBytesTotal int64
 	// DocumentBytes bounds a configuration document.
 	DocumentBytes int64
 	// Requests bounds the callers' requests that are served at a time.
@@ -38,14 +40,15 @@
 // DefaultLimits returns the limits that hold where none are set.
 func DefaultLimits() Limits {
 	return Limits{
-		BodyBytes:     4 << 20,
-		DocumentBytes: 8 << 20,
-		Requests:      4096,
-		HeaderTimeout: 5 * time.Second,
-		BodyTimeout:   20 * time.Second,
-		WriteTimeout:  10 * time.Second,
-		IdleTimeout:   2 * time.Minute,
-		Heartbeat:     10 * time.Second,
+		BodyBytes:      4 << 20,
+		BodyBytesTotal: 256 << 20,
+		DocumentBytes:  8 << 20,
+		Requests:       4096,
+		HeaderTimeout:  5 * time.Second,
+		BodyTimeout:    20 * time.Second,
+		WriteTimeout:   10 * time.Second,
+		IdleTimeout:    2 * time.Minute,
+		Heartbeat:      10 * time.Second,
 	}
 }
 
@@ -71,7 +74,9 @@
 	metrics *metrics
 	// requests counts the callers' requests being served.
 	requests atomic.Int64
-	engine   *gin.Engine
+	// bodies counts the bytes that their bodies may take.
+	bodies atomic.Int64
+	engine *gin.Engine
 }
 
 // New returns the interface.
@@ -154,6 +159,24 @@
 		c.Abort()
 		return
 	}
+	a.admitBody(c)
+}
+
+// admitBody bounds the memory that callers' bodies take together. A body
+// without a length counts as the longest.
+func (a *API) admitBody(c *gin.Context) {
+	size := c.Request.ContentLength
+	if size < 0 || size > a.Limits.BodyBytes {
+		size = a.Limits.BodyBytes
+	}
+	total := a.bodies.Add(size)
+	defer a.bodies.Add(-size)
+	if total > a.Limits.BodyBytesTotal {
+		f := fault.New(fault.Overloaded, fault.NotRun, "host holds %d bytes of requests already", total-size)
+		a.refuse(c, f.WithRetryAfter(comeBack()))
+		c.Abort()
+		return
+	}
 	c.Next()
 }
 
--- a/internal/adapter/httpapi/api_test.go
+++ b/internal/adapter/httpapi/api_test.go
@@ -509,7 +509,16 @@
 }
 
 func TestRequestsAboveTheBoundAreRefused(t *testing.T) {
-	f := start(t, func(p *httpapi.Params) { p.Limits.Requests = 1 })
+	for name, bound := range map[string]func(*httpapi.Limits){
+		"requests": func(l *httpapi.Limits) { l.Requests = 1 },
+		"bytes":    func(l *httpapi.Limits) { l.BodyBytesTotal = int64(len(goodModel)) },
+	} {
+		t.Run(name, func(t *testing.T) { refusesSecond(t, bound) })
+	}
+}
+
+func refusesSecond(t *testing.T, bound func(*httpapi.Limits)) {
+	f := start(t, func(p *httpapi.Params) { bound(&p.Limits) })
 	started, release := make(chan struct{}), make(chan struct{})
 	f.programs.call = func(_ context.Context, c port.Call, _ port.Sink) (port.Answer, error) {
 		close(started)
@@ -527,7 +536,7 @@
 		done <- reply.StatusCode
 	}()
 	<-started
-	status, body, _ := f.send("GET", "/v1/programs/k.1", "")
+	status, body, _ := f.send("POST", "/v1/programs", goodOpen)
 	f.Equal(status, 429)
 	r := f.failure(body)
 	f.Equal(r.Error.Type, "overloaded")
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -83,6 +83,7 @@
 	set := p.Options.Settings
 	limits := httpapi.DefaultLimits()
 	limits.BodyBytes = set.MaxBody
+	limits.BodyBytesTotal = set.MaxBodyTotal
 	limits.Requests = set.MaxRequests
 	limits.HeaderTimeout = set.HeaderTimeout
 	limits.BodyTimeout = set.BodyTimeout
--- /dev/null
+++ b/internal/cli/docs_test.go
@@ -0,0 +1,32 @@
+package cli
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"yuccausher/internal/fault"
+	"yuccausher/internal/settings"
+)
+
+// TestOperatorsPageIsComplete: each setting and each refusal is on the page.
+func TestOperatorsPageIsComplete(t *testing.T) {
+	data, err := os.ReadFile("../../docs/OPERATING.md")
+	is.New(t).NoErr(err)
+	page := string(data)
+	flags := flag.NewFlagSet("serve", flag.ContinueOnError)
+	settings.NewServe(flags)
+	flags.VisitAll(func(f *flag.Flag) {
+		if !strings.Contains(page, "`-"+f.Name+"`") {
+			t.Errorf("setting -%s is not on the page", f.Name)
+		}
+	})
+	for _, typ := range fault.Types {
+		if !strings.Contains(page, "| `"+string(typ)+"` |") {
+			t.Errorf("refusal %s is not on the page", typ)
+		}
+	}
+}
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -26,7 +26,9 @@
 	// MaxRequests bounds the callers' requests served at a time.
 	MaxRequests int64
 	// MaxBody bounds the body of a caller's request, in bytes.
-	MaxBody       int64
+	MaxBody int64
+	// MaxBodyTotal bounds the bodies of all callers' requests being served.
+	MaxBodyTotal  int64
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
 	WriteTimeout  time.Duration
@@ -79,6 +81,7 @@
 	g.add("memory-limit", "0", "soft limit of this process's memory; 0 means none", "SIZE in bytes, KiB, MiB or GiB", takeSize(&s.MemoryLimit, 0, maxSize))
 	g.add("max-requests", "4096", "callers' requests served at a time", "NUMBER from 1 to 1000000", takeNumber(&s.MaxRequests, 1, 1_000_000))
 	g.add("max-body", "4MiB", "longest body of a caller's request", "SIZE from 1KiB to 12MiB", takeSize(&s.MaxBody, 1<<10, 12<<20))
+	g.add("max-body-total", "256MiB", "bodies of all callers' requests being served", "SIZE from 1MiB to 64GiB", takeSize(&s.MaxBodyTotal, 1<<20, 64<<30))
 	g.add("append-rate", "20", "appends of this host to the log per second", "NUMBER from 1 to 10000", takeNumber(&s.AppendRate, 1, 10_000))
 }
 
