--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -74,20 +74,23 @@
 	}
 	switch call.Kind {
 	case port.KindModel:
-		return validateModel(snapshot.Model(call.Model) != nil, call)
+		return s.validateModel(snapshot.Model(call.Model) != nil, call)
 	case port.KindService:
 		return validateService(snapshot.Service(call.Service) != nil, call)
 	}
 	return invalid("kind", "must be model or service")
 }
 
-func validateModel(known bool, call *port.Call) error {
+func (s *Service) validateModel(known bool, call *port.Call) error {
 	if !known {
 		return invalid("model", "must be a model of the configuration")
 	}
 	if call.MaxTokens < 1 {
 		return invalid("max_tokens", "must be at least 1")
 	}
+	if !s.fitsOutput(call.Model, call.MaxTokens) {
+		return invalid("max_tokens", "must be at most the model's max_output_tokens")
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/owner/limits.go
@@ -0,0 +1,51 @@
+package owner
+
+import (
+	"context"
+	"time"
+)
+
+// bounded adds a timeout to a context; zero adds none.
+func bounded(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	if d <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, d)
+}
+
+// modelTimeout returns how long one attempt of a model call may take.
+func (s *Service) modelTimeout(name string) time.Duration {
+	m := s.p.Config.Current().Model(name)
+	if m == nil {
+		return 0
+	}
+	return milliseconds(m.TimeoutMS)
+}
+
+// serviceTimeout returns how long one attempt of a service call may take.
+func (s *Service) serviceTimeout(name, operation string) time.Duration {
+	v := s.p.Config.Current().Service(name)
+	if v == nil {
+		return 0
+	}
+	for _, o := range v.Operations {
+		if o.Name == operation && o.TimeoutMS > 0 {
+			return milliseconds(o.TimeoutMS)
+		}
+	}
+	return milliseconds(v.TimeoutMS)
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// fitsContext says whether a model can take so many tokens.
+func (s *Service) fitsContext(name string, tokens int64) bool {
+	m := s.p.Config.Current().Model(name)
+	return m == nil || m.ContextTokens <= 0 || tokens <= m.ContextTokens
+}
+
+// fitsOutput says whether a model can give so many tokens.
+func (s *Service) fitsOutput(name string, tokens int64) bool {
+	m := s.p.Config.Current().Model(name)
+	return m == nil || m.MaxOutputTokens <= 0 || tokens <= m.MaxOutputTokens
+}
--- a/internal/owner/model.go
+++ b/internal/owner/model.go
@@ -71,6 +71,9 @@
 		bytes += int64(len(s.Text))
 	}
 	tokens := (bytes + tokenBytes - 1) / tokenBytes
+	if !p.s.fitsContext(m.call.Model, tokens+m.call.MaxTokens) {
+		return invalid("input", "does not fit the model's context with the history and max_tokens")
+	}
 	m.need = tokens + m.call.MaxTokens
 	m.work = p.workOf(g, m.running, tokens)
 	return nil
@@ -222,7 +225,9 @@
 		Priority:   priority,
 		ResumeFrom: from,
 	}
-	return m.p.s.p.Engine.Generate(m.ctx, target, call, func(d port.Delta) error {
+	ctx, cancel := bounded(m.ctx, m.p.s.modelTimeout(m.call.Model))
+	defer cancel()
+	return m.p.s.p.Engine.Generate(ctx, target, call, func(d port.Delta) error {
 		if *first == 0 {
 			*first = time.Since(begun)
 		}
@@ -285,7 +290,9 @@
 		}
 		return
 	}
-	m.lostTokens += m.need
+	if te.Failure != port.FailureRejected {
+		m.lostTokens += m.need
+	}
 	m.holders = append(m.holders, target.Name)
 	m.p.s.spawn(func() { m.p.s.cancelAt(target, engineRequest(m.call.ProgramID, m.call.RequestID)) })
 }
--- a/internal/owner/target_test.go
+++ b/internal/owner/target_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"yuccausher/internal/core/config"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/port"
 	"yuccausher/internal/standin"
@@ -142,3 +143,43 @@
 		c.noKV(v.ProgramID)
 	})
 }
+
+// TestTargetHangs bounds each attempt by the configured time: a call that may
+// be repeated runs at another target, one that must not be is settled.
+func TestTargetHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standin.LogOptions{}, func(d *config.Document) {
+			for i := range d.Services {
+				d.Services[i].TimeoutMS = 1000
+			}
+			d.Models[0].MaxOutputTokens = 100
+			d.Models[0].ContextTokens = 200
+		})
+		defer c.stop()
+		v := c.open("open", 5000)
+		began := time.Now()
+		c.runs.Hang("read", 1, 0)
+		read := posting(v.ProgramID, 1, "read")
+		read.Service, read.Idempotent = "read", true
+		_, err := c.call(read)
+		c.is.NoErr(err)
+		c.runs.Hang("post", 1, 0)
+		_, err = c.call(posting(v.ProgramID, 2, "pay"))
+		f, ok := fault.As(err)
+		c.is.True(ok)
+		c.is.Equal(f.Run, fault.Unknown)
+		c.is.True(time.Since(began) < 5*time.Second)
+		c.is.Equal(len(c.runs.Of("post")), 0)
+
+		large := modelCall(v.ProgramID, 3, "large")
+		large.MaxTokens = 101
+		_, err = c.call(large)
+		refusedAs(c, err, fault.InvalidRequest)
+		large.MaxTokens = 100
+		large.Input = []byte(`"` + strings.Repeat("long ", 100) + `"`)
+		_, err = c.call(large)
+		refusedAs(c, err, fault.InvalidRequest)
+		_, err = c.call(modelCall(v.ProgramID, 3, "small"))
+		c.is.NoErr(err)
+	})
+}
--- a/internal/owner/tool.go
+++ b/internal/owner/tool.go
@@ -65,9 +65,12 @@
 	return result, grant.Target().Name, err
 }
 
-// invoke dispatches the call once and checks whose answer came.
+// invoke dispatches the call once, within the time that the configuration
+// allows, and checks whose answer came.
 func (r *running) invoke(ctx context.Context, grant port.Grant, leaveBy time.Time) (port.ServiceResult, error) {
 	target := grant.Target()
+	ctx, cancel := bounded(ctx, r.p.s.serviceTimeout(r.call.Service, r.call.Operation))
+	defer cancel()
 	begun := time.Now()
 	result, err := r.p.s.p.Service.Invoke(ctx, target, port.ServiceCall{
 		ProgramID:  r.call.ProgramID,
