A call that its caller gave up is no sign of a broken target

A hang-up came back from the engine client as a broken stream, which the scheduler counts towards a quarantine of the content.

--- a/internal/owner/fixture_test.go
+++ b/internal/owner/fixture_test.go
@@ -44,9 +44,40 @@
 	members *members
 	scope   tally.TestScope
 	gate    *gate
+	results *results
 	dead    bool
 }
 
+// results keeps what a scheduler is told.
+type results struct {
+	port.Scheduler
+	mu  sync.Mutex
+	all []port.Result
+}
+
+func (r *results) list() []port.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.all
+}
+
+type toldGrant struct {
+	port.Grant
+	results *results
+}
+
+func (r *results) Acquire(ctx context.Context, work port.Work) (port.Grant, error) {
+	g, err := r.Scheduler.Acquire(ctx, work)
+	return toldGrant{g, r}, err
+}
+
+func (g toldGrant) Done(r port.Result) {
+	g.results.mu.Lock()
+	g.results.all = append(g.results.all, r)
+	g.results.mu.Unlock()
+	g.Grant.Done(r)
+}
+
 func newCluster(t *testing.T, nodes int, options standin.LogOptions, change func(*config.Document)) *cluster {
 	runs := standin.NewRuns()
 	engines := []*standin.Engine{
@@ -130,12 +161,13 @@
 			n.members.set(other.members.self.ID, other.members.self.Incarnation, port.MemberAlive)
 		}
 	}
+	n.results = &results{Scheduler: basic.New(c.holder)}
 	n.Service = New(Params{
 		Log:       n.gate,
 		Engine:    n.gate,
 		Service:   n.gate,
 		Members:   n.members,
-		Scheduler: basic.New(c.holder),
+		Scheduler: n.results,
 		Config:    c.holder,
 		Metrics:   n.scope,
 		Logger:    logr.Discard(),
--- a/internal/owner/model.go
+++ b/internal/owner/model.go
@@ -207,6 +207,7 @@
 		FirstToken: first,
 		Total:      time.Since(begun),
 		Usage:      result.Usage,
+		Unused:     err != nil && m.ctx.Err() != nil,
 	})
 	if err != nil {
 		m.failed(target, err)
--- a/internal/owner/tool.go
+++ b/internal/owner/tool.go
@@ -69,6 +69,7 @@
 // allows, and checks whose answer came.
 func (r *running) invoke(ctx context.Context, grant port.Grant, leaveBy time.Time) (port.ServiceResult, error) {
 	target := grant.Target()
+	given := ctx
 	ctx, cancel := bounded(ctx, r.p.s.serviceTimeout(r.call.Service, r.call.Operation))
 	defer cancel()
 	begun := time.Now()
@@ -86,7 +87,11 @@
 		r.p.s.count("crossed_answers")
 		err = &port.TargetError{Target: target.Name, Failure: port.FailureMismatch}
 	}
-	grant.Done(port.Result{Err: targetError(target, err), Total: time.Since(begun)})
+	grant.Done(port.Result{
+		Err:    targetError(target, err),
+		Total:  time.Since(begun),
+		Unused: err != nil && given.Err() != nil,
+	})
 	return result, err
 }
 
--- a/internal/port/schedule.go
+++ b/internal/port/schedule.go
@@ -42,8 +42,8 @@
 	FirstToken time.Duration
 	Total      time.Duration
 	Usage      Usage
-	// Unused says that nothing was dispatched after all, so that the result
-	// says nothing about the target.
+	// Unused says that the result says nothing about the target: nothing was
+	// dispatched after all, or the caller gave the call up.
 	Unused bool
 }
 
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -63,6 +63,10 @@
 
 // Done implements port.Grant.
 func (g *grant) Done(r port.Result) {
+	if r.Unused {
+		g.unused()
+		return
+	}
 	if g.over.Swap(true) {
 		return
 	}
