--- a/internal/owner/lifecycle_test.go
+++ b/internal/owner/lifecycle_test.go
@@ -142,6 +142,7 @@
 		defer c.stop()
 		n := c.nodes[0]
 		c.open("open", 5000)
+		time.Sleep(time.Second)
 		before := n.Partitions()
 		for range 10 {
 			for _, id := range []string{"x", "y", "z"} {
--- a/internal/owner/part.go
+++ b/internal/owner/part.go
@@ -227,12 +227,12 @@
 		Programs:  p.l.Len(),
 	}
 	switch {
-	case p.claiming != nil:
-		v.State = "claiming"
 	case p.held() && p.releasing:
 		v.State = "releasing"
 	case p.held():
 		v.State = "owned"
+	case p.claiming != nil:
+		v.State = "claiming"
 	case p.l.Epoch == 0 || p.l.Released:
 		v.State = "unclaimed"
 		v.Owner = ""
