Say not_run of a call only where the log's state is at hand

What it is told now follows from the replayed state if that was read lately, and is unknown otherwise.

--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -24,7 +24,7 @@
 	deadline := time.Now().Add(call.Timeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	return confirmed(ctx, s, call.ProgramID, func() (port.Answer, error) {
+	return confirmed(ctx, s, call.ProgramID, fault.Unknown, func() (port.Answer, error) {
 		return s.callUntil(ctx, call, deadline, sink)
 	})
 }
@@ -36,7 +36,7 @@
 	for {
 		p, err := s.locate(ctx, key)
 		if err != nil {
-			return port.Answer{}, err
+			return port.Answer{}, unclaimedCall(err, call)
 		}
 		a, err := p.admit(call, fingerprint, deadline)
 		p.mu.Unlock()
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -20,8 +20,9 @@
 
 // confirmed looks a program up by its ID or root key. A miss counts only once the state holds all
 // that the log held when the look-up began, since a host that was paused, or
-// cut off from the log, may lack what its successor wrote.
-func confirmed[T any](ctx context.Context, s *Service, id string, look func() (T, error)) (T, error) {
+// cut off from the log, may lack what its successor wrote. unread is what the
+// refusal says if the log can't be read.
+func confirmed[T any](ctx context.Context, s *Service, id string, unread fault.Run, look func() (T, error)) (T, error) {
 	t := s.streamOf(partition.RootKey(id))
 	if t != nil && t.isStale() {
 		// Known programs are served during an outage of the log as well.
@@ -32,7 +33,7 @@
 		return result, err
 	}
 	if err := t.confirm(ctx); err != nil {
-		return result, fault.New(fault.LogUnavailable, fault.NotRun,
+		return result, fault.New(fault.LogUnavailable, unread,
 			"the log can't be read to look the program up").WithRetryAfter(retryAfter).WithCause(err)
 	}
 	return look()
--- a/internal/owner/faults_test.go
+++ b/internal/owner/faults_test.go
@@ -172,6 +172,9 @@
 		if err == nil {
 			return answer, nil
 		}
+		if f, ok := fault.As(err); ok && f.Run == fault.NotRun && !n.gate.isCut() && w.runs.Of(call.Service)[call.RequestID] > 0 {
+			w.fail("%s ran and was refused as not run: %v", call.RequestID, err)
+		}
 		if f, ok := fault.As(err); ok && (f.Type == fault.OutcomeUnknown || f.Type == fault.BudgetExceeded || f.Type == fault.SeqConflict) {
 			return answer, err
 		}
--- a/internal/owner/lifecycle.go
+++ b/internal/owner/lifecycle.go
@@ -35,7 +35,7 @@
 // find returns a program with its partition locked.
 func (s *Service) find(ctx context.Context, id string) (*part, *ledger.Program, error) {
 	var g *ledger.Program
-	p, err := confirmed(ctx, s, id, func() (p *part, err error) {
+	p, err := confirmed(ctx, s, id, fault.NotRun, func() (p *part, err error) {
 		p, g, err = s.findNow(ctx, id)
 		return p, err
 	})
--- a/internal/owner/locate.go
+++ b/internal/owner/locate.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/juju/errors"
+
 	"yuccausher/internal/core/partition"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/port"
@@ -35,7 +37,7 @@
 		select {
 		case <-wake:
 		case <-ctx.Done():
-			return nil, s.unclaimed()
+			return nil, s.unclaimed(p)
 		}
 	}
 }
@@ -58,8 +60,47 @@
 	return nil
 }
 
-func (s *Service) unclaimed() error {
+// UnclaimedError says that a partition had no owner in time.
+type UnclaimedError struct{ part *part }
+
+// Error implements error.
+func (e *UnclaimedError) Error() string { return "partition is not claimed" }
+
+func (s *Service) unclaimed(p *part) error {
 	s.count("calls_without_claim")
 	f := fault.New(fault.LogUnavailable, fault.NotRun, "the partition is not claimed yet")
-	return f.WithRetryAfter(retryAfter)
+	return f.WithRetryAfter(retryAfter).WithCause(&UnclaimedError{part: p})
+}
+
+// unclaimedCall corrects the refusal of a call that found no owner: the same
+// request may have been sent before.
+func unclaimedCall(err error, call port.Call) error {
+	var u *UnclaimedError
+	f, ok := fault.As(err)
+	if !ok || !errors.As(err, &u) {
+		return err
+	}
+	f = f.WithRequest(call.RequestID)
+	f.Run = u.part.runOf(call)
+	return f
+}
+
+// runOf says what is known of a call without an owner. A holder that gave the
+// partition back left nothing in flight; one that was lost may yet dispatch.
+func (p *part) runOf(call port.Call) fault.Run {
+	if p.stream.isStale() || !p.stream.current.Load() {
+		return fault.Unknown
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.l.Program(call.ProgramID)
+	switch {
+	case g != nil && g.Turn(call.Seq) != nil:
+		return fault.Ran
+	case g != nil && g.Intent != nil:
+		return fault.Unknown
+	case p.l.Epoch == 0 || p.l.Released:
+		return fault.NotRun
+	}
+	return fault.Unknown
 }
--- a/internal/owner/open.go
+++ b/internal/owner/open.go
@@ -26,7 +26,7 @@
 	if spec.Parent != "" {
 		key = partition.RootKey(spec.Parent)
 	}
-	return confirmed(ctx, s, key, func() (port.ProgramView, error) { return s.openUnder(ctx, key, spec) })
+	return confirmed(ctx, s, key, fault.NotRun, func() (port.ProgramView, error) { return s.openUnder(ctx, key, spec) })
 }
 
 // openUnder opens a program of a valid specification under a root key.
