config: faults of shape and of meaning are named together

Cause: a document with a misspelt field and two wrong references was refused with the misspelt field alone; the operator had to ask three times. Change: what can be decoded is validated as well; a fault that only follows from a value that was not decoded is left out. TestPublishRefusesInvalidDocument expected one fault of a document that has three; it now expects the three by path, which is stricter. Before: 1 field named; after: all (TestCheckNamesFaultsOfShapeAndOfMeaningTogether).

--- a/internal/configuration/service_test.go
+++ b/internal/configuration/service_test.go
@@ -47,7 +47,11 @@
 		is.NoErr(errs[0])
 		_, err := f.hosts[0].service.Publish(context.Background(), 1, []byte(`{"format":1,"extra":1}`))
 		is.True(has(err, fault.InvalidConfig, fault.NotRun))
-		is.Equal(len(fault.Of(err).Fields), 1)
+		var paths []string
+		for _, field := range fault.Of(err).Fields {
+			paths = append(paths, field.Path)
+		}
+		is.Equal(paths, []string{"extra", "partitions", "streams"})
 		is.Equal(f.versions(), []int64{1})
 		is.Equal(f.hosts[0].counter("publish_refusals", "type=invalid_config"), int64(1))
 	})
--- a/internal/core/config/parse.go
+++ b/internal/core/config/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"strings"
 
 	"yuccausher/internal/fault"
 )
@@ -12,31 +13,58 @@
 // force, which is nil before the first. Its error is a *fault.Fault of type
 // invalid_config that lists every wrong field.
 func Check(data []byte, inForce *Document) (*Document, error) {
-	d, err := Parse(data)
-	if err != nil {
-		return nil, err
+	d, fields := parse(data)
+	if d == nil {
+		return nil, invalid(fields)
 	}
-	if err := Validate(d, inForce); err != nil {
-		return nil, err
+	for _, f := range faultsOf(d, inForce) {
+		if !isCovered(f.Path, fields) {
+			fields = append(fields, f)
+		}
+	}
+	if len(fields) > 0 {
+		return nil, invalid(fields)
 	}
 	return d, nil
 }
 
+// isCovered says whether a fault at path follows from one of the faults of
+// shape: the value was not decoded.
+func isCovered(path string, shape []fault.Field) bool {
+	for _, f := range shape {
+		if path == f.Path || strings.HasPrefix(path, f.Path+".") || strings.HasPrefix(path, f.Path+"[") {
+			return true
+		}
+	}
+	return false
+}
+
 // Parse reads a document and refuses unknown fields and values of a wrong
 // type, each by its path. Its error is a *fault.Fault of type invalid_config.
 func Parse(data []byte) (*Document, error) {
+	d, fields := parse(data)
+	if len(fields) > 0 {
+		return nil, invalid(fields)
+	}
+	return d, nil
+}
+
+// parse reads what it can of a document and lists the faults of shape. The
+// document is nil if the text is no JSON object at all.
+func parse(data []byte) (*Document, []fault.Field) {
 	tree, err := decodeTree(data)
 	if err != nil {
-		return nil, invalid([]fault.Field{{Path: "", Message: "not valid JSON: " + err.Error()}})
+		return nil, []fault.Field{{Path: "", Message: "not valid JSON: " + err.Error()}}
 	}
-	if fields := checkShape(tree); len(fields) > 0 {
-		return nil, invalid(fields)
+	fields := checkShape(tree)
+	if _, ok := tree.(map[string]any); !ok {
+		return nil, fields
 	}
 	var d Document
-	if err := json.Unmarshal(data, &d); err != nil {
-		return nil, invalid([]fault.Field{{Path: "", Message: err.Error()}})
+	if err := json.Unmarshal(data, &d); err != nil && len(fields) == 0 {
+		return nil, []fault.Field{{Path: "", Message: err.Error()}}
 	}
-	return &d, nil
+	return &d, fields
 }
 
 // decodeTree decodes exactly one JSON value and keeps numbers as written.
--- a/internal/core/config/validate.go
+++ b/internal/core/config/validate.go
@@ -21,16 +21,20 @@
 // parts which are fixed stay as they are in the document in force, which is
 // nil before the first. Its error is a *fault.Fault of type invalid_config.
 func Validate(d, inForce *Document) error {
+	fields := faultsOf(d, inForce)
+	if len(fields) == 0 {
+		return nil
+	}
+	return invalid(fields)
+}
+
+func faultsOf(d, inForce *Document) []fault.Field {
 	fields := checkValues(d)
 	fields = append(fields, checkNames(d)...)
 	fields = append(fields, checkReferences(d)...)
 	fields = append(fields, checkCoverage(d)...)
 	fields = append(fields, checkBudgets(d)...)
-	fields = append(fields, checkFixed(d, inForce)...)
-	if len(fields) == 0 {
-		return nil
-	}
-	return invalid(fields)
+	return append(fields, checkFixed(d, inForce)...)
 }
 
 // checkValues applies the rules in the tags of the document's types.
--- a/internal/core/config/validate_test.go
+++ b/internal/core/config/validate_test.go
@@ -31,6 +31,17 @@
 	})
 }
 
+// TestCheckNamesFaultsOfShapeAndOfMeaningTogether: an operator who misspells a
+// field learns of the wrong references at once, too.
+func TestCheckNamesFaultsOfShapeAndOfMeaningTogether(t *testing.T) {
+	is := is.New(t)
+	d := document(1)
+	d.Agents[0].Class = "none"
+	text := strings.Replace(string(encode(d)), `"weight":1`, `"weight":"one","colour":"red"`, 1)
+	_, err := config.Check([]byte(text), nil)
+	is.Equal(paths(err), []string{"firms[0].colour", "firms[0].weight", "agents[0].class"})
+}
+
 func TestParseRefusesWhatIsNoDocument(t *testing.T) {
 	for _, text := range []string{"", "{", "[]", "null", "7", "{} {}", `{"firms":{}}`, "\x00"} {
 		_, err := config.Parse([]byte(text))
