--- a/internal/app/quarantine.go
+++ b/internal/app/quarantine.go
@@ -37,18 +37,17 @@
 	return &quarantine{known: known}, err
 }
 
-// Recent implements membership.Quarantine.
-func (q *quarantine) Recent(most int) []uint64 {
+// Quarantined implements membership.Quarantine.
+func (q *quarantine) Quarantined() []uint64 {
 	s := q.registry.Load()
 	if s == nil {
 		return nil
 	}
-	all := s.Quarantined()
-	return all[max(0, len(all)-most):]
+	return s.Quarantined()
 }
 
-// Learn implements membership.Quarantine.
-func (q *quarantine) Learn(fingerprints []uint64) {
+// Quarantine implements membership.Quarantine.
+func (q *quarantine) Quarantine(fingerprints ...uint64) {
 	s := q.registry.Load()
 	if s == nil {
 		return
@@ -59,7 +58,7 @@
 	s.Quarantine(fingerprints...)
 }
 
-func (q *quarantine) learnOne(fingerprint uint64) { q.Learn([]uint64{fingerprint}) }
+func (q *quarantine) learnOne(fingerprint uint64) { q.Quarantine(fingerprint) }
 
 // found records a fingerprint that this host's scheduler has found.
 func (q *quarantine) found(fingerprint uint64) {
