Tests of separate processes: killed, frozen and cut hosts, and the log's faults

The binary runs as one process for the stand-ins and one for each host, with relays between them that a test can cut. Programs work side by side while a fault strikes; then each history is compared with what the callers were told and with the runs that the stand-in counted.

--- /dev/null
+++ b/cmd/yuccausher/main_test.go
@@ -0,0 +1,197 @@
+package main_test
+
+import (
+	"os/exec"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"yuccausher/internal/port"
+	"yuccausher/internal/standin"
+)
+
+const (
+	workPrograms = 12
+	workTurns    = 8
+	// workUnderWay is how many postings have run when a fault is set.
+	workUnderWay = 8
+)
+
+// during runs the work and, once some of it has run, a fault.
+func (f *fleet) during(hosts []int, fault func()) []*program {
+	f.t.Helper()
+	done := make(chan []*program)
+	go func() { done <- f.work(workPrograms, workTurns, hosts) }()
+	f.until("work under way", func() bool { return len(f.runs(standin.ServiceLedger)) >= workUnderWay })
+	fault()
+	return <-done
+}
+
+func TestProgramSurvivesAKilledAndAFrozenHost(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	p := f.open("survivor", 0)
+	p.ask(0)
+	p.post(1)
+	killed := f.owner(p.id, 0)
+	is.True(killed >= 0) // the owner is known
+	f.hosts[killed].kill()
+	p.ask(killed)
+	p.post(killed)
+	left := others(killed)
+	frozen := f.owner(p.id, left[0])
+	is.True(frozen >= 0 && frozen != killed) // another host owns it
+	f.hosts[frozen].freeze(t)
+	last := 3 - killed - frozen
+	p.post(last)
+	p.ask(last)
+	f.hosts[frozen].thaw(t)
+	p.post(frozen)
+	f.checkAll([]*program{p}, []int{last, frozen})
+	is.NoErr(f.caller.At(last).End(f.ctx, p.id))
+	view, err := f.caller.At(frozen).Program(f.ctx, p.id)
+	is.NoErr(err)
+	is.Equal(view.NextSeq, int64(8))
+	f.until("eviction", func() bool { return !f.isHeld(p.id) })
+}
+
+// isHeld says whether a target holds KV cache of a program.
+func (f *fleet) isHeld(programID string) bool {
+	var states map[string]standin.TargetState
+	if !f.get(f.control+standin.PathTargets, &states) {
+		return true
+	}
+	for _, state := range states {
+		for _, held := range state.KVPrograms {
+			if held == programID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func TestWorkSurvivesAKilledHost(t *testing.T) {
+	f := startFleet(t)
+	programs := f.during([]int{0, 1, 2}, f.hosts[1].kill)
+	f.checkAll(programs, []int{0, 2})
+}
+
+func TestWorkSurvivesAFrozenHostThatWakes(t *testing.T) {
+	f := startFleet(t)
+	frozen := f.hosts[1]
+	programs := f.during([]int{0, 1, 2}, func() {
+		frozen.freeze(t)
+		f.until("takeover", func() bool { return !f.ownsAny(1, 0) && !f.ownsAny(1, 2) })
+		frozen.thaw(t)
+	})
+	f.checkAll(programs, []int{0, 1, 2})
+}
+
+// While no host reaches another, each takes the others for dead and claims
+// their partitions.
+func TestWorkSurvivesHostsThatLoseEachOther(t *testing.T) {
+	f := startFleet(t)
+	programs := f.during([]int{0, 1, 2}, func() {
+		for _, h := range f.hosts {
+			h.peers.cut()
+		}
+		for i := range f.hosts {
+			f.until("a host alone", func() bool { return f.isAlone(i) })
+		}
+		for _, h := range f.hosts {
+			h.peers.heal()
+		}
+	})
+	f.checkAll(programs, []int{0, 1, 2})
+}
+
+// isAlone says whether a host takes all others for dead.
+func (f *fleet) isAlone(host int) bool {
+	var answer struct {
+		Hosts []struct {
+			ID    string           `json:"id"`
+			State port.MemberState `json:"state"`
+		} `json:"hosts"`
+	}
+	if !f.get(f.hosts[host].base+"/v1/hosts", &answer) {
+		return false
+	}
+	for _, h := range answer.Hosts {
+		if h.ID != f.hosts[host].id && h.State != port.MemberDead {
+			return false
+		}
+	}
+	return true
+}
+
+func TestWorkSurvivesAHostThatOthersCannotReach(t *testing.T) {
+	f := startFleet(t)
+	cut := f.hosts[1]
+	programs := f.during([]int{0, 1, 2}, func() {
+		cut.peers.cut()
+		f.untilMoreAppends()
+		cut.peers.heal()
+	})
+	f.checkAll(programs, []int{0, 1, 2})
+}
+
+func TestWorkSurvivesAHostCutFromTheLog(t *testing.T) {
+	f := startFleet(t)
+	cut := f.hosts[1]
+	programs := f.during([]int{0, 1, 2}, func() {
+		cut.logs.cut()
+		f.untilMoreAppends()
+		cut.logs.heal()
+	})
+	f.checkAll(programs, []int{0, 1, 2})
+}
+
+// moreAppends is how much the log takes while a connection is cut.
+const moreAppends = 10
+
+func (f *fleet) untilMoreAppends() {
+	f.t.Helper()
+	before := f.appends()
+	f.until("more appends", func() bool { return f.appends() >= before+moreAppends })
+}
+
+func (f *fleet) appends() int64 {
+	var counts standin.LogCounts
+	f.get(f.control+standin.PathLog, &counts)
+	return counts.Appends
+}
+
+func TestWorkSurvivesALogOutage(t *testing.T) {
+	f := startFleet(t)
+	long := int64(3000)
+	programs := f.during([]int{0, 1, 2}, func() {
+		f.inject(standin.FaultRequest{Kind: standin.FaultLogDown, DurationMS: &long})
+	})
+	f.checkAll(programs, []int{0, 1, 2})
+}
+
+func TestWorkSurvivesLostAnswersOfTheLog(t *testing.T) {
+	f := startFleet(t)
+	lost := 20
+	programs := f.during([]int{0, 1, 2}, func() {
+		f.inject(standin.FaultRequest{Kind: standin.FaultLogLostAck, Count: &lost})
+	})
+	f.checkAll(programs, []int{0, 1, 2})
+}
+
+// ownsAny says whether one host sees another as the owner of a partition.
+func (f *fleet) ownsAny(host, seenBy int) bool {
+	f.t.Helper()
+	owners, ok := f.owners(seenBy)
+	return !ok || owners[f.hosts[host].id]
+}
+
+func TestDemoHolds(t *testing.T) {
+	is := is.New(t)
+	text, err := exec.CommandContext(t.Context(), binary, "demo").CombinedOutput()
+	if err != nil {
+		t.Logf("%s", text)
+	}
+	is.NoErr(err)
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"yuccausher/internal/adapter/httpapi"
 	"yuccausher/internal/adapter/httpcall"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/port"
@@ -19,7 +20,7 @@
 
 const (
 	// attemptTimeout bounds one attempt at one host.
-	attemptTimeout = 10 * time.Second
+	attemptTimeout = 4 * time.Second
 	// minPause and maxPause bound the pause between two rounds.
 	minPause = 50 * time.Millisecond
 	maxPause = time.Second
@@ -171,7 +172,7 @@
 		return true
 	}
 	switch f.Type {
-	case fault.Overloaded, fault.NoTarget, fault.LogUnavailable, fault.NotReady:
+	case fault.Overloaded, fault.NoTarget, fault.LogUnavailable, fault.NotReady, fault.Timeout:
 		return true
 	}
 	return false
@@ -200,29 +201,15 @@
 	return errors.Annotate(json.Unmarshal(body, out), "decode answer")
 }
 
-type faultBody struct {
-	Error struct {
-		Type         fault.Type    `json:"type"`
-		Run          fault.Run     `json:"run"`
-		Message      string        `json:"message"`
-		RequestID    string        `json:"request_id"`
-		RetryAfterMS int64         `json:"retry_after_ms"`
-		Fields       []fault.Field `json:"fields"`
-	} `json:"error"`
-}
-
 // faultOf decodes a failure.
 func faultOf(status int, body []byte) error {
-	var b faultBody
+	var b httpapi.ErrorBody
 	if err := json.Unmarshal(body, &b); err != nil || b.Error.Type == "" {
 		return errors.Trace(&httpcall.StatusError{Status: status, Message: string(body)})
 	}
-	return &fault.Fault{
-		Type:       b.Error.Type,
-		Run:        b.Error.Run,
-		Message:    b.Error.Message,
-		RequestID:  b.Error.RequestID,
-		RetryAfter: time.Duration(b.Error.RetryAfterMS) * time.Millisecond,
-		Fields:     b.Error.Fields,
-	}
+	f := fault.New(b.Error.Type, b.Error.Run, "%s", b.Error.Message)
+	f.RequestID = b.Error.RequestID
+	f.RetryAfter = time.Duration(b.Error.RetryAfterMS) * time.Millisecond
+	f.Fields = b.Error.Fields
+	return f
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"yuccausher/internal/adapter/hostlist"
+	"yuccausher/internal/adapter/httpapi"
 	"yuccausher/internal/adapter/httpcall"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/port"
@@ -103,20 +104,9 @@
 	writeTargetError(c, err)
 }
 
-type faultBody struct {
-	Error faultView `json:"error"`
-}
-
-type faultView struct {
-	Type    fault.Type    `json:"type"`
-	Run     fault.Run     `json:"run"`
-	Message string        `json:"message"`
-	Fields  []fault.Field `json:"fields,omitempty"`
-}
-
 func writeFault(c *gin.Context, f *fault.Fault) {
-	view := faultView{Type: f.Type, Run: f.Run, Message: f.Message, Fields: f.Fields}
-	c.JSON(fault.Status(f.Type), faultBody{Error: view})
+	detail := httpapi.ErrorDetail{Type: f.Type, Run: f.Run, Message: f.Message, Fields: f.Fields}
+	c.JSON(fault.Status(f.Type), httpapi.ErrorBody{Error: detail})
 }
 
 // writeTargetError answers as a target does. A target that is down or whose
