--- a/internal/owner/model.go
+++ b/internal/owner/model.go
@@ -175,16 +175,19 @@
 	}
 }
 
-// attempt dispatches the call once, and resumes it once if its stream broke.
+// attempt dispatches the call once while the escrow is surely its own, and resumes it once if its stream broke.
 func (m *modelRun) attempt() (port.ModelResult, string, error) {
 	s := m.p.s
+	if err := m.p.stream.awaitFresh(m.ctx); err != nil {
+		return port.ModelResult{}, "", err
+	}
 	grant, err := s.p.Scheduler.Acquire(m.ctx, m.work)
 	if err != nil {
 		return port.ModelResult{}, "", err
 	}
 	target := grant.Target()
 	if err := m.p.stream.awaitFresh(m.ctx); err != nil {
-		grant.Done(port.Result{Err: &port.TargetError{Target: target.Name, Failure: port.FailureRefused}})
+		grant.Done(port.Result{Unused: true})
 		return port.ModelResult{}, "", err
 	}
 	begun := time.Now()
@@ -212,7 +215,7 @@
 	call := port.ModelCall{
 		ProgramID:  m.call.ProgramID,
 		Seq:        m.call.Seq,
-		RequestID:  m.call.RequestID,
+		RequestID:  engineRequest(m.call.ProgramID, m.call.RequestID),
 		Model:      m.call.Model,
 		Prompt:     m.prompt,
 		MaxTokens:  m.call.MaxTokens,
@@ -227,6 +230,10 @@
 	})
 }
 
+// engineRequest returns the ID by which engines know a model call. Programs
+// may use the same request IDs.
+func engineRequest(programID, requestID string) string { return programID + "/" + requestID }
+
 func resumable(err error) bool {
 	var te *port.TargetError
 	return errors.As(err, &te) && te.Failure == port.FailureBroken
@@ -239,7 +246,7 @@
 		return err
 	}
 	mismatch := &port.TargetError{Target: target.Name, Failure: port.FailureMismatch}
-	if result.RequestID != m.call.RequestID || result.ProgramID != m.call.ProgramID {
+	if result.RequestID != engineRequest(m.call.ProgramID, m.call.RequestID) || result.ProgramID != m.call.ProgramID {
 		m.p.s.count("crossed_answers")
 		return mismatch
 	}
@@ -280,7 +287,7 @@
 	}
 	m.lostTokens += m.need
 	m.holders = append(m.holders, target.Name)
-	m.p.s.spawn(func() { m.p.s.cancelAt(target, m.call.RequestID) })
+	m.p.s.spawn(func() { m.p.s.cancelAt(target, engineRequest(m.call.ProgramID, m.call.RequestID)) })
 }
 
 func (s *Service) cancelAt(target port.Target, requestID string) {
