--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -49,13 +49,14 @@
 func newMembership(p membershipParams) *membership.Service {
 	s := membership.New(membership.Params{
 		Self:       p.Self,
-		Peers:      p.Peers,
+		Peers:      &markingPeers{Peers: p.Peers, quarantine: p.Quarantine},
 		HostList:   p.HostList,
 		Holder:     p.Holder,
 		Quarantine: p.Quarantine,
 		Metrics:    p.Scope,
 		Logger:     p.Options.Logger,
 	})
+	p.Quarantine.members.Store(s)
 	follow(p.Lifecycle, s)
 	return s
 }
@@ -117,9 +118,10 @@
 		HostList:     p.HostList,
 		Self:         p.Self,
 		Members:      p.Members,
-		Metrics:      p.Scope.SubScope("sched"),
+		Metrics:      p.Scope,
 		Log:          p.Options.Logger,
 		OnQuarantine: p.Quarantine.found,
+		OnCrash:      p.Quarantine.crashed,
 	})
 	p.Quarantine.registry.Store(s)
 	follow(p.Lifecycle, s)
--- a/internal/owner/open.go
+++ b/internal/owner/open.go
@@ -26,6 +26,11 @@
 	if spec.Parent != "" {
 		key = partition.RootKey(spec.Parent)
 	}
+	return confirmed(ctx, s, key, func() (port.ProgramView, error) { return s.openUnder(ctx, key, spec) })
+}
+
+// openUnder opens a program of a valid specification under a root key.
+func (s *Service) openUnder(ctx context.Context, key string, spec port.ProgramSpec) (port.ProgramView, error) {
 	for {
 		p, err := s.locate(ctx, key)
 		if err != nil {
@@ -136,7 +141,7 @@
 func (p *part) startOpen(key string, want *record.Open) *pending {
 	want.ProgramId = partition.ID(key, uuid.NewString())
 	if want.Parent == "" {
-		want.Slice = min(want.BudgetTokens, p.s.p.Settings.SliceTokens)
+		want.Slice = p.s.sliceSize(want.BudgetTokens, 0)
 	}
 	request := "open/" + key + "\x00" + want.Firm + "\x00" + want.RequestId
 	return p.sendOnce(request, &record.Record{Body: &record.Record_Open{Open: want}})
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -35,6 +35,8 @@
 	current atomic.Bool
 	// confirmed is when the last read began that reached the end.
 	confirmed atomic.Pointer[time.Time]
+	// applied is the offset up to which records are in the state.
+	applied atomic.Int64
 }
 
 func newStream(s *Service, name string) *stream {
@@ -78,10 +80,20 @@
 	if err != nil {
 		return err
 	}
+	before := t.next
 	t.take(page)
+	if t.next == before && !t.current.Load() {
+		return &port.LogError{Op: "read", Stream: t.name, Cause: &GapError{Next: before, End: page.End}}
+	}
 	return nil
 }
 
+// GapError says that a page lacks the next record although there is one.
+type GapError struct{ Next, End int64 }
+
+// Error implements error.
+func (e *GapError) Error() string { return "page lacks the next record" }
+
 func (t *stream) take(page port.Page) {
 	if page.Oldest > t.next {
 		t.restart(page.Oldest)
@@ -93,10 +105,12 @@
 		if r.Offset > t.next {
 			t.logger.Info("Page has a gap.", "stream", t.name, "offset", r.Offset)
 			t.s.count("log_page_gaps")
+			t.current.Store(false)
 			return
 		}
 		t.apply(r)
 		t.next = r.Offset + 1
+		t.applied.Store(t.next)
 	}
 	caughtUp := t.next >= page.End
 	if caughtUp && !t.current.Swap(true) {
@@ -114,6 +128,7 @@
 		t.s.count("log_trimmed_unread")
 	}
 	t.next = floor
+	t.applied.Store(floor)
 	t.marks = make(ledger.Marks)
 	for _, p := range t.s.partitionsOf(t) {
 		p.restart(floor)
