load: a bounded load of whole programs that checks what must hold

Inquiries, audits with branching child programs and reshuffles under a fixed seed, with the stand-in's faults on request. Afterwards the callers' answers are held against the histories and the targets' own counts. Hosts report their process's time and memory, so that a run tells what a host used.

--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -25,10 +26,14 @@
 }
 
 // New returns a root scope with a registry of its own, so that several hosts
-// can run in one process. A metric that can't be registered goes to onError.
+// can run in one process; beside it stand the process's own processor time and
+// memory. A metric that can't be registered goes to onError.
 func New(onError func(error)) *Metrics {
+	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(collectors.NewGoCollector())
 	reporter := prometheus.NewReporter(prometheus.Options{
-		Registerer:       prom.NewRegistry(),
+		Registerer:       registry,
 		DefaultTimerType: prometheus.HistogramTimerType,
 		OnRegisterError:  onError,
 	})
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -16,7 +16,7 @@
 // commands returns all subcommands by group.
 func commands() map[string][]subcommands.Command {
 	return map[string][]subcommands.Command{
-		"see it run":        {&demoCommand{}, &devCommand{}, &standinCommand{}},
+		"see it run":        {&demoCommand{}, &devCommand{}, &standinCommand{}, &loadCommand{}},
 		"run a host":        {&serveCommand{}},
 		"operate the fleet": {&checkConfigCommand{}, &ctlCommand{}, &capacityCommand{}},
 	}
