--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -31,7 +31,7 @@
 // Measurements holds series by key, each sorted by size.
 type Measurements map[Key][]Point
 
-// sizePrefix marks the size in a sub-benchmark's name, as in "/n=100".
+// sizePrefix may stand before the size in a sub-benchmark's name: "/n=100".
 const sizePrefix = "n="
 
 // Load reads the output of "go test -bench". Runs of the same benchmark at
@@ -53,10 +53,7 @@
 }
 
 func addResult(sums map[Key]map[float64][]float64, r *benchfmt.Result) {
-	base, n, ok := splitName(r.Name)
-	if !ok {
-		return
-	}
+	base, n := splitName(r.Name)
 	for _, v := range r.Values {
 		k := Key{Name: base, Unit: v.Unit}
 		if sums[k] == nil {
@@ -67,8 +64,8 @@
 }
 
 // splitName separates the size from a full benchmark name. A benchmark
-// without a size has size 1.
-func splitName(full benchfmt.Name) (base string, n float64, ok bool) {
+// without a size has size 1; any other part stays in the name.
+func splitName(full benchfmt.Name) (base string, n float64) {
 	first, parts := full.Parts()
 	base = string(first)
 	n = 1
@@ -77,17 +74,14 @@
 		if strings.HasPrefix(s, "-") {
 			continue
 		}
-		if !strings.HasPrefix(s, sizePrefix) {
-			base += "/" + s
-			continue
-		}
 		v, err := strconv.ParseFloat(strings.TrimPrefix(s, sizePrefix), 64)
 		if err != nil {
-			return "", 0, false
+			base += "/" + s
+			continue
 		}
 		n = v
 	}
-	return base, n, true
+	return base, n
 }
 
 func average(sums map[Key]map[float64][]float64) Measurements {
