--- a/internal/owner/faults_test.go
+++ b/internal/owner/faults_test.go
@@ -258,6 +258,26 @@
 	}
 }
 
+// endAll ends the programs and looks for what engines still hold for them.
+func (w *world) endAll(ids []string) {
+	for _, id := range ids {
+		ended := false
+		for _, n := range w.all() {
+			_, err := n.End(context.Background(), id)
+			ended = ended || err == nil
+		}
+		if !ended {
+			w.fail("%s can't be ended", id)
+		}
+	}
+	time.Sleep(time.Minute)
+	for _, name := range w.fleet.EngineNames() {
+		if held := w.fleet.Engine(name).Now().KVPrograms; len(held) > 0 {
+			w.fail("%s holds %v", name, held)
+		}
+	}
+}
+
 // runPlan returns what went wrong.
 func runPlan(t *testing.T, plan []step) []string {
 	var wrong []string
@@ -284,6 +304,7 @@
 		time.Sleep(time.Until(time.Now().Add(planEnd)))
 		callers.Wait()
 		w.check(ids)
+		w.endAll(ids)
 		wrong = w.wrong
 	})
 	return wrong
--- a/internal/owner/model.go
+++ b/internal/owner/model.go
@@ -8,9 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"yuccausher/internal/core/ledger"
 	"yuccausher/internal/core/partition"
-	"yuccausher/internal/fault"
 	"yuccausher/internal/gen/record"
 	"yuccausher/internal/port"
 )
@@ -53,107 +51,6 @@
 	return m.conclude(result, target)
 }
 
-// prepare builds the prompt from the program's history.
-func (m *modelRun) prepare() error {
-	p := m.p
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	g := p.l.Program(m.call.ProgramID)
-	if p.l.Epoch != m.epoch || g == nil {
-		return &port.NotOwnerError{Partition: p.id}
-	}
-	var bytes int64
-	for _, t := range g.Turns {
-		m.prompt = appendSegments(m.prompt, t)
-	}
-	m.prompt = append(m.prompt, port.Segment{Role: roleUser, Text: text(m.call.Input)})
-	for _, s := range m.prompt {
-		bytes += int64(len(s.Text))
-	}
-	tokens := (bytes + tokenBytes - 1) / tokenBytes
-	if !p.s.fitsContext(m.call.Model, tokens+m.call.MaxTokens) {
-		return invalid("input", "does not fit the model's context with the history and max_tokens")
-	}
-	m.need = tokens + m.call.MaxTokens
-	m.work = p.workOf(g, m.running, tokens)
-	return nil
-}
-
-const (
-	roleUser      = "user"
-	roleAssistant = "assistant"
-)
-
-func appendSegments(prompt []port.Segment, t *record.Turn) []port.Segment {
-	prompt = append(prompt, port.Segment{Role: roleUser, Text: text(t.Input)})
-	if len(t.Output) > 0 {
-		prompt = append(prompt, port.Segment{Role: roleAssistant, Text: text(t.Output)})
-	}
-	return prompt
-}
-
-// text returns a JSON string's content, and any other JSON as it is.
-func text(raw json.RawMessage) string {
-	var s string
-	if json.Unmarshal(raw, &s) == nil {
-		return s
-	}
-	return string(raw)
-}
-
-// workOf describes a call to the scheduler. The caller has the lock.
-func (p *part) workOf(g *ledger.Program, r *running, promptTokens int64) port.Work {
-	w := port.Work{
-		ProgramID:      g.ID,
-		RootID:         p.rootID(g),
-		RequestID:      r.call.RequestID,
-		Firm:           g.Open.Firm,
-		Agent:          g.Open.Agent,
-		Class:          g.Open.Class,
-		Kind:           r.call.Kind,
-		Name:           r.call.Model,
-		PromptTokens:   promptTokens,
-		MaxTokens:      r.call.MaxTokens,
-		AttainedTokens: g.Spent,
-		Turns:          g.Next() - 1,
-		Arrived:        r.arrived,
-		Deadline:       r.deadline,
-		Fingerprint:    ledger.ShortFingerprint(r.fingerprint),
-		Idempotent:     !r.once,
-		CachedAt:       cachedAt(g),
-	}
-	if r.call.Kind == port.KindService {
-		w.Name = r.call.Service
-	}
-	return w
-}
-
-// rootID returns the ID of the tree's first program.
-func (p *part) rootID(g *ledger.Program) string {
-	for g.Open.Parent != "" {
-		parent := p.l.Program(g.Open.Parent)
-		if parent == nil {
-			return g.Open.Parent
-		}
-		g = parent
-	}
-	return g.ID
-}
-
-// cachedAt returns the tokens that each holder had after its last turn.
-func cachedAt(g *ledger.Program) map[string]int64 {
-	cached := make(map[string]int64, len(g.Holders))
-	for _, h := range g.Holders {
-		cached[h] = 0
-	}
-	for _, t := range g.Turns {
-		if _, ok := cached[t.Target]; ok && t.Kind == string(port.KindModel) {
-			cached[t.Target] = t.Usage.GetPromptTokens() + t.Usage.GetOutputTokens()
-		}
-	}
-	return cached
-}
-
 // attempts dispatches the call until one attempt gives a whole answer.
 func (m *modelRun) attempts() (port.ModelResult, string, error) {
 	for attempt := 1; ; attempt++ {
@@ -361,36 +258,3 @@
 	m.p.unreserve(m.epoch, partition.RootKey(m.call.ProgramID), m.reserved)
 	m.reserved = 0
 }
-
-// fault turns an error of a running call into what its callers are told.
-func (r *running) fault(err error) error {
-	var n *port.NotOwnerError
-	if errors.As(err, &n) {
-		if r.once && r.at() != phaseWaiting {
-			return outcomeUnknown().WithRequest(r.call.RequestID).WithCause(err)
-		}
-		return &port.NotOwnerError{Partition: n.Partition, Owner: n.Owner, MayHaveRun: r.at() != phaseWaiting}
-	}
-	run := r.at().run()
-	if f, ok := fault.As(err); ok {
-		f = f.WithRequest(r.call.RequestID)
-		if f.Run == fault.NotRun {
-			f.Run = run
-		}
-		return f
-	}
-	var te *port.TargetError
-	switch {
-	case r.p.lostSince(r.epoch):
-		return r.fault(&port.NotOwnerError{Partition: r.p.id})
-	case r.ctx.Err() != nil && r.p.isOver(r.call.ProgramID):
-		f := fault.New(fault.ProgramStopped, run, "the program has ended")
-		return f.WithRequest(r.call.RequestID)
-	case r.ctx.Err() != nil:
-		return timedOut(run).WithRequest(r.call.RequestID).WithCause(err)
-	case errors.As(err, &te):
-		f := fault.New(fault.TargetFailed, run, "no target gave a whole answer")
-		return f.WithRequest(r.call.RequestID).WithRetryAfter(retryAfter).WithCause(err)
-	}
-	return fault.New(fault.Internal, run, "internal failure").WithRequest(r.call.RequestID).WithCause(err)
-}
--- /dev/null
+++ b/internal/owner/outcome.go
@@ -0,0 +1,41 @@
+package owner
+
+import (
+	"github.com/juju/errors"
+
+	"yuccausher/internal/fault"
+	"yuccausher/internal/port"
+)
+
+// fault turns an error of a running call into what its callers are told.
+func (r *running) fault(err error) error {
+	var n *port.NotOwnerError
+	if errors.As(err, &n) {
+		if r.once && r.at() != phaseWaiting {
+			return outcomeUnknown().WithRequest(r.call.RequestID).WithCause(err)
+		}
+		return &port.NotOwnerError{Partition: n.Partition, Owner: n.Owner, MayHaveRun: r.at() != phaseWaiting}
+	}
+	run := r.at().run()
+	if f, ok := fault.As(err); ok {
+		f = f.WithRequest(r.call.RequestID)
+		if f.Run == fault.NotRun {
+			f.Run = run
+		}
+		return f
+	}
+	var te *port.TargetError
+	switch {
+	case r.p.lostSince(r.epoch):
+		return r.fault(&port.NotOwnerError{Partition: r.p.id})
+	case r.ctx.Err() != nil && r.p.isOver(r.call.ProgramID):
+		f := fault.New(fault.ProgramStopped, run, "the program has ended")
+		return f.WithRequest(r.call.RequestID)
+	case r.ctx.Err() != nil:
+		return timedOut(run).WithRequest(r.call.RequestID).WithCause(err)
+	case errors.As(err, &te):
+		f := fault.New(fault.TargetFailed, run, "no target gave a whole answer")
+		return f.WithRequest(r.call.RequestID).WithRetryAfter(retryAfter).WithCause(err)
+	}
+	return fault.New(fault.Internal, run, "internal failure").WithRequest(r.call.RequestID).WithCause(err)
+}
--- a/internal/owner/params.go
+++ b/internal/owner/params.go
@@ -16,7 +16,10 @@
 
 // Params holds what a Service needs. All interfaces must be set.
 type Params struct {
-	Log       port.Log
+	Log port.Log
+	// Appender writes in place of the log if it is set, for example through
+	// another host that gathers the records of many.
+	Appender  Appender
 	Engine    port.Engine
 	Service   port.Service
 	Members   port.Members
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -55,6 +55,9 @@
 // New returns a Service that is not started yet.
 func New(p Params) *Service {
 	p.Settings = p.Settings.withDefaults()
+	if p.Appender == nil {
+		p.Appender = p.Log
+	}
 	if p.Metrics == nil {
 		p.Metrics = tally.NoopScope
 	}
