Write poisoned fingerprints again before they are trimmed

The claim loop hashes a partition anew only when the candidates have changed. TestDrawnFaults runs with a retention of a minute now.

--- a/internal/owner/claims.go
+++ b/internal/owner/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"yuccausher/internal/core/ledger"
@@ -24,6 +25,8 @@
 	// candidates may become owners.
 	candidates []string
 	members    map[string]port.Member
+	// same says that the candidates are those of the last look.
+	same bool
 }
 
 func (s *Service) memberView() view {
@@ -35,6 +38,7 @@
 			v.candidates = append(v.candidates, m.ID)
 		}
 	}
+	slices.Sort(v.candidates)
 	return v
 }
 
@@ -82,6 +86,8 @@
 
 func (s *Service) lookOver() {
 	v := s.memberView()
+	v.same = slices.Equal(v.candidates, s.candidates)
+	s.candidates = v.candidates
 	now := time.Now()
 	for _, p := range s.layout.Load().parts {
 		p.lookOver(v, now)
@@ -92,12 +98,14 @@
 func (p *part) lookOver(v view, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first := v.first(p.id)
+	if !v.same {
+		p.first = v.first(p.id)
+	}
 	if p.held() {
-		p.considerRelease(first, now)
+		p.considerRelease(p.first, now)
 		return
 	}
-	if first == v.self && p.claiming == nil && p.stream.current.Load() && p.vacant(v, now) {
+	if p.first == v.self && p.claiming == nil && p.stream.current.Load() && p.vacant(v, now) {
 		p.claim()
 	}
 }
--- a/internal/owner/faults_test.go
+++ b/internal/owner/faults_test.go
@@ -28,6 +28,8 @@
 	planPrograms = 4
 	planCalls    = 6
 	planBudget   = 1500
+	// planRetention has the log trimmed several times during a plan.
+	planRetention = time.Minute
 	// planEnd is when the last fault of a plan is over at the latest.
 	planEnd = 2 * time.Minute
 )
@@ -283,7 +285,7 @@
 	var wrong []string
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{
-			cluster: newCluster(t, planHosts, standin.LogOptions{}, nil),
+			cluster: newCluster(t, planHosts, standin.LogOptions{Retention: planRetention}, nil),
 			starts:  1,
 			answers: make(map[string]port.Answer),
 		}
--- a/internal/owner/lifecycle_test.go
+++ b/internal/owner/lifecycle_test.go
@@ -24,6 +24,7 @@
 		c.is.NoErr(err)
 		_, err = c.call(modelCall(child, 1, "r1"))
 		c.is.NoErr(err)
+		c.is.NoErr(c.nodes[0].Quarantine(context.Background(), 4711))
 		time.Sleep(35 * time.Minute)
 		_, err = c.call(modelCall(root.ProgramID, 2, "r2"))
 		c.is.NoErr(err)
@@ -32,11 +33,14 @@
 
 		old := c.nodes
 		late := c.add("late", 1)
+		var poisoned []uint64
+		late.p.Quarantined = func(f uint64) { poisoned = append(poisoned, f) }
 		c.is.NoErr(late.Start(context.Background()))
 		time.Sleep(time.Second)
 		for _, n := range old {
 			c.kill(n)
 		}
+		c.is.True(len(poisoned) > 0 && poisoned[0] == 4711)
 		again, err := c.call(posting(root.ProgramID, 1, "pay"))
 		c.is.NoErr(err)
 		c.is.Equal(first, again)
--- a/internal/owner/part.go
+++ b/internal/owner/part.go
@@ -20,6 +20,8 @@
 
 	mu sync.Mutex
 	l  *ledger.Partition
+	// first is the host that should own the partition, as last looked over.
+	first string
 	// wake is closed and made again when the ownership changes.
 	wake chan struct{}
 	// claiming is this host's claim on its way.
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -13,7 +13,6 @@
 	"yuccausher/internal/core/ledger"
 	"yuccausher/internal/core/partition"
 	"yuccausher/internal/fault"
-	"yuccausher/internal/gen/record"
 	"yuccausher/internal/port"
 )
 
@@ -33,7 +32,12 @@
 	// changed wakes the claim loop.
 	changed chan struct{}
 	leaving atomic.Bool
-	firms   firms
+	// candidates are the possible owners at the last look. Only the claim
+	// loop uses it.
+	candidates []string
+	firms      firms
+	// quarantines are written again before they are trimmed.
+	quarantines quarantines
 	// engines are the incarnations that the engines last reported.
 	engines atomic.Pointer[map[string]uint64]
 
@@ -62,11 +66,12 @@
 		p.Metrics = tally.NoopScope
 	}
 	return &Service{
-		p:       p,
-		limiter: rate.NewLimiter(rate.Limit(p.Settings.AppendsPerSecond), p.Settings.AppendBurst),
-		changed: make(chan struct{}, 1),
-		ready:   make(chan struct{}),
-		firms:   firms{opening: make(map[string]int64)},
+		p:           p,
+		limiter:     rate.NewLimiter(rate.Limit(p.Settings.AppendsPerSecond), p.Settings.AppendBurst),
+		changed:     make(chan struct{}, 1),
+		ready:       make(chan struct{}),
+		quarantines: quarantines{seen: make(map[uint64]time.Time)},
+		firms:       firms{opening: make(map[string]int64)},
 	}
 }
 
@@ -164,25 +169,6 @@
 	}
 }
 
-func (s *Service) quarantined(fingerprint uint64) {
-	if s.p.Quarantined != nil {
-		s.p.Quarantined(fingerprint)
-	}
-}
-
-// Quarantine records a fingerprint as poisoned, for all hosts and for those
-// that start later. It returns once the record was seen.
-func (s *Service) Quarantine(ctx context.Context, fingerprint uint64) error {
-	l := s.layout.Load()
-	if l == nil {
-		return notReady()
-	}
-	p := l.streams[0].writer.submit(&record.Record{
-		Body: &record.Record_Quarantine{Quarantine: &record.Quarantine{Fingerprint: fingerprint}},
-	})
-	return await(ctx, p)
-}
-
 // Partitions returns all partitions as this host sees them.
 func (s *Service) Partitions() []port.PartitionView {
 	l := s.layout.Load()
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -156,7 +156,7 @@
 
 func (t *stream) applyEntry(p *part, e ledger.Entry) ledger.Verdict {
 	if q, ok := e.Record.Body.(*record.Record_Quarantine); ok {
-		t.s.quarantined(q.Quarantine.Fingerprint)
+		t.s.quarantined(q.Quarantine.Fingerprint, e.AppendedAt)
 		return ledger.Applied
 	}
 	if p.stream != t {
--- a/internal/owner/sweep.go
+++ b/internal/owner/sweep.go
@@ -21,6 +21,7 @@
 func (s *Service) sweep() {
 	for sleep(s.ctx, sweepPeriod) {
 		now := time.Now()
+		s.restateQuarantines(now)
 		for _, p := range s.layout.Load().parts {
 			p.sweep(now)
 		}
