Calls wait for a draining owner instead of being refused

The next owner refused calls 5 s into a planned stop that waited for a longer stream (TestCallsWaitForADrain fails without the change to locate).

--- a/internal/owner/lifecycle_test.go
+++ b/internal/owner/lifecycle_test.go
@@ -114,6 +114,34 @@
 	})
 }
 
+// TestCallsWaitForADrain has the planned stop wait for a long stream. Calls
+// for the same partition wait with it and are not refused.
+func TestCallsWaitForADrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, standin.LogOptions{}, nil)
+		defer c.stop()
+		root := c.open("root", 5000)
+		child := c.openChildren(root.ProgramID, 1)[0]
+		owner := c.owner(root.ProgramID)
+		long := modelCall(root.ProgramID, 1, "r1")
+		long.Model, long.MaxTokens = "slow", 15
+		running := make(chan error, 1)
+		go func() {
+			_, err := owner.Call(context.Background(), long, nil)
+			running <- err
+		}()
+		time.Sleep(time.Second)
+		next := without(c.nodes, owner)[0]
+		next.members.set(owner.self.Host, 1, port.MemberLeaving)
+		go func() { _ = owner.Release(context.Background()) }()
+		time.Sleep(time.Millisecond)
+		_, err := next.Call(context.Background(), posting(child, 1, "pay"), nil)
+		c.is.NoErr(err)
+		c.is.NoErr(<-running)
+		c.is.Equal(c.runs.Of("post"), map[string]int{"pay": 1})
+	})
+}
+
 // TestPartitionsSpread has hosts that join take their share after the
 // hold-down, without a failed call.
 func TestPartitionsSpread(t *testing.T) {
--- a/internal/owner/locate.go
+++ b/internal/owner/locate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -11,37 +12,72 @@
 )
 
 // locate returns the partition of a root key, locked, once this host holds it
-// and takes new work there. It waits for a claim of this host or a release on
-// its way, and otherwise answers *port.NotOwnerError.
+// and takes new work there. It waits for a claim of this host for a bounded
+// time, for a release on its way as long as the context lasts, and otherwise
+// answers *port.NotOwnerError.
 func (s *Service) locate(ctx context.Context, rootKey string) (*part, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.p.Settings.ClaimWait)
-	defer cancel()
-	select {
-	case <-s.ready:
-	case <-ctx.Done():
-		return nil, notReady()
+	if err := s.awaitReady(ctx); err != nil {
+		return nil, err
 	}
 	l := s.layout.Load()
 	p := l.parts[partition.OfKey(rootKey, uint32(len(l.parts)))]
+	limit := time.Now().Add(s.p.Settings.ClaimWait)
 	for {
 		p.mu.Lock()
 		if p.held() && !p.releasing {
 			return p, nil
 		}
-		wake := p.wake
-		err := p.elsewhere(s.memberView())
+		wake, v := p.wake, s.memberView()
+		err := p.elsewhere(v)
+		draining := p.drains(v)
 		p.mu.Unlock()
 		if err != nil {
 			return nil, err
 		}
-		select {
-		case <-wake:
-		case <-ctx.Done():
+		if draining {
+			limit = time.Now().Add(s.p.Settings.ClaimWait)
+		}
+		if !awaitWake(ctx, wake) || !time.Now().Before(limit) {
 			return nil, s.unclaimed(p)
 		}
 	}
 }
 
+func (s *Service) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.p.Settings.ClaimWait)
+	defer cancel()
+	select {
+	case <-s.ready:
+		return nil
+	case <-ctx.Done():
+		return notReady()
+	}
+}
+
+// awaitWake waits for a change, for a moment at most, and says whether the
+// context lives on.
+func awaitWake(ctx context.Context, wake <-chan struct{}) bool {
+	moment := time.NewTimer(claimPeriod)
+	defer moment.Stop()
+	select {
+	case <-wake:
+	case <-moment.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// drains says whether the holder lets calls finish before it gives the
+// partition back, which takes as long as they do.
+func (p *part) drains(v view) bool {
+	if p.held() {
+		return p.releasing
+	}
+	m, ok := v.members[p.l.Holder.Host]
+	return ok && !p.l.Released && m.State == port.MemberLeaving && m.Incarnation == p.l.Holder.Incarnation
+}
+
 // elsewhere returns the error that names another owner, or nil if this host
 // is about to own the partition or to give it back.
 func (p *part) elsewhere(v view) error {
