--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -11,9 +11,8 @@
 func (r *running) fault(err error) error {
 	var n *port.NotOwnerError
 	if errors.As(err, &n) {
-		if r.once && r.at() != phaseWaiting {
-			return outcomeUnknown().WithRequest(r.call.RequestID).WithCause(err)
-		}
+		// The next owner knows the intent of a call that must not be
+		// repeated, and settles it for whoever sends the request again.
 		return &port.NotOwnerError{Partition: n.Partition, Owner: n.Owner, MayHaveRun: r.at() != phaseWaiting}
 	}
 	run := r.at().run()
