standin: a call that hangs for a while runs though its caller has gone

Found by taking the guard out of the owner's takeover: the posting test with a killed owner passed all the same, since the stand-in dropped the call.

--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -77,7 +77,7 @@
 			return port.ServiceResult{}, err
 		}
 	}
-	if err := s.work(crashed); err != nil {
+	if err := s.pass(s.options.Latency, crashed); err != nil {
 		return port.ServiceResult{}, err
 	}
 	if s.crashesOn(call) {
@@ -149,9 +149,9 @@
 	return len(s.options.Services) == 0
 }
 
-// work lets the service's time go by. A call whose caller hangs up goes on.
-func (s *Service) work(crashed <-chan struct{}) error {
-	timer := time.NewTimer(s.options.Latency)
+// pass lets time go by. A call whose caller hangs up goes on.
+func (s *Service) pass(d time.Duration, crashed <-chan struct{}) error {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -161,17 +161,13 @@
 	}
 }
 
-// hang waits for d, or for the caller to give up if d is zero.
+// hang waits for d, whether or not the caller stays. If d is zero it waits for
+// the caller to give up.
 func (s *Service) hang(ctx context.Context, d time.Duration, crashed <-chan struct{}) error {
-	var over <-chan time.Time
 	if d > 0 {
-		timer := time.NewTimer(d)
-		defer timer.Stop()
-		over = timer.C
+		return s.pass(d, crashed)
 	}
 	select {
-	case <-over:
-		return nil
 	case <-ctx.Done():
 		return contextError(ctx, s.Name(), 0)
 	case <-crashed:
