--- a/internal/owner/fixture_test.go
+++ b/internal/owner/fixture_test.go
@@ -44,9 +44,40 @@
 	members *members
 	scope   tally.TestScope
 	gate    *gate
+	results *results
 	dead    bool
 }
 
+// results keeps what a scheduler is told.
+type results struct {
+	port.Scheduler
+	mu  sync.Mutex
+	all []port.Result
+}
+
+func (r *results) list() []port.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.all
+}
+
+type toldGrant struct {
+	port.Grant
+	results *results
+}
+
+func (r *results) Acquire(ctx context.Context, work port.Work) (port.Grant, error) {
+	g, err := r.Scheduler.Acquire(ctx, work)
+	return toldGrant{g, r}, err
+}
+
+func (g toldGrant) Done(r port.Result) {
+	g.results.mu.Lock()
+	g.results.all = append(g.results.all, r)
+	g.results.mu.Unlock()
+	g.Grant.Done(r)
+}
+
 func newCluster(t *testing.T, nodes int, options standin.LogOptions, change func(*config.Document)) *cluster {
 	runs := standin.NewRuns()
 	engines := []*standin.Engine{
@@ -56,6 +87,7 @@
 	}
 	services := []*standin.Service{
 		standin.NewService(standin.ServiceOptions{Name: "s1", Latency: 20 * time.Millisecond, Runs: runs}),
+		standin.NewService(standin.ServiceOptions{Name: "late", Latency: 3 * time.Second, Runs: runs}),
 		standin.NewService(standin.ServiceOptions{Name: "mute", Latency: 20 * time.Millisecond, CannotSay: true, Runs: runs}),
 	}
 	if options.Latency == 0 {
@@ -91,7 +123,12 @@
 		Model:          model,
 		KVTokens:       1 << 20,
 		PerOutputToken: perToken,
-		OutputTokens:   func(c port.ModelCall) int64 { return min(c.MaxTokens, 20) },
+		OutputTokens: func(c port.ModelCall) int64 {
+			if model == "slow" {
+				return c.MaxTokens
+			}
+			return min(c.MaxTokens, 20)
+		},
 	})
 }
 
@@ -109,8 +146,9 @@
 			{Name: "slow", Model: "slow"},
 			{Name: "s1", Services: []string{"post", "read"}},
 			{Name: "mute", Services: []string{"mute"}},
+			{Name: "late", Services: []string{"late"}},
 		},
-		Services: []config.Service{{Name: "post"}, {Name: "mute"}, {Name: "read", Idempotent: true}},
+		Services: []config.Service{{Name: "post"}, {Name: "mute"}, {Name: "late"}, {Name: "read", Idempotent: true}},
 	}
 }
 
@@ -123,12 +161,13 @@
 			n.members.set(other.members.self.ID, other.members.self.Incarnation, port.MemberAlive)
 		}
 	}
+	n.results = &results{Scheduler: basic.New(c.holder)}
 	n.Service = New(Params{
 		Log:       n.gate,
 		Engine:    n.gate,
 		Service:   n.gate,
 		Members:   n.members,
-		Scheduler: basic.New(c.holder),
+		Scheduler: n.results,
 		Config:    c.holder,
 		Metrics:   n.scope,
 		Logger:    logr.Discard(),
@@ -270,6 +309,9 @@
 func (m *members) set(id string, incarnation uint64, state port.MemberState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.table[id].Incarnation > incarnation {
+		return // news of an earlier process
+	}
 	m.table[id] = port.Member{Host: port.Host{ID: id, Incarnation: incarnation}, State: state}
 	close(m.changed)
 	m.changed = make(chan struct{})
--- a/internal/owner/tool.go
+++ b/internal/owner/tool.go
@@ -65,9 +65,13 @@
 	return result, grant.Target().Name, err
 }
 
-// invoke dispatches the call once and checks whose answer came.
+// invoke dispatches the call once, within the time that the configuration
+// allows, and checks whose answer came.
 func (r *running) invoke(ctx context.Context, grant port.Grant, leaveBy time.Time) (port.ServiceResult, error) {
 	target := grant.Target()
+	given := ctx
+	ctx, cancel := bounded(ctx, r.p.s.serviceTimeout(r.call.Service, r.call.Operation))
+	defer cancel()
 	begun := time.Now()
 	result, err := r.p.s.p.Service.Invoke(ctx, target, port.ServiceCall{
 		ProgramID:  r.call.ProgramID,
@@ -83,7 +87,11 @@
 		r.p.s.count("crossed_answers")
 		err = &port.TargetError{Target: target.Name, Failure: port.FailureMismatch}
 	}
-	grant.Done(port.Result{Err: targetError(target, err), Total: time.Since(begun)})
+	grant.Done(port.Result{
+		Err:    targetError(target, err),
+		Total:  time.Since(begun),
+		Unused: err != nil && given.Err() != nil,
+	})
 	return result, err
 }
 
