--- /dev/null
+++ b/cmd/yuccausher/poison_test.go
@@ -0,0 +1,76 @@
+package main_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"yuccausher/internal/adapter/engine"
+	"yuccausher/internal/caller"
+	"yuccausher/internal/core/config"
+	"yuccausher/internal/fault"
+	"yuccausher/internal/port"
+	"yuccausher/internal/standin"
+)
+
+// crashText crashes each target that runs an input which contains it.
+const crashText = "crash here"
+
+// A request that has crashed two targets must not take a third, also when it
+// comes again under another ID, at another host, in another program.
+func TestRequestThatCrashesTargetsTakesNoThird(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	match := crashText
+	f.inject(standin.FaultRequest{Kind: standin.FaultCrashOnMatch, Match: &match})
+	for i, name := range []string{"first", "second", "third"} {
+		f.crashTargets(f.open(name, i), i)
+	}
+	is.Equal(f.crashes(), uint64(2))
+}
+
+// crashTargets makes the call that crashes targets and sends it again until it
+// is refused as poisoned.
+func (f *fleet) crashTargets(p *program, host int) {
+	f.t.Helper()
+	call := caller.Call{
+		Seq:       p.next,
+		RequestID: p.requestID(),
+		Kind:      port.KindModel,
+		Model:     standin.ModelSmall,
+		MaxTokens: answerTokens,
+		Input:     quoted(f, crashText),
+	}
+	f.until("a refusal as poisoned", func() bool {
+		_, err := f.caller.At(host).Call(f.ctx, p.id, call)
+		refusal, ok := fault.As(err)
+		if !ok || (refusal.Type != fault.TargetFailed && refusal.Type != fault.Poisoned) {
+			f.t.Fatalf("%s: %v", p.name, err)
+		}
+		f.t.Logf("%s: %v", p.name, err)
+		return refusal.Type == fault.Poisoned
+	})
+}
+
+// crashes returns how often engines have restarted.
+func (f *fleet) crashes() uint64 {
+	f.t.Helper()
+	var document config.Document
+	if !f.get(f.hosts[0].base+"/v1/config", &document) {
+		f.t.Fatal("no configuration")
+	}
+	client := engine.New()
+	defer client.Close()
+	var crashes uint64
+	for _, target := range document.Targets {
+		if target.Model == "" {
+			continue
+		}
+		f.until("engine "+target.Name+" is up", func() bool {
+			status, err := client.Status(f.ctx, port.Target{Name: target.Name, Address: target.Address})
+			crashes += max(status.Incarnation, 1) - 1
+			return err == nil
+		})
+	}
+	return crashes
+}
