Test, known red: a refusal of a request that left must not say not_run

The owner forgets a failed attempt of a model call once it has ended, so that the next one under the same request ID counts as never sent. Needs a memory of what left, in the owner and, after a takeover, from the engines' usage by request ID.

--- a/cmd/yuccausher/poison_test.go
+++ b/cmd/yuccausher/poison_test.go
@@ -33,25 +33,44 @@
 // is refused as poisoned.
 func (f *fleet) crashTargets(p *program, host int) {
 	f.t.Helper()
-	call := caller.Call{
-		Seq:       p.next,
-		RequestID: p.requestID(),
-		Kind:      port.KindModel,
-		Model:     standin.ModelSmall,
-		MaxTokens: answerTokens,
-		Input:     quoted(f, crashText),
-	}
 	f.until("a refusal as poisoned", func() bool {
-		_, err := f.caller.At(host).Call(f.ctx, p.id, call)
+		_, err := f.caller.At(host).Call(f.ctx, p.id, p.crashCall())
 		refusal, ok := fault.As(err)
 		if !ok || (refusal.Type != fault.TargetFailed && refusal.Type != fault.Poisoned) {
 			f.t.Fatalf("%s: %v", p.name, err)
 		}
-		f.t.Logf("%s: %v", p.name, err)
 		return refusal.Type == fault.Poisoned
 	})
 }
 
+// A request that was on a target may have run, also when a later attempt of
+// the same request is refused before it leaves.
+func TestRefusalOfARequestThatLeftDoesNotSayNotRun(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	match := crashText
+	f.inject(standin.FaultRequest{Kind: standin.FaultCrashOnMatch, Match: &match})
+	p := f.open(t.Name(), 0)
+	is.True(p != nil)
+	f.crashTargets(p, 0)
+	_, err := f.caller.At(1).Call(f.ctx, p.id, p.crashCall())
+	refusal, ok := fault.As(err)
+	is.True(ok)
+	is.Equal(refusal.Type, fault.Poisoned)
+	is.True(refusal.Run != fault.NotRun)
+}
+
+func (p *program) crashCall() caller.Call {
+	return caller.Call{
+		Seq:       p.next,
+		RequestID: p.requestID(),
+		Kind:      port.KindModel,
+		Model:     standin.ModelSmall,
+		MaxTokens: answerTokens,
+		Input:     quoted(p.fleet, crashText),
+	}
+}
+
 // crashes returns how often engines have restarted.
 func (f *fleet) crashes() uint64 {
 	f.t.Helper()
