--- a/internal/owner/doubt_test.go
+++ b/internal/owner/doubt_test.go
@@ -44,10 +44,15 @@
 		c.is.Equal(c.spentAtEngines(child), int64(0))
 
 		old.gate.set(func(g *gate) { g.cut = false })
+		handed := 0
 		for range 2 {
 			err := <-results
 			c.is.True(err != nil) // nothing that the old owner did counts
+			if moved, ok := err.(*port.NotOwnerError); ok && moved.MayHaveRun {
+				handed++
+			}
 		}
+		c.is.Equal(handed, 1) // the model call had left
 		time.Sleep(time.Second)
 		c.is.Equal(c.runs.Of("post"), map[string]int{"pay": 1})
 		c.sameEverywhere(v.ProgramID)
@@ -288,3 +293,34 @@
 		c.is.True(next.Usage.PromptTokens > answer.Usage.PromptTokens)
 	})
 }
+
+// TestRepeatAtAHostWithoutTheState sends a posting that has run again to hosts
+// that can't own its partition while the log is down.
+func TestRepeatAtAHostWithoutTheState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("open", 5000)
+		_, err := c.call(posting(v.ProgramID, 1, "pay"))
+		c.is.NoErr(err)
+		owner := c.owner(v.ProgramID)
+		reader := without(c.nodes, owner)[0]
+		c.is.NoErr(owner.Release(context.Background()))
+		time.Sleep(2 * time.Millisecond) // the reader sees it and claims
+		c.log.Down(time.Minute)
+		c.bury(owner)
+		late := c.add("late", 1)
+		late.members.set(owner.self.Host, 1, port.MemberDead)
+		late.members.set(reader.self.Host, 1, port.MemberDead)
+		c.is.NoErr(late.Start(context.Background()))
+		for _, n := range []*node{reader, late} {
+			_, err = n.Call(context.Background(), posting(v.ProgramID, 1, "pay"), nil)
+			if f, refused := fault.As(err); refused {
+				c.is.Equal(f.Type, fault.LogUnavailable)
+				c.is.True(f.Run != fault.NotRun)
+			}
+		}
+		_, refused := fault.As(err)
+		c.is.True(refused) // the late host knows nothing
+	})
+}
