owner: no refusal says not_run of a call that left before

Cause: a model call that had crashed two targets was refused as poisoned with not_run when it was sent again; the owner knew only the attempt at hand. Ruled out: the scheduler, which refuses before dispatch and rightly says so of its own attempt. Change: a record says that a seq has left without an outcome; a lost owner counts as one that may have dispatched the next seq of its open programs. A refusal of such a call says unknown. Calls under an intent keep their exact state. The record is not awaited any more before the caller is answered, so a failed call is answered at once while the log is down. TestRefusalAfterADispatchIsNotNotRun now counts reserved and spent at once, and spent after the record's time.

--- a/internal/core/ledger/checkpoint.go
+++ b/internal/core/ledger/checkpoint.go
@@ -21,6 +21,7 @@
 		IntentEpoch: g.IntentEpoch,
 		Holders:     slices.Clone(g.Holders),
 		Strays:      g.Strays,
+		LeftSeq:     g.LeftSeq,
 		Digest:      g.Digest,
 		Spent:       g.Spent,
 		Version:     g.Version,
@@ -79,6 +80,7 @@
 	g.IntentEpoch = c.IntentEpoch
 	g.Holders = c.Holders
 	g.Strays = c.Strays
+	g.LeftSeq = c.LeftSeq
 	g.Version = c.Version
 	return g
 }
--- a/internal/core/ledger/program.go
+++ b/internal/core/ledger/program.go
@@ -41,6 +41,9 @@
 	// says that an owner was lost that may have used further ones.
 	Holders []string
 	Strays  bool
+	// LeftSeq is the seq of the last call that left for a target, or may have,
+	// without an outcome. Calls under an intent are not among them.
+	LeftSeq int64
 	// Version counts the changes; SavedAt is when the log last got it whole.
 	Version int64
 	SavedAt time.Time
@@ -61,6 +64,10 @@
 	return g.Turns[seq-1]
 }
 
+// MayHaveLeft says whether a call of that seq may have been at a target though
+// it has no outcome.
+func (g *Program) MayHaveLeft(seq int64) bool { return seq == g.Next() && seq == g.LeftSeq }
+
 // Repeats returns how many of the latest calls had the same content.
 func (g *Program) Repeats(fingerprint []byte) int64 {
 	var n int64
--- a/internal/core/ledger/tree.go
+++ b/internal/core/ledger/tree.go
@@ -78,8 +78,9 @@
 		return
 	}
 	for _, g := range t.programs {
-		if g.State == Open && !g.Strays {
+		if g.State == Open {
 			g.Strays = true
+			g.LeftSeq = g.Next()
 			g.Version++
 		}
 	}
@@ -104,6 +105,7 @@
 	t.charge(s.Charge, s.Granted)
 	if g := t.programs[s.ProgramId]; g != nil {
 		g.Spent += s.Charge
+		g.LeftSeq = max(g.LeftSeq, s.LeftSeq)
 		g.hold(s.Holders)
 		g.Version++
 	}
--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -17,6 +17,8 @@
 	running *running
 	turn    *record.Turn
 	wake    <-chan struct{}
+	// run is what a caller that gives up waiting can be told.
+	run fault.Run
 }
 
 // admit decides what becomes of a call. The caller has the lock.
@@ -39,18 +41,43 @@
 		return admission{}, p.refuse(g.ID, seqConflict("another request has this seq"))
 	}
 	if g.State != ledger.Open {
-		return admission{}, p.refuse(g.ID, p.over(g))
+		return admission{}, p.refuseCall(g, call, p.over(g))
 	}
 	if call.Seq > g.Next() || v.running != nil || v.unsettled > 0 {
 		return p.queue(g, v, call)
 	}
 	if reason := p.s.limitReached(g, fingerprint); reason != "" {
 		p.stop(g, reason)
-		return admission{}, p.refuse(g.ID, fault.New(fault.ProgramStopped, fault.NotRun, "the program was stopped: %s", reason))
+		return admission{}, p.refuseCall(g, call, fault.New(fault.ProgramStopped, fault.NotRun, "the program was stopped: %s", reason))
 	}
 	return admission{running: p.start(g, v, call, fingerprint, deadline)}, nil
 }
 
+// refuseCall refuses a call that may have been at a target before.
+func (p *part) refuseCall(g *ledger.Program, call port.Call, f *fault.Fault) error {
+	f.Run = p.runOfIdle(g, call)
+	return p.refuse(g.ID, f)
+}
+
+// runOfIdle says what is known of a call that is not under way. The caller has
+// the lock.
+func (p *part) runOfIdle(g *ledger.Program, call port.Call) fault.Run {
+	if p.mayHaveLeft(g, call) {
+		return fault.Unknown
+	}
+	return fault.NotRun
+}
+
+// mayHaveLeft says whether an earlier attempt of a call may have been at a
+// target. A call that must not be repeated has an intent if it has left.
+func (p *part) mayHaveLeft(g *ledger.Program, call port.Call) bool {
+	if p.s.runsOnce(call) {
+		return false
+	}
+	v := p.live[g.ID]
+	return g.MayHaveLeft(call.Seq) || (v != nil && v.left == call.Seq)
+}
+
 // refuse drops what was noted for the program if nothing is under way.
 func (p *part) refuse(id string, f *fault.Fault) error {
 	if v := p.live[id]; v != nil && v.running == nil && v.unsettled == 0 && v.waiting == 0 && !v.evicting {
@@ -84,21 +111,21 @@
 		return admission{}, p.refuse(g.ID, seqConflict("the next seq is %d", g.Next()))
 	}
 	v.waiting++
-	return admission{wake: v.wake}, nil
+	return admission{wake: v.wake, run: p.runOfIdle(g, call)}, nil
 }
 
 // awaitTurn waits until the program has moved on.
-func (p *part) awaitTurn(ctx context.Context, id string, wake <-chan struct{}) error {
+func (p *part) awaitTurn(ctx context.Context, id string, a admission) error {
 	p.mu.Lock()
 	owned := p.wake
 	p.mu.Unlock()
 	var err error
 	select {
-	case <-wake:
+	case <-a.wake:
 	case <-owned:
 	case <-ctx.Done():
 		p.s.count("early_calls_timed_out")
-		err = timedOut(fault.NotRun)
+		err = timedOut(a.run)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -47,7 +47,7 @@
 		case a.turn != nil:
 			return repeat(call.ProgramID, a.turn)
 		}
-		if err := p.awaitTurn(ctx, call.ProgramID, a.wake); err != nil {
+		if err := p.awaitTurn(ctx, call.ProgramID, a); err != nil {
 			return port.Answer{}, err
 		}
 	}
@@ -118,6 +118,7 @@
 	}
 	r := newRunning(p, call, fingerprint, deadline)
 	r.once = p.s.runsOnce(call)
+	r.left = p.mayHaveLeft(g, call)
 	r.join()
 	v.running = r
 	p.begin()
--- a/internal/owner/locate.go
+++ b/internal/owner/locate.go
@@ -133,7 +133,7 @@
 	switch {
 	case g != nil && g.Turn(call.Seq) != nil:
 		return fault.Ran
-	case g != nil && g.Intent != nil:
+	case g != nil && (g.Intent != nil || p.mayHaveLeft(g, call)):
 		return fault.Unknown
 	case p.l.Epoch == 0 || p.l.Released:
 		return fault.NotRun
--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -14,9 +14,9 @@
 		if r.once && r.at() != phaseWaiting {
 			return outcomeUnknown().WithRequest(r.call.RequestID).WithCause(err)
 		}
-		return &port.NotOwnerError{Partition: n.Partition, Owner: n.Owner, MayHaveRun: r.at() != phaseWaiting}
+		return &port.NotOwnerError{Partition: n.Partition, Owner: n.Owner, MayHaveRun: r.run() != fault.NotRun}
 	}
-	run := r.at().run()
+	run := r.run()
 	if f, ok := fault.As(err); ok {
 		f = f.WithRequest(r.call.RequestID)
 		if f.Run == fault.NotRun {
--- a/internal/owner/part.go
+++ b/internal/owner/part.go
@@ -49,6 +49,9 @@
 // live is what is under way for one program.
 type live struct {
 	running *running
+	// left is the seq of a call that left for a target, while the record that
+	// says so is on its way.
+	left int64
 	// unsettled counts records that may yet show up and were given up.
 	unsettled int
 	// waiting counts calls ahead of their turn.
--- a/internal/owner/running.go
+++ b/internal/owner/running.go
@@ -50,8 +50,10 @@
 	answer port.Answer
 	err    error
 
-	// once says that the call must not be repeated.
+	// once says that the call must not be repeated. left says that an earlier
+	// attempt under the same seq may have been at a target.
 	once bool
+	left bool
 
 	mu      sync.Mutex
 	phase   phase
@@ -94,6 +96,15 @@
 	return r.phase
 }
 
+// run says what a caller that gives up now can be told.
+func (r *running) run() fault.Run {
+	run := r.at().run()
+	if run == fault.NotRun && r.left {
+		return fault.Unknown
+	}
+	return run
+}
+
 func (r *running) join() {
 	r.mu.Lock()
 	r.callers++
@@ -175,7 +186,7 @@
 			var text string
 			text, changed = r.from(sent)
 			if text != "" && sink(port.Delta{Offset: sent, Text: text}) != nil {
-				return port.Answer{}, timedOut(r.at().run())
+				return port.Answer{}, timedOut(r.run())
 			}
 			sent += int64(len(text))
 		}
@@ -184,7 +195,7 @@
 			return r.last(sink, sent)
 		case <-changed:
 		case <-ctx.Done():
-			return port.Answer{}, timedOut(r.at().run()).WithCause(ctx.Err())
+			return port.Answer{}, timedOut(r.run()).WithCause(ctx.Err())
 		}
 	}
 }
--- a/internal/owner/target_test.go
+++ b/internal/owner/target_test.go
@@ -102,10 +102,55 @@
 		c.is.True(ok)
 		c.is.Equal(f.Type, fault.BudgetExceeded)
 		c.is.Equal(f.Run, fault.Unknown)
+		at := c.view(v.ProgramID)
+		c.is.True(at.SpentTokens+at.ReservedTokens >= c.spentAtEngines(v.ProgramID))
+		time.Sleep(2 * appendTime) // the charge's record
 		c.is.True(c.view(v.ProgramID).SpentTokens >= c.spentAtEngines(v.ProgramID))
 	})
 }
 
+// TestRefusalOfAnEarlierAttemptIsNotNotRun sends a call again that left for a
+// target and failed: here, and at the next owner.
+func TestRefusalOfAnEarlierAttemptIsNotNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("open", 80)
+		owner := c.owner(v.ProgramID)
+		owner.gate.set(func(g *gate) { g.crossed = 1 })
+		for range 2 {
+			_, err := c.call(modelCall(v.ProgramID, 1, "r1"))
+			c.is.Equal(fault.Of(err).Type, fault.BudgetExceeded)
+			c.is.Equal(fault.Of(err).Run, fault.Unknown)
+		}
+		time.Sleep(time.Second)
+		c.kill(owner)
+		time.Sleep(3 * time.Second)
+		_, err := c.call(modelCall(v.ProgramID, 1, "r1"))
+		c.is.Equal(fault.Of(err).Type, fault.BudgetExceeded)
+		c.is.Equal(fault.Of(err).Run, fault.Unknown)
+		_, err = c.call(posting(v.ProgramID, 1, "pay")) // under an intent, so that more is known
+		c.is.NoErr(err)
+	})
+}
+
+// TestFailedCallIsAnsweredWhileTheLogIsDown: what a failed call cost is
+// recorded later, and its caller does not wait for that.
+func TestFailedCallIsAnsweredWhileTheLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("open", 5000)
+		c.log.Down(time.Minute)
+		c.nodes[0].gate.set(func(g *gate) { g.crossed = 100 })
+		began := time.Now()
+		_, err := c.call(modelCall(v.ProgramID, 1, "r1"))
+		c.is.Equal(fault.Of(err).Type, fault.TargetFailed)
+		c.is.Equal(fault.Of(err).Run, fault.Unknown)
+		c.is.True(time.Since(began) < 5*time.Second)
+	})
+}
+
 // TestOutputDoesNotContinue feeds pieces of a second attempt that differ from
 // what a caller was given.
 func TestOutputDoesNotContinue(t *testing.T) {
--- a/internal/owner/tool.go
+++ b/internal/owner/tool.go
@@ -8,11 +8,20 @@
 	"github.com/juju/errors"
 
 	"yuccausher/internal/fault"
+	"yuccausher/internal/gen/record"
 	"yuccausher/internal/port"
 )
 
 // runRepeatable runs a service call that may be repeated.
 func (r *running) runRepeatable() (port.Answer, error) {
+	answer, err := r.attemptRepeatable()
+	if err != nil && r.at() == phaseDispatched {
+		r.noteLeft(&record.Slice{}, func() {})
+	}
+	return answer, err
+}
+
+func (r *running) attemptRepeatable() (port.Answer, error) {
 	work, err := r.serviceWork()
 	if err != nil {
 		return port.Answer{}, err
