--- a/internal/core/admission/item.go
+++ b/internal/core/admission/item.go
@@ -16,17 +16,19 @@
 	// maxClassLevels bounds the sum of the class penalties.
 	maxClassLevels = 12
 	// newPenalty puts programs under way before new ones.
-	newPenalty = 30 * time.Second
+	newPenalty = 5 * time.Minute
 	// attainedPenalty is added per doubling of the attained tokens.
 	attainedPenalty = 500 * time.Millisecond
 	// attainedUnit is the attained service, in tokens, of the first doubling.
 	attainedUnit = 1000
+	// maxLife bounds the penalty of a new program for its expected life.
+	maxLife = 2 * time.Minute
 	// maxAttainedLevels bounds the sum of the attained-service penalties.
 	maxAttainedLevels = 16
 )
 
 // MaxPenalty is the most by which a call's due time lies after its arrival.
-const MaxPenalty = maxClassLevels*classPenalty + newPenalty + maxAttainedLevels*attainedPenalty
+const MaxPenalty = maxClassLevels*classPenalty + newPenalty + maxLife + maxAttainedLevels*attainedPenalty
 
 // Item is one waiting call.
 type Item struct {
@@ -44,6 +46,9 @@
 	Deadline time.Time
 	// Service is how long the call is expected to take at a target.
 	Service time.Duration
+	// Life is how long programs of this kind usually live. Among new programs
+	// the shorter go first.
+	Life time.Duration
 	// Value is the caller's own.
 	Value any
 
@@ -57,11 +62,13 @@
 // Arrival is the order first come, first served.
 func Arrival(i *Item) time.Time { return i.Arrived }
 
-// Due is the order of this package: arrival plus penalties. A deadline brings it forward to the latest
-// time at which the call can start and still end in time.
+// Due is the order of this package: arrival plus penalties. A deadline brings
+// a call of a program under way forward to the latest time at which it can
+// start and still end in time. The deadline of a new program says little about
+// its first call, and brings nothing forward.
 func Due(i *Item) time.Time {
-	due := i.Arrived.Add(penalty(i))
-	if i.Deadline.IsZero() {
+	due := i.Arrived.Add(Penalty(i))
+	if i.Deadline.IsZero() || !i.UnderWay {
 		return due
 	}
 	latest := i.Deadline.Add(-2 * i.Service)
@@ -71,11 +78,12 @@
 	return due
 }
 
-func penalty(i *Item) time.Duration {
+// Penalty returns by how much an item is due after its arrival.
+func Penalty(i *Item) time.Duration {
 	level := min(max(i.Class, 0), maxClassLevels)
 	p := time.Duration(level) * classPenalty
 	if !i.UnderWay {
-		p += newPenalty
+		p += newPenalty + min(i.Life, maxLife)
 	}
 	doublings := math.Log2(1 + float64(max(i.AttainedTokens, 0))/attainedUnit)
 	doublings = min(doublings, maxAttainedLevels)
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -18,6 +18,7 @@
 	rank    Rank
 	bound   int
 	size    int
+	fresh   int
 	pushed  uint64
 	virtual float64
 	firms   map[string]*firm
@@ -41,6 +42,9 @@
 // Len returns the number of waiting calls.
 func (q *Queue) Len() int { return q.size }
 
+// Fresh returns the number of waiting calls of new programs.
+func (q *Queue) Fresh() int { return q.fresh }
+
 // Push adds a call. If the queue is full, the call that is due last in the
 // firm with the most waiting calls per weight leaves instead and is returned;
 // this can be the new call itself.
@@ -54,7 +58,7 @@
 		q.backlog = append(q.backlog, f)
 	}
 	f.items.ReplaceOrInsert(i)
-	q.size++
+	q.count(i, 1)
 	if q.size <= q.bound {
 		return nil
 	}
@@ -63,6 +67,13 @@
 	return last
 }
 
+func (q *Queue) count(i *Item, n int) {
+	q.size += n
+	if !i.UnderWay {
+		q.fresh += n
+	}
+}
+
 func (q *Queue) firm(i *Item) *firm {
 	f := q.firms[i.Firm]
 	if f == nil {
@@ -108,7 +119,7 @@
 	if _, ok := f.items.Delete(i); !ok {
 		return false
 	}
-	q.size--
+	q.count(i, -1)
 	if f.items.Len() == 0 {
 		at := slices.Index(q.backlog, f)
 		q.backlog = slices.Delete(q.backlog, at, at+1)
--- a/internal/core/limit/limiter.go
+++ b/internal/core/limit/limiter.go
@@ -20,6 +20,10 @@
 	gradientFloor = 0.7
 	// busyFactor shrinks the limit after a busy answer.
 	busyFactor = 0.7
+	// queuedShare is the share of the concurrency that may wait at a target.
+	queuedShare = 0.25
+	// queuedFactor shrinks the limit after a report of more.
+	queuedFactor = 0.8
 	// cooldown is the least time between two cuts of the limit.
 	cooldown = 200 * time.Millisecond
 )
@@ -30,6 +34,8 @@
 	limit   float64
 	max     float64
 	lastCut time.Time
+	// queued says that calls waited at the target at its last report.
+	queued bool
 }
 
 // New returns a limiter that starts at this host's even share of the target's
@@ -69,12 +75,22 @@
 }
 
 func (l *Limiter) grow(running int) {
-	if float64(running) < l.limit/2 {
+	if l.queued || float64(running) < l.limit/2 {
 		return
 	}
 	l.limit = math.Min(l.max, l.limit+1/l.limit)
 }
 
+// Report takes the target's own report. While calls wait at the target the
+// limit does not grow. Waiting calls beyond a share of the
+// concurrency cut the limit; all hosts see the same report and cut alike.
+func (l *Limiter) Report(now time.Time, queued int) {
+	l.queued = queued > 0
+	if float64(queued) > queuedShare*l.max {
+		l.cut(now, queuedFactor)
+	}
+}
+
 // Busy takes an answer by which the target refused work for its load.
 func (l *Limiter) Busy(now time.Time) { l.cut(now, busyFactor) }
 
--- a/internal/core/routing/belief.go
+++ b/internal/core/routing/belief.go
@@ -14,7 +14,7 @@
 	// fullHalfLife is the half-life while it is full and evicts.
 	fullHalfLife = 2 * time.Minute
 	// fullPressure is the share of used memory that counts as full.
-	fullPressure = 0.9
+	fullPressure = 0.75
 )
 
 // Belief is what a host believes of the cache of one program. It is not safe
--- a/internal/core/routing/cost.go
+++ b/internal/core/routing/cost.go
@@ -2,6 +2,8 @@
 
 // Request is what a choice depends on, besides the targets.
 type Request struct {
+	// Program is the program's ID.
+	Program string
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens float64
 	// PrefillRate is the targets' speed in tokens a second; zero if unknown.
@@ -17,6 +19,8 @@
 	Distance func(dataCentre string) float64
 	// Suspect says that the content has crashed a target.
 	Suspect bool
+	// Fresh says that the call is the first of a new program.
+	Fresh bool
 	// Patient says that the call can still wait for a target that has its
 	// prefix and no room.
 	Patient bool
@@ -32,14 +36,14 @@
 const (
 	// batchSlowdown is the growth of the decode time from an empty to a full
 	// batch.
-	batchSlowdown = 0.5
+	batchSlowdown = 0.1
 	// suspectCost is added for a suspect target, in seconds.
 	suspectCost = 5.0
 )
 
 // Cost returns the expected cost of a call at a target, in seconds.
 func (r *Request) Cost(t *Target, cached float64) float64 {
-	cost := r.queueCost(t) + r.prefillCost(cached)
+	cost := r.queueCost(t) + r.prefillCost(t, cached)
 	if r.Distance != nil {
 		cost += r.Distance(t.DataCentre)
 	}
@@ -59,12 +63,13 @@
 	return cost
 }
 
-func (r *Request) prefillCost(cached float64) float64 {
+func (r *Request) prefillCost(t *Target, cached float64) float64 {
 	if r.PrefillRate <= 0 {
 		return 0
 	}
 	uncached := max(r.PromptTokens-cached, 0)
-	return r.CacheFactor * uncached / r.PrefillRate
+	displaced := max(t.Pressure()-fullPressure, 0) / (1 - fullPressure)
+	return r.CacheFactor * (1 + displaced) * uncached / r.PrefillRate
 }
 
 // slotWait is the expected time until a full target has room for this host.
--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -3,7 +3,7 @@
 import "math/rand/v2"
 
 // choices is how many random targets a decision looks at.
-const choices = 3
+const choices = 4
 
 // Choice is the outcome of a decision.
 type Choice struct {
@@ -81,7 +81,7 @@
 }
 
 func (c *choice) offer(r *Request, t *Target, cached float64) {
-	if !t.open(r.Suspect) {
+	if !t.open(r.Suspect) || r.Fresh && !t.takesNew() {
 		return
 	}
 	cost := r.Cost(t, cached)
--- a/internal/core/routing/speeds.go
+++ b/internal/core/routing/speeds.go
@@ -12,14 +12,16 @@
 	minSample = 200
 	// Rates rise fast and fall slowly, since queueing hides the true one.
 	riseGain = 0.3
-	fallGain = 0.02
+	fallGain = 0.0002
 	meanGain = 0.05
+	baseGain = 0.0002
 )
 
 // Speeds learns how fast a group of targets is. It is not safe for concurrent
 // use. The zero value is ready.
 type Speeds struct {
 	prefill float64
+	base    float64
 	service float64
 	decode  float64
 }
@@ -29,12 +31,14 @@
 	if total <= 0 {
 		return
 	}
+	s.observeBase(first)
 	s.service = mean(s.service, total.Seconds())
 	s.decode = mean(s.decode, max(total-first, 0).Seconds())
 	if uncached < minSample || first <= 0 {
 		return
 	}
-	sample := float64(uncached) / first.Seconds()
+	seconds := max(first.Seconds()-s.base, first.Seconds()/2)
+	sample := float64(uncached) / seconds
 	switch {
 	case s.prefill == 0:
 		s.prefill = sample
@@ -45,6 +49,16 @@
 	}
 }
 
+// observeBase follows the least first-token time, which any call needs.
+func (s *Speeds) observeBase(first time.Duration) {
+	seconds := first.Seconds()
+	if s.base == 0 || seconds < s.base {
+		s.base = seconds
+		return
+	}
+	s.base += baseGain * (seconds - s.base)
+}
+
 func mean(old, sample float64) float64 {
 	if old == 0 {
 		return sample
@@ -73,5 +87,6 @@
 
 // FirstToken returns the time that an idle target takes to the first token.
 func (s *Speeds) FirstToken(uncached int64) time.Duration {
-	return time.Duration(float64(uncached) / s.PrefillRate() * float64(time.Second))
+	seconds := s.base + float64(uncached)/s.PrefillRate()
+	return time.Duration(seconds * float64(time.Second))
 }
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -55,6 +55,7 @@
 	limit       atomic.Int32
 	suspects    atomic.Int32
 	state       atomic.Int32
+	reported    atomic.Int32
 	others      atomic.Uint64
 	accuracy    atomic.Uint64
 	pressure    atomic.Uint64
@@ -105,6 +106,24 @@
 	return math.Float64frombits(t.others.Load()) + float64(t.running.Load())
 }
 
+const (
+	// thrashPressure and thrashAccuracy bound the memory in use and the share
+	// of found tokens between which a target takes new programs.
+	thrashPressure = 0.75
+	thrashAccuracy = 0.97
+)
+
+// takesNew says whether a new program may begin at the target: it has an idle
+// slot, and its memory does not thrash, which is when it is full and evicts
+// what is still needed. What has begun comes first.
+func (t *Target) takesNew() bool {
+	thrashes := t.Pressure() > thrashPressure && t.Accuracy() < thrashAccuracy
+	return !thrashes && t.Load()+1 <= float64(t.concurrency.Load())
+}
+
+// Reported returns the load as the target last reported it.
+func (t *Target) Reported() int { return int(t.reported.Load()) }
+
 // open says whether the target may get a call now.
 func (t *Target) open(suspect bool) bool {
 	if t.State() >= Leaving || t.running.Load() >= t.limit.Load() {
@@ -156,6 +175,7 @@
 func (t *Target) Observe(r Report) (restarted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reported.Store(int32(r.Load))
 	own := int(t.running.Load()) - t.changes.since(r.ObservedAt)
 	others := math.Max(0, float64(r.Load-own))
 	old := math.Float64frombits(t.others.Load())
--- a/internal/sched/acquire.go
+++ b/internal/sched/acquire.go
@@ -12,10 +12,10 @@
 
 // maxPatience bounds how long a call waits for a target that has its prefix
 // while others have room.
-const maxPatience = 2 * time.Second
+const maxPatience = 5 * time.Second
 
-// hopeless is the share of the mean service time that a call needs at least;
-// with less time left it is refused.
+// hopeless is the share of the mean time of its kind that a call or a program
+// needs at least; with less time left it is refused.
 const hopeless = 0.5
 
 // waiter is a call in Acquire.
@@ -23,6 +23,7 @@
 	work        port.Work
 	item        *admission.Item
 	cacheFactor float64
+	// patientTill is set when the call is first held for its prefix.
 	patientTill time.Time
 	// ready is closed once grant or refusal is set.
 	ready   chan struct{}
@@ -53,6 +54,7 @@
 		return nil, fault.New(fault.NoTarget, fault.NotRun, "the configuration has no %s %s", work.Kind, work.Name)
 	}
 	s.pauses.resume(work, time.Now())
+	s.lives.begin(work, time.Now())
 	w := s.newWaiter(work, snapshot)
 	if refusal := p.enter(w, time.Now()); refusal != nil {
 		return nil, refusal
@@ -77,6 +79,7 @@
 	if c := snapshot.Class(work.Class); c != nil {
 		i.Class = c.Priority
 	}
+	i.Life = s.lives.usual(work.Agent)
 	w := &waiter{work: work, item: i, ready: make(chan struct{})}
 	w.cacheFactor = cacheFactor(snapshot.Agent(work.Agent))
 	i.Value = w
@@ -101,14 +104,13 @@
 	}
 	i := w.item
 	i.Service = time.Duration(p.speeds.Service() * float64(time.Second))
-	wait := p.expectedWait(i)
-	if !i.Deadline.IsZero() && now.Add(wait+p.leastService()).After(i.Deadline) {
+	wait := p.expectedWait(i, now)
+	if !i.Deadline.IsZero() && now.Add(wait+p.leastTime(w)).After(i.Deadline) {
 		return p.refusal(fault.DeadlineUnmeetable, wait, "expected wait of %v is past the deadline", wait)
 	}
 	if !i.UnderWay && wait > maxNewWait {
 		return p.refusal(fault.Overloaded, wait, "expected wait of %v is too long for a new program", wait)
 	}
-	w.patientTill = now.Add(p.patience(w))
 	if displaced := p.queue.Push(i); displaced != nil {
 		out := displaced.Value.(*waiter)
 		out.refusal = p.refusal(fault.Overloaded, wait, "the queue is full")
@@ -118,6 +120,16 @@
 	return nil
 }
 
+// leastTime is the least time that a call, and for a new program the program,
+// is taken to need.
+func (p *pool) leastTime(w *waiter) time.Duration {
+	if w.item.UnderWay {
+		return p.leastService()
+	}
+	usual := p.s.lives.usual(w.work.Agent)
+	return max(p.leastService(), time.Duration(hopeless*float64(usual)))
+}
+
 // leastService is the least time that a call is taken to need at a target.
 func (p *pool) leastService() time.Duration {
 	return time.Duration(hopeless * p.speeds.Service() * float64(time.Second))
@@ -142,25 +154,19 @@
 		return w.grant, w.refusal
 	default:
 	}
-	patience := time.NewTimer(time.Until(w.patientTill))
-	defer patience.Stop()
 	var late <-chan time.Time
 	if d := w.item.Deadline; !d.IsZero() {
 		timer := time.NewTimer(time.Until(d) - p.leastServiceLocked())
 		defer timer.Stop()
 		late = timer.C
 	}
-	for {
-		select {
-		case <-w.ready:
-			return w.grant, w.refusal
-		case <-patience.C:
-			p.wake(time.Now())
-		case <-late:
-			return p.leave(w, fault.DeadlineUnmeetable, "the deadline can no longer be met")
-		case <-ctx.Done():
-			return p.leave(w, fault.Timeout, "the call ended while it waited for a target")
-		}
+	select {
+	case <-w.ready:
+		return w.grant, w.refusal
+	case <-late:
+		return p.leave(w, fault.DeadlineUnmeetable, "the deadline can no longer be met")
+	case <-ctx.Done():
+		return p.leave(w, fault.Timeout, "the call ended while it waited for a target")
 	}
 }
 
@@ -176,7 +182,7 @@
 	p.mu.Lock()
 	if p.queue.Remove(w.item) {
 		defer p.mu.Unlock()
-		wait := p.expectedWait(w.item)
+		wait := p.expectedWait(w.item, time.Now())
 		return nil, p.refusal(t, wait, "%s", message)
 	}
 	p.mu.Unlock()
--- /dev/null
+++ b/internal/sched/experiment/shapes.go
@@ -0,0 +1,197 @@
+// Package experiment loads the real schedulers of several hosts over stand-in
+// engines with the users' kinds of programs, in virtual time, and measures
+// what becomes of the programs. It has to run inside a testing/synctest
+// bubble.
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// The firms of the experiments.
+const (
+	firmLedger = "pettengill"
+	firmRounds = "brunner"
+)
+
+// The speeds of the stand-in engines.
+const (
+	prefillPerToken = 100 * time.Microsecond
+	perOutputToken  = 20 * time.Millisecond
+)
+
+// turn is one model call of a program and what follows it: a tool call, and
+// then sub-agents side by side.
+type turn struct {
+	input    int64
+	output   int64
+	tool     time.Duration
+	children []*program
+}
+
+// program is one program with its whole shape, which the schedulers never see.
+type program struct {
+	id       string
+	root     string
+	firm     string
+	agent    string
+	turns    []turn
+	poisoned bool
+	// allowed is the time until the deadline.
+	allowed time.Duration
+}
+
+// serviceTime is the engine time of the program and its sub-agents if every
+// prefix is cached.
+func (p *program) serviceTime() time.Duration {
+	var sum time.Duration
+	for _, t := range p.turns {
+		sum += t.serviceTime()
+		for _, c := range t.children {
+			sum += c.serviceTime()
+		}
+	}
+	return sum
+}
+
+func (t *turn) serviceTime() time.Duration {
+	return time.Duration(t.input)*prefillPerToken + time.Duration(t.output)*perOutputToken
+}
+
+// ideal is the latency without any wait.
+func (p *program) ideal() time.Duration {
+	var sum time.Duration
+	for _, t := range p.turns {
+		sum += t.serviceTime() + t.tool
+		var longest time.Duration
+		for _, c := range t.children {
+			longest = max(longest, c.ideal())
+		}
+		sum += longest
+	}
+	return sum
+}
+
+// generator draws programs.
+type generator struct {
+	r     *rand.Rand
+	name  string
+	count int
+}
+
+func newGenerator(name string, seed uint64) *generator {
+	return &generator{r: rand.New(rand.NewPCG(seed, 7)), name: name}
+}
+
+func (g *generator) between(low, high int64) int64 { return low + g.r.Int64N(high-low+1) }
+
+// pause draws a heavy-tailed tool time: Pareto with shape 1.5, cut at 30 s.
+func (g *generator) pause(least time.Duration) time.Duration {
+	const shape, longest = 1.5, 30 * time.Second
+	d := float64(least) / math.Pow(1-g.r.Float64(), 1/shape)
+	return min(time.Duration(d), longest)
+}
+
+func (g *generator) newProgram(firm, agent string) *program {
+	g.count++
+	id := fmt.Sprintf("%s%d", g.name, g.count)
+	return &program{id: id, root: id, firm: firm, agent: agent}
+}
+
+// mixed draws from both firms' programs.
+func (g *generator) mixed() *program {
+	x := g.r.Float64()
+	switch {
+	case x < 0.6:
+		return g.inquiry()
+	case x < 0.7:
+		return g.audit()
+	}
+	return g.reshuffle()
+}
+
+// ledger draws the programs of Pettengill & Crane alone.
+func (g *generator) ledger() *program {
+	if g.r.Float64() < 0.85 {
+		return g.inquiry()
+	}
+	return g.audit()
+}
+
+func (g *generator) inquiry() *program {
+	p := g.newProgram(firmLedger, "inquiry")
+	p.add(g.between(800, 1500), g.between(40, 120), g.pause(300*time.Millisecond))
+	for range g.between(2, 5) {
+		p.add(g.between(100, 300), g.between(40, 120), g.pause(300*time.Millisecond))
+	}
+	return p.finished()
+}
+
+func (g *generator) audit() *program {
+	p := g.newProgram(firmLedger, "audit")
+	p.add(g.between(6000, 12000), g.between(80, 200), g.pause(500*time.Millisecond))
+	for n := range g.between(14, 29) {
+		p.add(g.between(500, 1500), g.between(80, 200), g.pause(500*time.Millisecond))
+		if n%5 == 4 {
+			p.branch(g.between(3, 12), 2, func() (int64, int64, time.Duration) {
+				return g.between(300, 700), g.between(20, 60), g.pause(200 * time.Millisecond)
+			})
+		}
+	}
+	return p.finished()
+}
+
+func (g *generator) reshuffle() *program {
+	p := g.newProgram(firmRounds, "reshuffle")
+	p.add(g.between(1500, 2500), g.between(60, 150), g.pause(300*time.Millisecond))
+	p.add(g.between(200, 500), g.between(40, 100), g.pause(300*time.Millisecond))
+	p.branch(g.between(2, 6), 2, func() (int64, int64, time.Duration) {
+		return g.between(400, 800), g.between(40, 80), g.pause(200 * time.Millisecond)
+	})
+	p.add(g.between(200, 500), g.between(40, 100), g.pause(300*time.Millisecond))
+	p.add(g.between(200, 500), g.between(40, 100), 0)
+	return p.finished()
+}
+
+// loop draws a program that repeats itself until its agent's limit of turns.
+func (g *generator) loop() *program {
+	p := g.newProgram(firmLedger, "inquiry")
+	for range loopTurns {
+		p.add(200, 40, 100*time.Millisecond)
+	}
+	return p.finished()
+}
+
+// loopTurns is the agent's limit of turns, at which its owner stops a loop.
+const loopTurns = 40
+
+func (p *program) add(input, output int64, tool time.Duration) {
+	p.turns = append(p.turns, turn{input: input, output: output, tool: tool})
+}
+
+// branch gives the last turn sub-agents.
+func (p *program) branch(count int64, turns int, draw func() (int64, int64, time.Duration)) {
+	last := &p.turns[len(p.turns)-1]
+	for range count {
+		id := fmt.Sprintf("%s.%d-%d", p.id, len(p.turns), len(last.children))
+		c := &program{id: id, root: p.root, firm: p.firm, agent: p.agent}
+		for range turns {
+			c.add(draw())
+		}
+		last.children = append(last.children, c)
+	}
+}
+
+func (p *program) finished() *program {
+	p.allowed = deadlineFactor*p.ideal() + deadlineSlack
+	return p
+}
+
+// The time allowed for a program, from its ideal latency.
+const (
+	deadlineFactor = 4
+	deadlineSlack  = 20 * time.Second
+)
--- a/internal/sched/follow.go
+++ b/internal/sched/follow.go
@@ -157,8 +157,9 @@
 	if restarted {
 		t.limiter.Reset(s.hosts())
 		t.lastEvent = 0
-		s.publishLimit(t)
 	}
+	t.limiter.Report(now, status.Queued)
+	s.publishLimit(t)
 	t.health.Reported(status.Leaving)
 	changed := s.publishState(t, now)
 	t.mu.Unlock()
--- a/internal/sched/params.go
+++ b/internal/sched/params.go
@@ -56,7 +56,7 @@
 	queueBound = 1024
 	// maxNewWait is the longest expected wait with which a new program is
 	// still admitted.
-	maxNewWait = 20 * time.Second
+	maxNewWait = 10 * time.Second
 	// minRetryAfter and maxRetryAfter bound the advice to come back.
 	minRetryAfter = 250 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -13,7 +13,7 @@
 
 // scanPerFirm is how many of a firm's calls are tried when the first ones
 // wait for a particular target.
-const scanPerFirm = 8
+const scanPerFirm = 16
 
 // pool is the group of targets of one model or service, with the calls that
 // wait for them.
@@ -23,6 +23,7 @@
 
 	mu      sync.Mutex
 	queue   *admission.Queue
+	entries admission.Entries
 	policy  routing.Policy
 	speeds  routing.Speeds
 	budget  *retry.Budget
@@ -115,13 +116,17 @@
 }
 
 // expectedWait returns how long a call is expected to wait for a target.
-func (p *pool) expectedWait(i *admission.Item) time.Duration {
+func (p *pool) expectedWait(i *admission.Item, now time.Time) time.Duration {
 	if p.queue.Len() == 0 {
 		return 0
 	}
+	entry := time.Duration(0)
+	if !i.UnderWay {
+		entry = p.entries.Wait(now, min(p.queue.Ahead(i), p.queue.Fresh()))
+	}
 	slots := max(p.slots(), 1)
 	seconds := p.speeds.Service() * float64(p.queue.Ahead(i)+1) / float64(slots)
-	return time.Duration(seconds * float64(time.Second))
+	return max(entry, time.Duration(seconds*float64(time.Second)))
 }
 
 // dispatch grants waiting calls their targets while there is room.
@@ -147,14 +152,17 @@
 	if settled == nil {
 		return false
 	}
-	p.settle(settled)
+	p.settle(settled, now)
 	return true
 }
 
 // settle takes a call that has its grant or refusal out of the queue.
-func (p *pool) settle(w *waiter) {
+func (p *pool) settle(w *waiter, now time.Time) {
 	if w.grant != nil {
 		p.queue.Take(w.item)
+		if !w.item.UnderWay {
+			p.entries.Served(now, p.queue.Fresh())
+		}
 		p.s.metrics.granted.Inc(1)
 	} else {
 		p.queue.Remove(w.item)
@@ -173,9 +181,10 @@
 	suspect := verdict == poison.Suspect
 	c := p.decide(w, now, suspect)
 	if c.Target == nil {
-		return !suspect
+		return !suspect && w.item.UnderWay
 	}
 	if c.Hold {
+		p.hold(w, now)
 		p.s.metrics.held.Inc(1)
 		return false
 	}
@@ -190,6 +199,17 @@
 	return false
 }
 
+// hold lets a call wait for a target that has its prefix, for as long as it
+// would take to build the prefix again.
+func (p *pool) hold(w *waiter, now time.Time) {
+	if !w.patientTill.IsZero() {
+		return
+	}
+	patience := p.patience(w)
+	w.patientTill = now.Add(patience)
+	time.AfterFunc(patience, func() { p.wake(time.Now()) })
+}
+
 // decide chooses a target for one call.
 func (p *pool) decide(w *waiter, now time.Time, suspect bool) routing.Choice {
 	p.holders = p.s.beliefs.holders(w.work, p, now, p.holders[:0])
@@ -199,13 +219,15 @@
 
 func (p *pool) newRequest(w *waiter, now time.Time, suspect bool) routing.Request {
 	r := routing.Request{
+		Program:      w.work.ProgramID,
 		PromptTokens: float64(w.work.PromptTokens),
 		Service:      p.speeds.Service(),
 		Decode:       p.speeds.Decode(),
 		CacheFactor:  w.cacheFactor,
 		Distance:     p.s.dists.to,
 		Suspect:      suspect,
-		Patient:      now.Before(w.patientTill),
+		Fresh:        !w.item.UnderWay,
+		Patient:      w.patientTill.IsZero() || now.Before(w.patientTill),
 	}
 	if p.isModel() {
 		r.PrefillRate = p.speeds.PrefillRate()
--- a/internal/sched/retain.go
+++ b/internal/sched/retain.go
@@ -25,6 +25,7 @@
 func (s *Scheduler) Gone(programID string, _ []string) {
 	s.pauses.forget(programID)
 	s.beliefs.forget(programID)
+	s.lives.end(programID, time.Now())
 }
 
 // retain decides for each pausing program whether its targets keep its cache.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -23,6 +23,7 @@
 	poison  *quarantine
 	beliefs *beliefs
 	pauses  *pauses
+	lives   *lives
 	dists   *distances
 
 	// table is replaced whole; reads are lock-free.
@@ -54,6 +55,7 @@
 	s.poison = newQuarantine(p.OnQuarantine, p.OnCrash)
 	s.beliefs = newBeliefs()
 	s.pauses = newPauses()
+	s.lives = newLives()
 	s.dists = newDistances(p.Self.DataCentre)
 	s.table.Store(emptyTable())
 	return s
