--- a/internal/core/admission/item.go
+++ b/internal/core/admission/item.go
@@ -39,6 +39,9 @@
 	Class int
 	// UnderWay says that the program has had a call served.
 	UnderWay bool
+	// Entitled says that the firm uses less than its share. Its new programs
+	// need not wait for programs under way.
+	Entitled bool
 	// AttainedTokens is what the program has been served so far.
 	AttainedTokens int64
 	Arrived        time.Time
@@ -56,6 +59,9 @@
 	order uint64
 }
 
+// IsFresh says whether the call has to wait for programs under way.
+func (i *Item) IsFresh() bool { return !i.UnderWay && !i.Entitled }
+
 // Rank computes when an item is due. It is asked once, when the item comes.
 type Rank func(*Item) time.Time
 
@@ -68,7 +74,7 @@
 // its first call, and brings nothing forward.
 func Due(i *Item) time.Time {
 	due := i.Arrived.Add(Penalty(i))
-	if i.Deadline.IsZero() || !i.UnderWay {
+	if i.Deadline.IsZero() || i.IsFresh() {
 		return due
 	}
 	latest := i.Deadline.Add(-2 * i.Service)
@@ -82,7 +88,7 @@
 func Penalty(i *Item) time.Duration {
 	level := min(max(i.Class, 0), maxClassLevels)
 	p := time.Duration(level) * classPenalty
-	if !i.UnderWay {
+	if i.IsFresh() {
 		p += newPenalty + min(i.Life, maxLife)
 	}
 	doublings := math.Log2(1 + float64(max(i.AttainedTokens, 0))/attainedUnit)
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -42,7 +42,7 @@
 // Len returns the number of waiting calls.
 func (q *Queue) Len() int { return q.size }
 
-// Fresh returns the number of waiting calls of new programs.
+// Fresh returns the number of waiting calls that IsFresh.
 func (q *Queue) Fresh() int { return q.fresh }
 
 // Push adds a call. If the queue is full, the call that is due last in the
@@ -69,7 +69,7 @@
 
 func (q *Queue) count(i *Item, n int) {
 	q.size += n
-	if !i.UnderWay {
+	if i.IsFresh() {
 		q.fresh += n
 	}
 }
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -77,6 +77,9 @@
 // SetConcurrency sets how many calls the target takes at once.
 func (t *Target) SetConcurrency(n int) { t.concurrency.Store(int32(max(n, 1))) }
 
+// Concurrency returns how many calls the target takes at once.
+func (t *Target) Concurrency() int { return int(t.concurrency.Load()) }
+
 // SetLimit sets how many calls this host may have at the target.
 func (t *Target) SetLimit(n int) { t.limit.Store(int32(max(n, 1))) }
 
@@ -111,14 +114,20 @@
 	// of found tokens between which a target takes new programs.
 	thrashPressure = 0.75
 	thrashAccuracy = 0.97
+	// queueShare is the load, as a multiple of the concurrency, up to which a
+	// target with free memory takes new programs.
+	queueShare = 1.25
 )
 
 // takesNew says whether a new program may begin at the target: it has an idle
 // slot, and its memory does not thrash, which is when it is full and evicts
 // what is still needed. What has begun comes first.
 func (t *Target) takesNew() bool {
-	thrashes := t.Pressure() > thrashPressure && t.Accuracy() < thrashAccuracy
-	return !thrashes && t.Load()+1 <= float64(t.concurrency.Load())
+	slots := float64(t.concurrency.Load())
+	if t.Pressure() > thrashPressure {
+		return t.Accuracy() >= thrashAccuracy && t.Load()+1 <= slots
+	}
+	return t.Load()+1 <= queueShare*slots
 }
 
 // Reported returns the load as the target last reported it.
--- a/internal/sched/acquire.go
+++ b/internal/sched/acquire.go
@@ -103,12 +103,13 @@
 		return p.refusal(fault.NoTarget, time.Second, "no target of %s %s is in service", p.key.kind, p.key.name)
 	}
 	i := w.item
+	i.Entitled = p.entitled(i, now)
 	i.Service = time.Duration(p.speeds.Service() * float64(time.Second))
 	wait := p.expectedWait(i, now)
 	if !i.Deadline.IsZero() && now.Add(wait+p.leastTime(w)).After(i.Deadline) {
 		return p.refusal(fault.DeadlineUnmeetable, wait, "expected wait of %v is past the deadline", wait)
 	}
-	if !i.UnderWay && wait > maxNewWait {
+	if i.IsFresh() && wait > maxNewWait {
 		return p.refusal(fault.Overloaded, wait, "expected wait of %v is too long for a new program", wait)
 	}
 	if displaced := p.queue.Push(i); displaced != nil {
@@ -123,7 +124,7 @@
 // leastTime is the least time that a call, and for a new program the program,
 // is taken to need.
 func (p *pool) leastTime(w *waiter) time.Duration {
-	if w.item.UnderWay {
+	if !w.item.IsFresh() {
 		return p.leastService()
 	}
 	usual := p.s.lives.usual(w.work.Agent)
--- a/internal/sched/experiment/run.go
+++ b/internal/sched/experiment/run.go
@@ -72,6 +72,11 @@
 			return c
 		}
 	}
+	if name == "g0" {
+		c := CaseNamed("g")
+		c.Alone = true
+		return c
+	}
 	return Case{}
 }
 
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -26,6 +26,7 @@
 	// running is the own load at the target when the call was granted.
 	running int
 	service time.Duration
+	weight  int
 	over    atomic.Bool
 }
 
@@ -42,6 +43,7 @@
 		at:       now,
 		running:  c.Target.Running(),
 		service:  w.item.Service,
+		weight:   w.item.Weight,
 	}
 	if p.isModel() {
 		p.s.beliefs.set(w.work.ProgramID, c.Target, w.work.PromptTokens, now)
@@ -52,6 +54,10 @@
 // priorityUnit is one step of the priority inside an engine.
 const priorityUnit = 100 * time.Millisecond
 
+// overShare is by how much calls of firms beyond their share go later inside
+// an engine.
+const overShare = 10 * time.Second
+
 // priority orders calls inside an engine by the time of the grant and the
 // penalties of admission, so that calls of all hosts stand in one order and
 // age at the same rate.
@@ -60,6 +66,10 @@
 		return 0
 	}
 	due := now.Add(admission.Penalty(w.item))
+	w.item.Entitled = p.entitled(w.item, now)
+	if !w.item.Entitled {
+		due = due.Add(overShare)
+	}
 	return int(due.UnixMilli() / priorityUnit.Milliseconds())
 }
 
@@ -186,6 +196,7 @@
 		uncached := r.Usage.PromptTokens - r.Usage.CachedTokens
 		p.speeds.Observe(uncached, r.FirstToken, r.Total)
 		p.queue.Charge(g.work.Firm, r.Total-g.service)
+		p.shares.Add(now, g.work.Firm, g.weight, r.Total-r.FirstToken+p.speeds.FirstToken(uncached))
 	}
 	p.dispatch(now)
 }
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	queue   *admission.Queue
 	entries admission.Entries
+	shares  *admission.Shares
 	policy  routing.Policy
 	speeds  routing.Speeds
 	budget  *retry.Budget
@@ -37,7 +38,7 @@
 }
 
 func newPool(s *Scheduler, key poolKey) *pool {
-	p := &pool{s: s, key: key, budget: retry.NewBudget()}
+	p := &pool{s: s, key: key, budget: retry.NewBudget(), shares: admission.NewShares()}
 	rank := admission.Due
 	if s.params.Variant.FirstCome {
 		rank = admission.Arrival
@@ -106,6 +107,17 @@
 	p.subset = routing.Subset(p.s.params.Self.ID, routes)
 }
 
+// entitled says whether the call's firm uses less than its share of the
+// targets' concurrency, of which this host counts its even part.
+func (p *pool) entitled(i *admission.Item, now time.Time) bool {
+	slots := 0
+	for _, t := range p.subset {
+		slots += t.Concurrency()
+	}
+	part := float64(slots) / float64(p.s.hosts())
+	return p.shares.Entitled(now, i.Firm, i.Weight, part)
+}
+
 // slots returns how many calls this host may have at its targets.
 func (p *pool) slots() int {
 	n := 0
@@ -121,7 +133,7 @@
 		return 0
 	}
 	entry := time.Duration(0)
-	if !i.UnderWay {
+	if i.IsFresh() {
 		entry = p.entries.Wait(now, min(p.queue.Ahead(i), p.queue.Fresh()))
 	}
 	slots := max(p.slots(), 1)
@@ -160,7 +172,7 @@
 func (p *pool) settle(w *waiter, now time.Time) {
 	if w.grant != nil {
 		p.queue.Take(w.item)
-		if !w.item.UnderWay {
+		if w.item.IsFresh() {
 			p.entries.Served(now, p.queue.Fresh())
 		}
 		p.s.metrics.granted.Inc(1)
@@ -181,7 +193,7 @@
 	suspect := verdict == poison.Suspect
 	c := p.decide(w, now, suspect)
 	if c.Target == nil {
-		return !suspect && w.item.UnderWay
+		return !suspect && !w.item.IsFresh()
 	}
 	if c.Hold {
 		p.hold(w, now)
@@ -226,7 +238,7 @@
 		CacheFactor:  w.cacheFactor,
 		Distance:     p.s.dists.to,
 		Suspect:      suspect,
-		Fresh:        !w.item.UnderWay,
+		Fresh:        w.item.IsFresh(),
 		Patient:      w.patientTill.IsZero() || now.Before(w.patientTill),
 	}
 	if p.isModel() {
