--- a/internal/core/routing/cost.go
+++ b/internal/core/routing/cost.go
@@ -19,6 +19,8 @@
 	Distance func(dataCentre string) float64
 	// Suspect says that the content has crashed a target.
 	Suspect bool
+	// Found is the share of believed cached tokens that targets find.
+	Found float64
 	// Fresh says that the call is the first of a new program.
 	Fresh bool
 	// Patient says that the call can still wait for a target that has its
--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -81,7 +81,7 @@
 }
 
 func (c *choice) offer(r *Request, t *Target, cached float64) {
-	if !t.open(r.Suspect) || r.Fresh && !t.takesNew() {
+	if !t.open(r.Suspect) || r.Fresh && !t.takesNew(r.Found) {
 		return
 	}
 	cost := r.Cost(t, cached)
--- a/internal/core/routing/speeds.go
+++ b/internal/core/routing/speeds.go
@@ -24,6 +24,7 @@
 	base    float64
 	service float64
 	decode  float64
+	missed  float64
 }
 
 // Observe takes the times and counts of one whole answer.
@@ -49,6 +50,21 @@
 	}
 }
 
+// foundGain is the weight of one answer in the share of found tokens.
+const foundGain = 0.05
+
+// ObserveCache takes the believed and the reported cached tokens of an answer.
+func (s *Speeds) ObserveCache(believed, reported float64) {
+	if believed < 1 {
+		return
+	}
+	missed := 1 - min(reported/believed, 1)
+	s.missed += foundGain * (missed - s.missed)
+}
+
+// Found returns the share of believed tokens that targets found of late.
+func (s *Speeds) Found() float64 { return 1 - s.missed }
+
 // observeBase follows the least first-token time, which any call needs.
 func (s *Speeds) observeBase(first time.Duration) {
 	seconds := first.Seconds()
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -110,22 +110,24 @@
 }
 
 const (
-	// thrashPressure and thrashAccuracy bound the memory in use and the share
-	// of found tokens between which a target takes new programs.
+	// thrashPressure and thrashFound bound the memory in use and the share of
+	// believed tokens that targets find, between which a target takes new
+	// programs.
 	thrashPressure = 0.75
-	thrashAccuracy = 0.97
+	thrashFound    = 0.97
 	// queueShare is the load, as a multiple of the concurrency, up to which a
 	// target with free memory takes new programs.
 	queueShare = 1.25
 )
 
 // takesNew says whether a new program may begin at the target: it has an idle
-// slot, and its memory does not thrash, which is when it is full and evicts
-// what is still needed. What has begun comes first.
-func (t *Target) takesNew() bool {
+// slot, or little queue and free memory. found is the share of believed tokens
+// that the targets of the group found of late; while memory is full and it is
+// low, targets evict what is still needed and take nothing new.
+func (t *Target) takesNew(found float64) bool {
 	slots := float64(t.concurrency.Load())
 	if t.Pressure() > thrashPressure {
-		return t.Accuracy() >= thrashAccuracy && t.Load()+1 <= slots
+		return found >= thrashFound && t.Load()+1 <= slots
 	}
 	return t.Load()+1 <= queueShare*slots
 }
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -194,6 +194,7 @@
 	p.budget.Attempt()
 	if r.Err == nil {
 		uncached := r.Usage.PromptTokens - r.Usage.CachedTokens
+		p.speeds.ObserveCache(g.believed, float64(r.Usage.CachedTokens))
 		p.speeds.Observe(uncached, r.FirstToken, r.Total)
 		p.queue.Charge(g.work.Firm, r.Total-g.service)
 		p.shares.Add(now, g.work.Firm, g.weight, r.Total-r.FirstToken+p.speeds.FirstToken(uncached))
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -238,6 +238,7 @@
 		CacheFactor:  w.cacheFactor,
 		Distance:     p.s.dists.to,
 		Suspect:      suspect,
+		Found:        p.speeds.Found(),
 		Fresh:        w.item.IsFresh(),
 		Patient:      w.patientTill.IsZero() || now.Before(w.patientTill),
 	}
