--- a/internal/core/routing/cost.go
+++ b/internal/core/routing/cost.go
@@ -17,8 +17,8 @@
 	CacheFactor float64
 	// Distance returns the network time to a data centre, in seconds.
 	Distance func(dataCentre string) float64
-	// Suspect says that the content has crashed a target.
-	Suspect bool
+	// Slot is what kind of slot the call takes.
+	Slot Slot
 	// Found is the share of believed cached tokens that targets find.
 	Found float64
 	// Fresh says that the call is the first of a new program.
--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -81,7 +81,7 @@
 }
 
 func (c *choice) offer(r *Request, t *Target, cached float64) {
-	if !t.open(r.Suspect) || r.Fresh && !t.takesNew(r.Found) {
+	if !t.open(r.Slot) || r.Fresh && !t.takesNew(r.Found) {
 		return
 	}
 	cost := r.Cost(t, cached)
@@ -97,7 +97,7 @@
 	}
 	for i := range holders {
 		t := holders[i].Target
-		if t.open(r.Suspect) || t.State() != Healthy {
+		if t.open(r.Slot) || t.State() != Healthy {
 			continue
 		}
 		if r.Cost(t, holders[i].Tokens)+r.slotWait(t) < c.cost {
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -41,9 +41,12 @@
 	is := is.New(t)
 	targets := fleet(4, 4)
 	for range 4 {
-		is.True(targets[2].Begin(start, false))
+		is.True(targets[2].Begin(start, Slot{}))
 	}
-	is.True(!targets[2].Begin(start, false))
+	is.True(!targets[2].Begin(start, Slot{}))
+	is.True(targets[2].Begin(start, Slot{Entitled: true}))
+	is.True(!targets[2].Begin(start, Slot{Entitled: true}))
+	targets[2].End(start, Slot{})
 	r := request()
 	r.Patient = true
 	c := picker().Pick(r, targets, []Holder{{targets[2], 5000}})
@@ -76,23 +79,23 @@
 func TestReportIsCorrectedByOwnDispatchesSince(t *testing.T) {
 	is := is.New(t)
 	one := fleet(1, 10)[0]
-	one.Begin(start, false)
-	one.Begin(start.Add(2*time.Second), false)
+	one.Begin(start, Slot{})
+	one.Begin(start.Add(2*time.Second), Slot{})
 	// The report was made when the first call ran, with four of others.
 	one.Observe(Report{Load: 5, ObservedAt: start.Add(time.Second)})
 	is.Equal(one.Load(), othersGain*4+2)
-	one.End(start.Add(3*time.Second), false)
+	one.End(start.Add(3*time.Second), Slot{})
 	is.Equal(one.Load(), othersGain*4+1)
 }
 
 func TestOneSuspectAtATarget(t *testing.T) {
 	is := is.New(t)
 	one := fleet(1, 10)[0]
-	is.True(one.Begin(start, true))
-	is.True(!one.Begin(start, true))
-	is.True(one.Begin(start, false))
-	one.End(start, true)
-	is.True(one.Begin(start, true))
+	is.True(one.Begin(start, Slot{Suspect: true}))
+	is.True(!one.Begin(start, Slot{Suspect: true}))
+	is.True(one.Begin(start, Slot{}))
+	one.End(start, Slot{Suspect: true})
+	is.True(one.Begin(start, Slot{Suspect: true}))
 }
 
 func TestSubsetsSpreadOverTheTargets(t *testing.T) {
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -135,25 +135,40 @@
 // Reported returns the load as the target last reported it.
 func (t *Target) Reported() int { return int(t.reported.Load()) }
 
+// Slot is what kind of slot a call takes.
+type Slot struct {
+	// Suspect says that the content has crashed a target; one such call runs
+	// at a target at a time.
+	Suspect bool
+	// Entitled calls are of firms below their share. They may go one beyond
+	// the limit, so that a firm that fills the slots does not shut them out.
+	Entitled bool
+}
+
+// entitledRoom is how many calls beyond the limit entitled calls may make.
+const entitledRoom = 1
+
 // open says whether the target may get a call now.
-func (t *Target) open(suspect bool) bool {
-	if t.State() >= Leaving || t.running.Load() >= t.limit.Load() {
+func (t *Target) open(s Slot) bool {
+	limit := t.limit.Load()
+	if s.Entitled {
+		limit += entitledRoom
+	}
+	if t.State() >= Leaving || t.running.Load() >= limit {
 		return false
 	}
-	return !suspect || t.suspects.Load() == 0
+	return !s.Suspect || t.suspects.Load() == 0
 }
 
-// Begin counts a call in. suspect says that its content has crashed a target;
-// one such call runs at a target at a time. It returns false if there is no
-// room.
-func (t *Target) Begin(now time.Time, suspect bool) bool {
+// Begin counts a call in. It returns false if there is no room.
+func (t *Target) Begin(now time.Time, s Slot) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.open(suspect) {
+	if !t.open(s) {
 		return false
 	}
 	t.running.Add(1)
-	if suspect {
+	if s.Suspect {
 		t.suspects.Add(1)
 	}
 	t.changes.add(now, 1)
@@ -161,11 +176,11 @@
 }
 
 // End counts a call out.
-func (t *Target) End(now time.Time, suspect bool) {
+func (t *Target) End(now time.Time, s Slot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.running.Add(-1)
-	if suspect {
+	if s.Suspect {
 		t.suspects.Add(-1)
 	}
 	t.changes.add(now, -1)
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -21,7 +21,7 @@
 	believed float64
 	expected time.Duration
 	priority int
-	suspect  bool
+	slot     routing.Slot
 	at       time.Time
 	// running is the own load at the target when the call was granted.
 	running int
@@ -30,7 +30,7 @@
 	over    atomic.Bool
 }
 
-func newGrant(p *pool, w *waiter, c routing.Choice, suspect bool, now time.Time) *grant {
+func newGrant(p *pool, w *waiter, c routing.Choice, slot routing.Slot, now time.Time) *grant {
 	uncached := w.work.PromptTokens - int64(c.Cached)
 	g := &grant{
 		pool:     p,
@@ -39,7 +39,7 @@
 		believed: c.Cached,
 		expected: p.speeds.FirstToken(max(uncached, 0)),
 		priority: p.priority(w, now),
-		suspect:  suspect,
+		slot:     slot,
 		at:       now,
 		running:  c.Target.Running(),
 		service:  w.item.Service,
@@ -66,7 +66,6 @@
 		return 0
 	}
 	due := now.Add(admission.Penalty(w.item))
-	w.item.Entitled = p.entitled(w.item, now)
 	if !w.item.Entitled {
 		due = due.Add(overShare)
 	}
@@ -92,7 +91,7 @@
 		s.poison.crash(poison.Mark{Fingerprint: g.work.Fingerprint, Target: g.target.route.Name, At: now.UnixNano()})
 	}
 	s.poison.end(g.work.Fingerprint, g.target.route.Name, whole)
-	g.target.route.End(now, g.suspect)
+	g.target.route.End(now, g.slot)
 	g.observeCache(r, now)
 	g.pool.finish(g, r, now)
 	if changed {
@@ -108,7 +107,7 @@
 	now := time.Now()
 	s := g.pool.s
 	s.poison.end(g.work.Fingerprint, g.target.route.Name, false)
-	g.target.route.End(now, g.suspect)
+	g.target.route.End(now, g.slot)
 	g.pool.wake(now)
 }
 
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -191,9 +191,11 @@
 		return false
 	}
 	suspect := verdict == poison.Suspect
-	c := p.decide(w, now, suspect)
+	w.item.Entitled = p.entitled(w.item, now)
+	slot := routing.Slot{Suspect: suspect, Entitled: w.item.Entitled}
+	c := p.decide(w, now, slot)
 	if c.Target == nil {
-		return !suspect && !w.item.IsFresh()
+		return !suspect && !w.item.IsFresh() && !slot.Entitled
 	}
 	if c.Hold {
 		p.hold(w, now)
@@ -203,11 +205,11 @@
 	if !p.s.poison.begin(w.work.Fingerprint, c.Target.Name) {
 		return false
 	}
-	if !c.Target.Begin(now, suspect) {
+	if !c.Target.Begin(now, slot) {
 		p.s.poison.end(w.work.Fingerprint, c.Target.Name, false)
 		return false
 	}
-	w.grant = newGrant(p, w, c, suspect, now)
+	w.grant = newGrant(p, w, c, slot, now)
 	return false
 }
 
@@ -223,13 +225,13 @@
 }
 
 // decide chooses a target for one call.
-func (p *pool) decide(w *waiter, now time.Time, suspect bool) routing.Choice {
+func (p *pool) decide(w *waiter, now time.Time, slot routing.Slot) routing.Choice {
 	p.holders = p.s.beliefs.holders(w.work, p, now, p.holders[:0])
-	p.request = p.newRequest(w, now, suspect)
+	p.request = p.newRequest(w, now, slot)
 	return p.policy.Pick(&p.request, p.subset, p.holders)
 }
 
-func (p *pool) newRequest(w *waiter, now time.Time, suspect bool) routing.Request {
+func (p *pool) newRequest(w *waiter, now time.Time, slot routing.Slot) routing.Request {
 	r := routing.Request{
 		Program:      w.work.ProgramID,
 		PromptTokens: float64(w.work.PromptTokens),
@@ -237,7 +239,7 @@
 		Decode:       p.speeds.Decode(),
 		CacheFactor:  w.cacheFactor,
 		Distance:     p.s.dists.to,
-		Suspect:      suspect,
+		Slot:         slot,
 		Found:        p.speeds.Found(),
 		Fresh:        w.item.IsFresh(),
 		Patient:      w.patientTill.IsZero() || now.Before(w.patientTill),
