--- a/internal/adapter/peer/convert_gossip.go
+++ b/internal/adapter/peer/convert_gossip.go
@@ -32,6 +32,7 @@
 		Leaving:       g.Leaving,
 		ConfigVersion: g.ConfigVersion,
 		Quarantined:   g.Quarantined,
+		Digest:        g.Digest,
 	}
 	for _, r := range g.Rumours {
 		m.Rumours = append(m.Rumours, &pb.Member{
@@ -39,8 +40,12 @@
 			State:         string(r.State),
 			ConfigVersion: r.ConfigVersion,
 			AgeMs:         age(r.Since, now).Milliseconds(),
+			Revision:      r.Revision,
 		})
 	}
+	for _, k := range g.Marks {
+		m.Marks = append(m.Marks, &pb.CrashMark{Fingerprint: k.Fingerprint, Target: k.Target, AtNs: k.At})
+	}
 	return m
 }
 
@@ -51,6 +56,7 @@
 		Leaving:       m.GetLeaving(),
 		ConfigVersion: m.GetConfigVersion(),
 		Quarantined:   m.GetQuarantined(),
+		Digest:        m.GetDigest(),
 	}
 	for _, r := range m.GetRumours() {
 		g.Rumours = append(g.Rumours, port.Member{
@@ -58,8 +64,12 @@
 			State:         port.MemberState(r.GetState()),
 			ConfigVersion: r.GetConfigVersion(),
 			Since:         now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
+			Revision:      r.GetRevision(),
 		})
 	}
+	for _, k := range m.GetMarks() {
+		g.Marks = append(g.Marks, port.CrashMark{Fingerprint: k.GetFingerprint(), Target: k.GetTarget(), At: k.GetAtNs()})
+	}
 	return g
 }
 
--- /dev/null
+++ b/internal/core/membership/protocol_test.go
@@ -0,0 +1,111 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	_ "yuccausher/internal/testutil"
+)
+
+const (
+	detectionLimit = 3 * time.Second
+	pauseLength    = 2 * time.Second
+	// joinLimit is the time in which a new host should know all others.
+	joinLimit = 5 * time.Second
+	// bytesLimit is what all control traffic of a host may use, in bytes a
+	// second.
+	bytesLimit = 8000
+)
+
+func TestHostsFindEachOtherFromList(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 12, 100} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			net := newNetwork(n, 1)
+			took, ok := net.settle(30 * time.Second)
+			t.Logf("%d hosts agree after %v", n, took)
+			is.New(t).True(ok)
+		})
+	}
+}
+
+// TestDetection measures deaths under loss and pauses, the time in which a
+// killed host is found out, and the traffic of a host.
+func TestDetection(t *testing.T) {
+	for _, n := range []int{12, 50, 100, 410} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			net := newNetwork(n, uint64(n))
+			started, ok := net.settle(60 * time.Second)
+			is.True(ok)
+			net.loss = 0.05
+			falseDeaths, paused := pauses(net, pauseTime(n))
+			first, last, joined := kills(net, 5)
+			net.run(10 * time.Second)
+			perSecond, messages := traffic(net, 20*time.Second)
+			t.Logf("%d hosts: all started in %v, false deaths %d of %d pauses, detection first %v last %v, one joined in %v, %d B/s and %d messages/s sent per host",
+				n, started, falseDeaths, paused, first, last, joined, perSecond, messages)
+			is.Equal(falseDeaths, int64(0))
+			is.True(first < detectionLimit)
+			is.True(last < detectionLimit)
+			is.True(joined < joinLimit)
+			is.True(perSecond < bytesLimit)
+		})
+	}
+}
+
+// pauseTime is how long hosts are paused at random; small tables are cheap.
+func pauseTime(n int) time.Duration {
+	if n > 100 {
+		return 30 * time.Second
+	}
+	return 1000 * time.Minute / time.Duration(n)
+}
+
+// pauses stops random hosts for a while, several at once, and returns how
+// many deaths were declared and how many hosts were paused.
+func pauses(net *network, d time.Duration) (deaths int64, paused int) {
+	before := net.deaths()
+	for end := net.now.Add(d); net.now.Before(end); {
+		for range max(1, len(net.order)/50) {
+			net.order[net.random.IntN(len(net.order))].pause(pauseLength)
+			paused++
+		}
+		net.run(pauseLength + time.Duration(net.random.Int64N(int64(time.Second))))
+	}
+	net.run(5 * time.Second)
+	return net.deaths() - before, paused
+}
+
+// kills ends random hosts one after the other and starts them again. It
+// returns the longest times until the first and the last host knew, and until
+// a host that started again knew all others.
+func kills(net *network, count int) (first, last, joined time.Duration) {
+	for range count {
+		net.run(time.Duration(net.random.Int64N(int64(time.Second))))
+		victim := net.order[net.random.IntN(len(net.order))]
+		victim.dead = true
+		begin := net.now
+		believers := net.believers(victim.id)
+		net.until(10*time.Second, func() bool { return net.believers(victim.id) < believers })
+		first = max(first, net.now.Sub(begin))
+		net.until(10*time.Second, func() bool { return net.believers(victim.id) == 0 })
+		last = max(last, net.now.Sub(begin))
+		victim.start()
+		begin = net.now
+		net.until(10*time.Second, func() bool { return len(victim.table) == len(net.order) })
+		joined = max(joined, net.now.Sub(begin))
+	}
+	return first, last, joined
+}
+
+// traffic returns what a host sends in a second.
+func traffic(net *network, d time.Duration) (bytes, messages int) {
+	bytesBefore, sentBefore := net.bytes, net.sent
+	net.run(d)
+	hosts := len(net.order) * int(d/time.Second)
+	return (net.bytes - bytesBefore) / hosts, (net.sent - sentBefore) / hosts
+}
--- /dev/null
+++ b/internal/owner/budget.go
@@ -0,0 +1,117 @@
+package owner
+
+import (
+	"context"
+
+	"yuccausher/internal/core/ledger"
+	"yuccausher/internal/core/partition"
+	"yuccausher/internal/fault"
+	"yuccausher/internal/gen/record"
+	"yuccausher/internal/port"
+)
+
+const (
+	// sliceCalls is how many calls like the last one a new slice covers.
+	sliceCalls = 2
+	// sliceShare is the part of a budget that a slice takes at most, unless
+	// its calls need more: what is let out is in doubt after a lost owner.
+	sliceShare = 4
+)
+
+// reserve takes need tokens of the tree's escrow. It asks for a further slice
+// and waits for it only if the escrow is too small.
+func (p *part) reserve(ctx context.Context, r *running, need int64) error {
+	for {
+		done, slice, err := p.tryReserve(r, need)
+		if err != nil && p.awaitSettled(ctx, partition.RootKey(r.call.ProgramID)) {
+			continue
+		}
+		if done || err != nil {
+			return err
+		}
+		if err := await(ctx, slice); err != nil && !isRefused(err) {
+			return sliceFault(ctx, err)
+		}
+	}
+}
+
+func sliceFault(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return logUnavailable(fault.NotRun).WithCause(err)
+	}
+	return err
+}
+
+// tryReserve reserves at once, or returns a slice on its way to wait for, or
+// the refusal.
+func (p *part) tryReserve(r *running, need int64) (bool, *pending, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := partition.RootKey(r.call.ProgramID)
+	t := p.l.Tree(key)
+	g := p.l.Program(r.call.ProgramID)
+	if p.l.Epoch != r.epoch || !p.held() || t == nil || g == nil {
+		return false, nil, &port.NotOwnerError{Partition: p.id}
+	}
+	if g.Open.Parent != "" && g.Open.BudgetTokens > 0 && g.Spent+need > g.Open.BudgetTokens {
+		return false, nil, p.overBudget(key)
+	}
+	out := p.reserved[key]
+	if t.Free()-out >= need {
+		p.reserved[key] += need
+		return true, nil, nil
+	}
+	if t.Spent+t.Unsettled+out+need > t.Budget {
+		return false, nil, p.overBudget(key)
+	}
+	return false, p.askSlice(t, g.ID, out, need), nil
+}
+
+func (p *part) overBudget(key string) error {
+	f := fault.New(fault.BudgetExceeded, fault.NotRun, "the call may need more than the budget has left")
+	if p.reserved[key] > 0 {
+		// Some of what others have reserved comes back.
+		f = f.WithRetryAfter(retryAfter)
+	}
+	return f
+}
+
+// askSlice returns the tree's slice on its way, or asks for one.
+func (p *part) askSlice(t *ledger.Tree, programID string, out, need int64) *pending {
+	p.s.count("slices_awaited")
+	return p.sendOnce("slice/"+t.RootKey, &record.Record{Body: &record.Record_Slice{Slice: &record.Slice{
+		ProgramId: programID,
+		Granted:   min(t.Budget, t.Spent+t.Unsettled+out+need+p.s.sliceSize(t.Budget, need)),
+	}}})
+}
+
+// sliceSize returns the escrow to let out at once, for calls that need so
+// much each.
+func (s *Service) sliceSize(budget, need int64) int64 {
+	return max(min(s.p.Settings.SliceTokens, budget/sliceShare), sliceCalls*need)
+}
+
+// nextSlice returns the escrow to grant with a turn, so that the next call
+// finds its slice in the log. The caller has the lock.
+func (p *part) nextSlice(programID string, charge, need int64) int64 {
+	key := partition.RootKey(programID)
+	t := p.l.Tree(key)
+	if t == nil || need == 0 {
+		return 0
+	}
+	others := max(0, p.reserved[key]-need)
+	return min(t.Budget, t.Spent+t.Unsettled+charge+others+p.s.sliceSize(t.Budget, need))
+}
+
+// unreserve gives reserved tokens back, unless the partition was lost since.
+func (p *part) unreserve(epoch int64, key string, amount int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.l.Epoch != epoch {
+		return
+	}
+	p.reserved[key] -= amount
+	if p.reserved[key] <= 0 {
+		delete(p.reserved, key)
+	}
+}
