--- a/internal/core/admission/shares.go
+++ b/internal/core/admission/shares.go
@@ -7,7 +7,7 @@
 
 const (
 	// shareHalfLife is how fast used service is forgotten.
-	shareHalfLife = 20 * time.Second
+	shareHalfLife = time.Minute
 	// shareMargin is the part of its share up to which a firm is entitled.
 	shareMargin = 0.8
 	// leastUse is the service, in slots, below which a firm counts as absent.
@@ -26,13 +26,14 @@
 	// seconds is the decayed sum of service time, as of at.
 	seconds float64
 	at      time.Time
+	running int
 }
 
 // NewShares returns an empty account.
 func NewShares() *Shares { return &Shares{firms: make(map[string]*use)} }
 
-// Add accounts service to a firm.
-func (s *Shares) Add(now time.Time, firm string, weight int, service time.Duration) {
+// Begin counts a call of a firm in.
+func (s *Shares) Begin(now time.Time, firm string, weight int) {
 	u := s.firms[firm]
 	if u == nil {
 		s.forget(now)
@@ -40,6 +41,16 @@
 		s.firms[firm] = u
 	}
 	u.weight = float64(max(weight, 1))
+	u.running++
+}
+
+// End counts a call out and accounts its service.
+func (s *Shares) End(now time.Time, firm string, service time.Duration) {
+	u := s.firms[firm]
+	if u == nil {
+		return
+	}
+	u.running--
 	u.seconds = u.decayed(now) + service.Seconds()
 	u.at = now
 }
@@ -55,25 +66,30 @@
 
 func (s *Shares) forget(now time.Time) {
 	for name, u := range s.firms {
-		if u.slots(now) < leastUse {
+		if u.running <= 0 && u.slots(now) < leastUse {
 			delete(s.firms, name)
 		}
 	}
 }
 
 // Entitled says whether a firm uses clearly less than its share of the slots
-// that this host may use, among the firms that use any.
-func (s *Shares) Entitled(now time.Time, firm string, weight int, slots float64) bool {
+// that this host may use, among the firms that use any. A new program also has
+// to fit into the share at once, since a flood begins before it is accounted.
+func (s *Shares) Entitled(now time.Time, firm string, weight int, slots float64, isNew bool) bool {
 	own := float64(max(weight, 1))
 	total := own
-	used := 0.0
+	used, running := 0.0, 0
 	for name, u := range s.firms {
 		switch {
 		case name == firm:
-			used = u.slots(now)
-		case u.slots(now) >= leastUse:
+			used, running = u.slots(now), u.running
+		case u.running > 0 || u.slots(now) >= leastUse:
 			total += u.weight
 		}
 	}
-	return used < shareMargin*slots*own/total
+	share := slots * own / total
+	if isNew && float64(running) >= share {
+		return false
+	}
+	return used < shareMargin*share
 }
--- a/internal/sched/experiment/bench.go
+++ b/internal/sched/experiment/bench.go
@@ -33,6 +33,8 @@
 	// Load is the offered load as a share of the capacity.
 	Load float64
 	Seed uint64
+	// Programs arrive for WarmUp, unmeasured, and then for Window.
+	WarmUp, Window time.Duration
 }
 
 // bench is the fleet, the hosts and what is measured.
--- a/internal/sched/experiment/tally.go
+++ b/internal/sched/experiment/tally.go
@@ -36,6 +36,8 @@
 	Refusals   map[fault.Type]int
 	// PoisonCrashes counts targets that poisoned content crashed.
 	PoisonCrashes int
+	// Saturated is the share of the time in which all engine slots are taken.
+	Saturated float64
 	// HeldAfterEnd is how many programs' caches were left 5 s after the end.
 	HeldAfterEnd int
 }
@@ -68,6 +70,12 @@
 	t.refusals[fault.Of(err).Type]++
 }
 
+func (t *tally) saturated(share float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.o.Saturated = share
+}
+
 func (t *tally) waited(d time.Duration, underWay bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/sched/fleet_test.go
+++ b/internal/sched/fleet_test.go
@@ -81,6 +81,7 @@
 // fullHost is a host whose only slot is taken.
 func fullHost(t *testing.T) (*host, port.Grant) {
 	h := newHost(t, newFleet(1, 1), document(1, 1), nil)
+	h.useShare(t, 200)
 	held, err := h.Acquire(t.Context(), modelWork("held"))
 	if err != nil {
 		t.Fatal(err)
@@ -120,5 +121,19 @@
 	return g.Target().Name, err
 }
 
+// useShare lets the firm of modelWork use one slot for some seconds.
+func (h *host) useShare(t *testing.T, seconds int) {
+	for range seconds {
+		w := modelWork("earlier")
+		w.Turns = 1
+		g, err := h.Acquire(t.Context(), w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		g.Done(port.Result{Total: time.Second})
+	}
+}
+
 // virtual runs a test in virtual time.
 func virtual(t *testing.T, body func(t *testing.T)) { synctest.Test(t, body) }
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -25,8 +25,7 @@
 	at       time.Time
 	// running is the own load at the target when the call was granted.
 	running int
-	service time.Duration
-	weight  int
+	planned time.Duration
 	over    atomic.Bool
 }
 
@@ -42,8 +41,7 @@
 		slot:     slot,
 		at:       now,
 		running:  c.Target.Running(),
-		service:  w.item.Service,
-		weight:   w.item.Weight,
+		planned:  w.item.Service,
 	}
 	if p.isModel() {
 		p.s.beliefs.set(w.work.ProgramID, c.Target, w.work.PromptTokens, now)
@@ -108,7 +106,7 @@
 	s := g.pool.s
 	s.poison.end(g.work.Fingerprint, g.target.route.Name, false)
 	g.target.route.End(now, g.slot)
-	g.pool.wake(now)
+	g.pool.release(g, now)
 }
 
 // observeTarget updates the limit and the health of the target, and returns
@@ -191,16 +189,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.budget.Attempt()
+	p.shares.End(now, g.work.Firm, g.service(r))
 	if r.Err == nil {
 		uncached := r.Usage.PromptTokens - r.Usage.CachedTokens
 		p.speeds.ObserveCache(g.believed, float64(r.Usage.CachedTokens))
 		p.speeds.Observe(uncached, r.FirstToken, r.Total)
-		p.queue.Charge(g.work.Firm, r.Total-g.service)
-		p.shares.Add(now, g.work.Firm, g.weight, r.Total-r.FirstToken+p.speeds.FirstToken(uncached))
+		p.queue.Charge(g.work.Firm, r.Total-g.planned)
 	}
 	p.dispatch(now)
 }
 
+// release gives back the slot of a call that was not dispatched.
+func (p *pool) release(g *grant, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shares.End(now, g.work.Firm, 0)
+	p.dispatch(now)
+}
+
+// service returns the target's time for a call, less the wait at the target.
+func (g *grant) service(r port.Result) time.Duration {
+	if r.Err != nil || !g.pool.isModel() {
+		return r.Total
+	}
+	uncached := r.Usage.PromptTokens - r.Usage.CachedTokens
+	return r.Total - r.FirstToken + g.pool.speeds.FirstToken(uncached)
+}
+
 func (p *pool) firstToken(uncached int64) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -115,7 +115,7 @@
 		slots += t.Concurrency()
 	}
 	part := float64(slots) / float64(p.s.hosts())
-	return p.shares.Entitled(now, i.Firm, i.Weight, part)
+	return p.shares.Entitled(now, i.Firm, i.Weight, part, !i.UnderWay)
 }
 
 // slots returns how many calls this host may have at its targets.
@@ -172,6 +172,7 @@
 func (p *pool) settle(w *waiter, now time.Time) {
 	if w.grant != nil {
 		p.queue.Take(w.item)
+		p.shares.Begin(now, w.item.Firm, w.item.Weight)
 		if w.item.IsFresh() {
 			p.entries.Served(now, p.queue.Fresh())
 		}
