--- a/internal/core/admission/shares.go
+++ b/internal/core/admission/shares.go
@@ -9,7 +9,10 @@
 	// shareHalfLife is how fast used service is forgotten.
 	shareHalfLife = time.Minute
 	// shareMargin is the part of its share up to which a firm is entitled.
-	shareMargin = 0.8
+	shareMargin = 0.6
+	// newRoom is the multiple of its share that a firm's running calls may
+	// fill before its new programs have to wait.
+	newRoom = 2
 	// leastUse is the service, in slots, below which a firm counts as absent.
 	leastUse = 0.01
 )
@@ -88,7 +91,7 @@
 		}
 	}
 	share := slots * own / total
-	if isNew && float64(running) >= share {
+	if isNew && float64(running) >= newRoom*share {
 		return false
 	}
 	return used < shareMargin*share
