--- a/internal/core/admission/shares.go
+++ b/internal/core/admission/shares.go
@@ -9,7 +9,7 @@
 	// shareHalfLife is how fast used service is forgotten.
 	shareHalfLife = time.Minute
 	// shareMargin is the part of its share up to which a firm is entitled.
-	shareMargin = 0.6
+	shareMargin = 0.75
 	// newRoom is the multiple of its share that a firm's running calls may
 	// fill before its new programs have to wait.
 	newRoom = 2
--- a/internal/core/routing/cost.go
+++ b/internal/core/routing/cost.go
@@ -19,8 +19,9 @@
 	Distance func(dataCentre string) float64
 	// Slot is what kind of slot the call takes.
 	Slot Slot
-	// Found is the share of believed cached tokens that targets find.
-	Found float64
+	// MemoryLimit is the share of a target's memory up to which new programs
+	// may begin there.
+	MemoryLimit float64
 	// Fresh says that the call is the first of a new program.
 	Fresh bool
 	// Patient says that the call can still wait for a target that has its
--- a/internal/core/routing/speeds.go
+++ b/internal/core/routing/speeds.go
@@ -24,7 +24,6 @@
 	base    float64
 	service float64
 	decode  float64
-	missed  float64
 }
 
 // Observe takes the times and counts of one whole answer.
@@ -50,20 +49,37 @@
 	}
 }
 
-// foundGain is the weight of one answer in the share of found tokens.
-const foundGain = 0.05
+// Memory adapts the share of the targets' memory up to which new programs may
+// begin. It falls with each believed prefix that a target had evicted and
+// rises slowly with each that was found, so that few are lost, whatever else
+// fills the memory. It is not safe for concurrent use.
+type Memory struct{ reduction float64 }
 
-// ObserveCache takes the believed and the reported cached tokens of an answer.
-func (s *Speeds) ObserveCache(believed, reported float64) {
+const (
+	// lostStep and foundStep are in shares of the memory; their ratio is the
+	// share of lost prefixes that is borne.
+	lostStep  = 0.02
+	foundStep = 0.0004
+	// lossShare is the share of a believed prefix whose loss counts.
+	lossShare = 0.5
+	// maxReduction leaves new programs at least half of the memory.
+	maxReduction = 0.5
+)
+
+// Observe takes the believed and the reported cached tokens of an answer.
+func (m *Memory) Observe(believed, reported float64) {
 	if believed < 1 {
 		return
 	}
-	missed := 1 - min(reported/believed, 1)
-	s.missed += foundGain * (missed - s.missed)
+	if reported < lossShare*believed {
+		m.reduction = min(m.reduction+lostStep, maxReduction)
+		return
+	}
+	m.reduction = max(m.reduction-foundStep, 0)
 }
 
-// Found returns the share of believed tokens that targets found of late.
-func (s *Speeds) Found() float64 { return 1 - s.missed }
+// Limit returns the share of memory in use up to which new programs may begin.
+func (m *Memory) Limit() float64 { return 1 - m.reduction }
 
 // observeBase follows the least first-token time, which any call needs.
 func (s *Speeds) observeBase(first time.Duration) {
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -109,27 +109,17 @@
 	return math.Float64frombits(t.others.Load()) + float64(t.running.Load())
 }
 
-const (
-	// thrashPressure and thrashFound bound the memory in use and the share of
-	// believed tokens that targets find, between which a target takes new
-	// programs.
-	thrashPressure = 0.75
-	thrashFound    = 0.97
-	// queueShare is the load, as a multiple of the concurrency, up to which a
-	// target with free memory takes new programs.
-	queueShare = 1.25
-)
-
-// takesNew says whether a new program may begin at the target: it has an idle
-// slot, or little queue and free memory. found is the share of believed tokens
-// that the targets of the group found of late; while memory is full and it is
-// low, targets evict what is still needed and take nothing new.
-func (t *Target) takesNew(found float64) bool {
-	slots := float64(t.concurrency.Load())
-	if t.Pressure() > thrashPressure {
-		return found >= thrashFound && t.Load()+1 <= slots
+// queueShare is the load, as a multiple of the concurrency, up to which a
+// target takes new programs.
+const queueShare = 1.25
+
+// takesNew says whether a new program may begin at the target: the queue is
+// short and no more than a share of the memory is in use.
+func (t *Target) takesNew(memoryLimit float64) bool {
+	if t.Pressure() > memoryLimit {
+		return false
 	}
-	return t.Load()+1 <= queueShare*slots
+	return t.Load()+1 <= queueShare*float64(t.concurrency.Load())
 }
 
 // Reported returns the load as the target last reported it.
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -192,7 +192,7 @@
 	p.shares.End(now, g.work.Firm, g.service(r))
 	if r.Err == nil {
 		uncached := r.Usage.PromptTokens - r.Usage.CachedTokens
-		p.speeds.ObserveCache(g.believed, float64(r.Usage.CachedTokens))
+		p.memory.Observe(g.believed, float64(r.Usage.CachedTokens))
 		p.speeds.Observe(uncached, r.FirstToken, r.Total)
 		p.queue.Charge(g.work.Firm, r.Total-g.planned)
 	}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -26,6 +26,7 @@
 	entries admission.Entries
 	shares  *admission.Shares
 	policy  routing.Policy
+	memory  routing.Memory
 	speeds  routing.Speeds
 	budget  *retry.Budget
 	targets []*target
@@ -241,7 +242,7 @@
 		CacheFactor:  w.cacheFactor,
 		Distance:     p.s.dists.to,
 		Slot:         slot,
-		Found:        p.speeds.Found(),
+		MemoryLimit:  p.memory.Limit(),
 		Fresh:        w.item.IsFresh(),
 		Patient:      w.patientTill.IsZero() || now.Before(w.patientTill),
 	}
