--- a/internal/core/routing/cost.go
+++ b/internal/core/routing/cost.go
@@ -19,9 +19,10 @@
 	Distance func(dataCentre string) float64
 	// Slot is what kind of slot the call takes.
 	Slot Slot
-	// MemoryLimit is the share of a target's memory up to which new programs
-	// may begin there.
-	MemoryLimit float64
+	// MemoryReduction is the share of a target's memory that has to stay free
+	// of new programs, and Footprint the tokens that this one will hold.
+	MemoryReduction float64
+	Footprint       float64
 	// Fresh says that the call is the first of a new program.
 	Fresh bool
 	// Patient says that the call can still wait for a target that has its
--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -81,7 +81,7 @@
 }
 
 func (c *choice) offer(r *Request, t *Target, cached float64) {
-	if !t.open(r.Slot) || r.Fresh && !t.takesNew(r.MemoryLimit) {
+	if !t.open(r.Slot) || r.Fresh && !t.takesNew(r) {
 		return
 	}
 	cost := r.Cost(t, cached)
--- a/internal/core/routing/speeds.go
+++ b/internal/core/routing/speeds.go
@@ -49,9 +49,9 @@
 	}
 }
 
-// Memory adapts the share of the targets' memory up to which new programs may
-// begin. It falls with each believed prefix that a target had evicted and
-// rises slowly with each that was found, so that few are lost, whatever else
+// Memory adapts the share of the targets' memory that has to stay free of new
+// programs. It rises with each believed prefix that a target had evicted and
+// falls slowly with each that was found, so that few are lost, whatever else
 // fills the memory. It is not safe for concurrent use.
 type Memory struct{ reduction float64 }
 
@@ -78,8 +78,8 @@
 	m.reduction = max(m.reduction-foundStep, 0)
 }
 
-// Limit returns the share of memory in use up to which new programs may begin.
-func (m *Memory) Limit() float64 { return 1 - m.reduction }
+// Reduction returns the share of memory that has to stay free of new programs.
+func (m *Memory) Reduction() float64 { return m.reduction }
 
 // observeBase follows the least first-token time, which any call needs.
 func (s *Speeds) observeBase(first time.Duration) {
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -59,6 +59,7 @@
 	others      atomic.Uint64
 	accuracy    atomic.Uint64
 	pressure    atomic.Uint64
+	capacity    atomic.Int64
 	incarnation atomic.Uint64
 
 	mu      sync.Mutex
@@ -113,10 +114,19 @@
 // target takes new programs.
 const queueShare = 1.25
 
+// largeFootprint is the share of a target's memory from which on a program
+// has to keep the whole reduced limit; smaller ones keep less of it.
+const largeFootprint = 0.1
+
 // takesNew says whether a new program may begin at the target: the queue is
-// short and no more than a share of the memory is in use.
-func (t *Target) takesNew(memoryLimit float64) bool {
-	if t.Pressure() > memoryLimit {
+// short, and no more of the memory is in use than a limit that is the lower,
+// the more the program is expected to hold.
+func (t *Target) takesNew(r *Request) bool {
+	weight := 1.0
+	if c := t.capacity.Load(); c > 0 {
+		weight = min(r.Footprint/(largeFootprint*float64(c)), 1)
+	}
+	if t.Pressure() > 1-weight*r.MemoryReduction {
 		return false
 	}
 	return t.Load()+1 <= queueShare*float64(t.concurrency.Load())
@@ -196,6 +206,7 @@
 	others := math.Max(0, float64(r.Load-own))
 	old := math.Float64frombits(t.others.Load())
 	t.others.Store(math.Float64bits(old + othersGain*(others-old)))
+	t.capacity.Store(r.CapacityTokens)
 	if r.CapacityTokens > 0 {
 		p := float64(r.UsedTokens) / float64(r.CapacityTokens)
 		t.pressure.Store(math.Float64bits(p))
--- a/internal/sched/acquire.go
+++ b/internal/sched/acquire.go
@@ -23,6 +23,7 @@
 	work        port.Work
 	item        *admission.Item
 	cacheFactor float64
+	footprint   float64
 	// patientTill is set when the call is first held for its prefix.
 	patientTill time.Time
 	// ready is closed once grant or refusal is set.
@@ -79,8 +80,10 @@
 	if c := snapshot.Class(work.Class); c != nil {
 		i.Class = c.Priority
 	}
-	i.Life = s.lives.usual(work.Agent)
+	life, footprint := s.lives.usual(work.Agent)
+	i.Life = life
 	w := &waiter{work: work, item: i, ready: make(chan struct{})}
+	w.footprint = max(float64(footprint), float64(work.PromptTokens))
 	w.cacheFactor = cacheFactor(snapshot.Agent(work.Agent))
 	i.Value = w
 	return w
@@ -127,8 +130,7 @@
 	if !w.item.IsFresh() {
 		return p.leastService()
 	}
-	usual := p.s.lives.usual(w.work.Agent)
-	return max(p.leastService(), time.Duration(hopeless*float64(usual)))
+	return max(p.leastService(), time.Duration(hopeless*float64(w.item.Life)))
 }
 
 // leastService is the least time that a call is taken to need at a target.
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -182,6 +182,7 @@
 	g.target.route.ObserveCache(g.believed, float64(r.Usage.CachedTokens))
 	held := r.Usage.PromptTokens + r.Usage.OutputTokens
 	beliefs.set(g.work.ProgramID, g.target.route, held, now)
+	g.pool.s.lives.served(g.work.ProgramID, held)
 }
 
 // finish learns from a call and grants the freed slot.
--- a/internal/sched/lives.go
+++ b/internal/sched/lives.go
@@ -13,21 +13,29 @@
 const lifeGain = 0.05
 
 // lives learns how long the programs of an agent usually take from their first
-// call to their end. Sub-agents are not counted.
+// call to their end, and how many tokens they hold at last. Sub-agents are not
+// counted.
 type lives struct {
 	mu    sync.Mutex
 	begun *lru.Cache[string, life]
-	mean  map[string]time.Duration
+	mean  map[string]usual
+}
+
+// usual is the mean program of an agent.
+type usual struct {
+	life   time.Duration
+	tokens int64
 }
 
 type life struct {
-	agent string
-	since time.Time
+	agent  string
+	since  time.Time
+	tokens int64
 }
 
 func newLives() *lives {
 	begun, _ := lru.New[string, life](beliefCapacity)
-	return &lives{begun: begun, mean: make(map[string]time.Duration)}
+	return &lives{begun: begun, mean: make(map[string]usual)}
 }
 
 func (l *lives) begin(work port.Work, now time.Time) {
@@ -39,6 +47,18 @@
 	l.begun.ContainsOrAdd(work.ProgramID, life{agent: work.Agent, since: now})
 }
 
+// served notes how many tokens a program holds after a call.
+func (l *lives) served(program string, tokens int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, ok := l.begun.Peek(program)
+	if !ok {
+		return
+	}
+	known.tokens = tokens
+	l.begun.Add(program, known)
+}
+
 func (l *lives) end(program string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -47,18 +67,24 @@
 		return
 	}
 	l.begun.Remove(program)
+	if known.tokens == 0 {
+		return
+	}
 	length := now.Sub(known.since)
 	old, ok := l.mean[known.agent]
 	if !ok {
-		l.mean[known.agent] = length
-		return
+		old = usual{length, known.tokens}
 	}
-	l.mean[known.agent] = old + time.Duration(lifeGain*float64(length-old))
+	old.life += time.Duration(lifeGain * float64(length-old.life))
+	old.tokens += int64(lifeGain * float64(known.tokens-old.tokens))
+	l.mean[known.agent] = old
 }
 
-// usual returns the mean life of an agent's programs; zero if none is known.
-func (l *lives) usual(agent string) time.Duration {
+// usual returns the mean life and tokens of an agent's programs; zero if none
+// is known.
+func (l *lives) usual(agent string) (time.Duration, int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.mean[agent]
+	known := l.mean[agent]
+	return known.life, known.tokens
 }
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -242,10 +242,11 @@
 		CacheFactor:  w.cacheFactor,
 		Distance:     p.s.dists.to,
 		Slot:         slot,
-		MemoryLimit:  p.memory.Limit(),
+		Footprint:    w.footprint,
 		Fresh:        w.item.IsFresh(),
 		Patient:      w.patientTill.IsZero() || now.Before(w.patientTill),
 	}
+	r.MemoryReduction = p.memory.Reduction()
 	if p.isModel() {
 		r.PrefillRate = p.speeds.PrefillRate()
 	}
