sched: a call given up by its caller is an unused grant in the experiments too

Cause: the load driver reported calls cut at their own deadline as timeouts of the target, which the owner does not. Change: the driver marks them unused, as the owner does; the second, equal check in the scheduler is gone.

--- a/internal/sched/experiment/client.go
+++ b/internal/sched/experiment/client.go
@@ -185,6 +185,7 @@
 		MaxTokens: t.output, Priority: g.Priority(),
 	}, sink)
 	r := port.Result{FirstToken: first, Total: time.Since(sent), Usage: result.Usage}
+	r.Unused = ctx.Err() != nil
 	errors.As(err, &r.Err)
 	g.Done(r)
 	s.b.tally.dispatched(r, s.p)
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -1,12 +1,9 @@
 package sched
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"yuccausher/internal/core/admission"
 	"yuccausher/internal/core/poison"
 	"yuccausher/internal/core/routing"
@@ -117,9 +114,6 @@
 // true if its state changed.
 func (g *grant) observeTarget(r port.Result, now time.Time) bool {
 	s, t := g.pool.s, g.target
-	if isHangUp(r.Err) {
-		return false
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.Err == nil {
@@ -148,13 +142,7 @@
 
 // isCrash says whether the target may have crashed on the call.
 func isCrash(err *port.TargetError) bool {
-	return err != nil && err.Failure == port.FailureBroken && !isHangUp(err)
-}
-
-// isHangUp says whether the call ended on the caller's side, which tells
-// nothing about the target.
-func isHangUp(err *port.TargetError) bool {
-	return err != nil && errors.Is(err.Cause, context.Canceled)
+	return err != nil && err.Failure == port.FailureBroken
 }
 
 func observeFailure(t *target, f port.Failure, now time.Time) {
