sched: reports wake calls that wait at an idle host

Cause: a new program that waited for room at a host without calls in flight was not looked at again when the load of others went down, and timed out. Change: each report wakes the queues. TestReportsLetWaitingProgramsBegin fails without it: the call timed out after a minute. Conclusion: it is granted with the first report that shows room.

--- a/internal/sched/follow.go
+++ b/internal/sched/follow.go
@@ -165,6 +165,15 @@
 	t.mu.Unlock()
 	if changed {
 		s.refreshPools(now)
+		return
+	}
+	s.wakePools(now)
+}
+
+// wakePools grants what a new report lets through.
+func (s *Scheduler) wakePools(now time.Time) {
+	for _, p := range s.table.Load().pools {
+		p.wake(now)
 	}
 }
 
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -314,3 +315,44 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// A new program that waits at a host without calls in flight begins once the
+// reports show room.
+func TestReportsLetWaitingProgramsBegin(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newFleet(1, 8)
+		h := newHost(t, fleet, document(1, 8), func(p *Params) { p.Members = twelve{} })
+		defer h.Stop(t.Context())
+		h.useShare(t, 200)
+		for n := range 30 {
+			id := fmt.Sprint("other", n)
+			go h.engine.Generate(t.Context(), port.Target{Name: "e0"}, port.ModelCall{
+				ProgramID: id, RequestID: id, Model: model, MaxTokens: 64,
+				Prompt: []port.Segment{{Role: "user", Text: strings.Repeat("x", 40_000)}},
+			}, nil)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		begun := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		g, err := h.Acquire(ctx, modelWork("new"))
+		is.NoErr(err)
+		is.True(time.Since(begun) > 0) // it had to wait
+		g.Done(port.Result{Total: time.Second})
+		time.Sleep(time.Minute) // the other calls end
+	})
+}
+
+// twelve is a view of twelve hosts.
+type twelve struct{}
+
+func (twelve) Self() port.Host          { return port.Host{} }
+func (twelve) Changed() <-chan struct{} { return nil }
+func (twelve) Table() []port.Member {
+	table := make([]port.Member, 12)
+	for i := range table {
+		table[i].State = port.MemberAlive
+	}
+	return table
+}
