--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -142,9 +143,11 @@
 		}
 		time.Sleep(time.Millisecond)
 		mu.Lock()
-		is.True(refused >= 75 && refused <= 85) // a second each, 20 s at most
-		is.True(len(retryAfter) > refused/2)    // jittered
+		got, advice := refused, len(retryAfter)
 		mu.Unlock()
+		admitted := int(maxNewWait / time.Second) // a second each
+		is.True(got >= 100-admitted-1 && got <= 100-admitted+1)
+		is.True(advice > got/2) // jittered
 		under := modelWork("under")
 		under.Turns = 3
 		done := make(chan error, 1)
@@ -256,3 +259,100 @@
 		is.Equal(counters["sched.retries_denied+reason=not_idempotent"].Value(), int64(1))
 	})
 }
+
+func TestHangUpOfACallerTellsNothingAboutTheTarget(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost(t, newFleet(1, 8), document(1, 8), nil)
+		defer h.Stop(t.Context())
+		for range 3 {
+			w := modelWork("p")
+			w.Fingerprint = 7
+			g, err := h.Acquire(t.Context(), w)
+			is.NoErr(err)
+			g.Done(port.Result{Err: &port.TargetError{Failure: port.FailureBroken}, Unused: true})
+			is.Equal(h.Targets()[0].State, "healthy")
+		}
+		is.Equal(len(h.Marks())+len(h.Quarantined()), 0)
+	})
+}
+
+// A burst of two firms at a full host: the firm below its share is served
+// while the other, which came first, still waits.
+func TestQuietFirmIsServedDuringAFlood(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		is := is.New(t)
+		h, held := fullHost(t)
+		defer h.Stop(t.Context())
+		var mu sync.Mutex
+		served := []string{}
+		call := func(firm, program string) {
+			w := modelWork(program)
+			w.Firm = firm
+			w.Turns = 1
+			g, err := h.Acquire(t.Context(), w)
+			if err != nil {
+				return
+			}
+			time.Sleep(time.Second)
+			mu.Lock()
+			served = append(served, firm)
+			mu.Unlock()
+			g.Done(port.Result{Total: time.Second})
+		}
+		for n := range 20 {
+			go call("a", fmt.Sprint("flood", n))
+		}
+		time.Sleep(100 * time.Millisecond)
+		go call("b", "quiet")
+		time.Sleep(100 * time.Millisecond)
+		held.Done(port.Result{Total: time.Second})
+		time.Sleep(2500 * time.Millisecond)
+		mu.Lock()
+		got := fmt.Sprint(served[:2])
+		mu.Unlock()
+		is.True(got == "[b a]" || got == "[a b]")
+		time.Sleep(time.Minute)
+	})
+}
+
+// A new program that waits at a host without calls in flight begins once the
+// reports show room.
+func TestReportsLetWaitingProgramsBegin(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newFleet(1, 8)
+		h := newHost(t, fleet, document(1, 8), func(p *Params) { p.Members = twelve{} })
+		defer h.Stop(t.Context())
+		h.useShare(t, 200)
+		for n := range 30 {
+			id := fmt.Sprint("other", n)
+			go h.engine.Generate(t.Context(), port.Target{Name: "e0"}, port.ModelCall{
+				ProgramID: id, RequestID: id, Model: model, MaxTokens: 64,
+				Prompt: []port.Segment{{Role: "user", Text: strings.Repeat("x", 40_000)}},
+			}, nil)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		begun := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		g, err := h.Acquire(ctx, modelWork("new"))
+		is.NoErr(err)
+		is.True(time.Since(begun) > 0) // it had to wait
+		g.Done(port.Result{Total: time.Second})
+		time.Sleep(time.Minute) // the other calls end
+	})
+}
+
+// twelve is a view of twelve hosts.
+type twelve struct{}
+
+func (twelve) Self() port.Host          { return port.Host{} }
+func (twelve) Changed() <-chan struct{} { return nil }
+func (twelve) Table() []port.Member {
+	table := make([]port.Member, 12)
+	for i := range table {
+		table[i].State = port.MemberAlive
+	}
+	return table
+}
