--- a/internal/core/routing/cost.go
+++ b/internal/core/routing/cost.go
@@ -2,6 +2,8 @@
 
 // Request is what a choice depends on, besides the targets.
 type Request struct {
+	// Program is the program's ID.
+	Program string
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens float64
 	// PrefillRate is the targets' speed in tokens a second; zero if unknown.
@@ -15,8 +17,14 @@
 	CacheFactor float64
 	// Distance returns the network time to a data centre, in seconds.
 	Distance func(dataCentre string) float64
-	// Suspect says that the content has crashed a target.
-	Suspect bool
+	// Slot is what kind of slot the call takes.
+	Slot Slot
+	// MemoryReduction is the share of a target's memory that has to stay free
+	// of new programs, and Footprint the tokens that this one will hold.
+	MemoryReduction float64
+	Footprint       float64
+	// Fresh says that the call is the first of a new program.
+	Fresh bool
 	// Patient says that the call can still wait for a target that has its
 	// prefix and no room.
 	Patient bool
@@ -32,14 +40,14 @@
 const (
 	// batchSlowdown is the growth of the decode time from an empty to a full
 	// batch.
-	batchSlowdown = 0.5
+	batchSlowdown = 0.1
 	// suspectCost is added for a suspect target, in seconds.
 	suspectCost = 5.0
 )
 
 // Cost returns the expected cost of a call at a target, in seconds.
 func (r *Request) Cost(t *Target, cached float64) float64 {
-	cost := r.queueCost(t) + r.prefillCost(cached)
+	cost := r.queueCost(t) + r.prefillCost(t, cached)
 	if r.Distance != nil {
 		cost += r.Distance(t.DataCentre)
 	}
@@ -59,12 +67,13 @@
 	return cost
 }
 
-func (r *Request) prefillCost(cached float64) float64 {
+func (r *Request) prefillCost(t *Target, cached float64) float64 {
 	if r.PrefillRate <= 0 {
 		return 0
 	}
 	uncached := max(r.PromptTokens-cached, 0)
-	return r.CacheFactor * uncached / r.PrefillRate
+	displaced := max(t.Pressure()-fullPressure, 0) / (1 - fullPressure)
+	return r.CacheFactor * (1 + displaced) * uncached / r.PrefillRate
 }
 
 // slotWait is the expected time until a full target has room for this host.
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -41,9 +41,12 @@
 	is := is.New(t)
 	targets := fleet(4, 4)
 	for range 4 {
-		is.True(targets[2].Begin(start, false))
+		is.True(targets[2].Begin(start, Slot{}))
 	}
-	is.True(!targets[2].Begin(start, false))
+	is.True(!targets[2].Begin(start, Slot{}))
+	is.True(targets[2].Begin(start, Slot{Entitled: true}))
+	is.True(!targets[2].Begin(start, Slot{Entitled: true}))
+	targets[2].End(start, Slot{})
 	r := request()
 	r.Patient = true
 	c := picker().Pick(r, targets, []Holder{{targets[2], 5000}})
@@ -76,23 +79,23 @@
 func TestReportIsCorrectedByOwnDispatchesSince(t *testing.T) {
 	is := is.New(t)
 	one := fleet(1, 10)[0]
-	one.Begin(start, false)
-	one.Begin(start.Add(2*time.Second), false)
+	one.Begin(start, Slot{})
+	one.Begin(start.Add(2*time.Second), Slot{})
 	// The report was made when the first call ran, with four of others.
 	one.Observe(Report{Load: 5, ObservedAt: start.Add(time.Second)})
 	is.Equal(one.Load(), othersGain*4+2)
-	one.End(start.Add(3*time.Second), false)
+	one.End(start.Add(3*time.Second), Slot{})
 	is.Equal(one.Load(), othersGain*4+1)
 }
 
 func TestOneSuspectAtATarget(t *testing.T) {
 	is := is.New(t)
 	one := fleet(1, 10)[0]
-	is.True(one.Begin(start, true))
-	is.True(!one.Begin(start, true))
-	is.True(one.Begin(start, false))
-	one.End(start, true)
-	is.True(one.Begin(start, true))
+	is.True(one.Begin(start, Slot{Suspect: true}))
+	is.True(!one.Begin(start, Slot{Suspect: true}))
+	is.True(one.Begin(start, Slot{}))
+	one.End(start, Slot{Suspect: true})
+	is.True(one.Begin(start, Slot{Suspect: true}))
 }
 
 func TestSubsetsSpreadOverTheTargets(t *testing.T) {
@@ -176,3 +179,44 @@
 	p, r := picker(), request()
 	is.Equal(testing.AllocsPerRun(100, func() { p.Pick(r, targets, holders) }), 0.0)
 }
+
+func TestMemoryIsKeptFreeWhilePrefixesAreLost(t *testing.T) {
+	is := is.New(t)
+	one := fleet(1, 10)[0]
+	one.Observe(Report{UsedTokens: 90, CapacityTokens: 100, Incarnation: 1})
+	var m Memory
+	large := &Request{Footprint: 20}
+	small := &Request{Footprint: 0.2}
+	is.True(one.takesNew(large)) // full, but nothing is lost
+	for range 10 {
+		m.Observe(1000, 0)
+	}
+	large.MemoryReduction, small.MemoryReduction = m.Reduction(), m.Reduction()
+	is.True(!one.takesNew(large))
+	is.True(one.takesNew(small))
+	for range 2000 {
+		m.Observe(1000, 1000)
+	}
+	is.Equal(m.Reduction(), 0.0)
+}
+
+func TestNewProgramsKeepOutOfLongQueues(t *testing.T) {
+	is := is.New(t)
+	one := fleet(1, 100)[0]
+	for range 10 {
+		is.True(one.takesNew(&Request{}))
+		one.Begin(start, Slot{})
+	}
+	is.True(!one.takesNew(&Request{})) // eleven are beyond 1.25 times eight
+}
+
+func TestSpeedsFindTheRateUnderQueueing(t *testing.T) {
+	is := is.New(t)
+	var s Speeds
+	for n := range 200 {
+		wait := time.Duration(n%4) * 100 * time.Millisecond
+		s.Observe(5000, 550*time.Millisecond+wait, 2*time.Second)
+		s.Observe(10, 50*time.Millisecond+wait, 2*time.Second)
+	}
+	is.True(s.PrefillRate() > 8000 && s.PrefillRate() < 11000) // 10,000 a second
+}
--- a/internal/core/routing/speeds.go
+++ b/internal/core/routing/speeds.go
@@ -12,14 +12,16 @@
 	minSample = 200
 	// Rates rise fast and fall slowly, since queueing hides the true one.
 	riseGain = 0.3
-	fallGain = 0.02
+	fallGain = 0.0002
 	meanGain = 0.05
+	baseGain = 0.0002
 )
 
 // Speeds learns how fast a group of targets is. It is not safe for concurrent
 // use. The zero value is ready.
 type Speeds struct {
 	prefill float64
+	base    float64
 	service float64
 	decode  float64
 }
@@ -31,10 +33,15 @@
 	}
 	s.service = mean(s.service, total.Seconds())
 	s.decode = mean(s.decode, max(total-first, 0).Seconds())
-	if uncached < minSample || first <= 0 {
+	if first <= 0 {
 		return
 	}
-	sample := float64(uncached) / first.Seconds()
+	if uncached < minSample {
+		s.observeBase(first)
+		return
+	}
+	seconds := max(first.Seconds()-s.base, first.Seconds()/2)
+	sample := float64(uncached) / seconds
 	switch {
 	case s.prefill == 0:
 		s.prefill = sample
@@ -45,6 +52,49 @@
 	}
 }
 
+// Memory adapts the share of the targets' memory that has to stay free of new
+// programs. It rises with each believed prefix that a target had evicted and
+// falls slowly with each that was found, so that few are lost, whatever else
+// fills the memory. It is not safe for concurrent use.
+type Memory struct{ reduction float64 }
+
+const (
+	// lostStep and foundStep are in shares of the memory; their ratio is the
+	// share of lost prefixes that is borne.
+	lostStep  = 0.02
+	foundStep = 0.0004
+	// lossShare is the share of a believed prefix whose loss counts.
+	lossShare = 0.5
+	// maxReduction leaves new programs at least half of the memory.
+	maxReduction = 0.5
+)
+
+// Observe takes the believed and the reported cached tokens of an answer.
+func (m *Memory) Observe(believed, reported float64) {
+	if believed < 1 {
+		return
+	}
+	if reported < lossShare*believed {
+		m.reduction = min(m.reduction+lostStep, maxReduction)
+		return
+	}
+	m.reduction = max(m.reduction-foundStep, 0)
+}
+
+// Reduction returns the share of memory that has to stay free of new programs.
+func (m *Memory) Reduction() float64 { return m.reduction }
+
+// observeBase follows the least first-token time of calls with hardly any
+// prefill.
+func (s *Speeds) observeBase(first time.Duration) {
+	seconds := first.Seconds()
+	if s.base == 0 || seconds < s.base {
+		s.base = seconds
+		return
+	}
+	s.base += baseGain * (seconds - s.base)
+}
+
 func mean(old, sample float64) float64 {
 	if old == 0 {
 		return sample
@@ -73,5 +123,6 @@
 
 // FirstToken returns the time that an idle target takes to the first token.
 func (s *Speeds) FirstToken(uncached int64) time.Duration {
-	return time.Duration(float64(uncached) / s.PrefillRate() * float64(time.Second))
+	seconds := s.base + float64(uncached)/s.PrefillRate()
+	return time.Duration(seconds * float64(time.Second))
 }
--- a/internal/core/routing/target.go
+++ b/internal/core/routing/target.go
@@ -55,9 +55,11 @@
 	limit       atomic.Int32
 	suspects    atomic.Int32
 	state       atomic.Int32
+	reported    atomic.Int32
 	others      atomic.Uint64
 	accuracy    atomic.Uint64
 	pressure    atomic.Uint64
+	capacity    atomic.Int64
 	incarnation atomic.Uint64
 
 	mu      sync.Mutex
@@ -76,6 +78,9 @@
 // SetConcurrency sets how many calls the target takes at once.
 func (t *Target) SetConcurrency(n int) { t.concurrency.Store(int32(max(n, 1))) }
 
+// Concurrency returns how many calls the target takes at once.
+func (t *Target) Concurrency() int { return int(t.concurrency.Load()) }
+
 // SetLimit sets how many calls this host may have at the target.
 func (t *Target) SetLimit(n int) { t.limit.Store(int32(max(n, 1))) }
 
@@ -105,25 +110,65 @@
 	return math.Float64frombits(t.others.Load()) + float64(t.running.Load())
 }
 
+// queueShare is the load, as a multiple of the concurrency, up to which a
+// target takes new programs.
+const queueShare = 1.25
+
+// largeFootprint is the share of a target's memory from which on a program
+// has to keep the whole reduced limit; smaller ones keep less of it.
+const largeFootprint = 0.1
+
+// takesNew says whether a new program may begin at the target: the queue is
+// short, and no more of the memory is in use than a limit that is the lower,
+// the more the program is expected to hold.
+func (t *Target) takesNew(r *Request) bool {
+	weight := 1.0
+	if c := t.capacity.Load(); c > 0 {
+		weight = min(r.Footprint/(largeFootprint*float64(c)), 1)
+	}
+	if t.Pressure() > 1-weight*r.MemoryReduction {
+		return false
+	}
+	return t.Load()+1 <= queueShare*float64(t.concurrency.Load())
+}
+
+// Reported returns the load as the target last reported it.
+func (t *Target) Reported() int { return int(t.reported.Load()) }
+
+// Slot is what kind of slot a call takes.
+type Slot struct {
+	// Suspect says that the content has crashed a target; one such call runs
+	// at a target at a time.
+	Suspect bool
+	// Entitled calls are of firms below their share. They may go one beyond
+	// the limit, so that a firm that fills the slots does not shut them out.
+	Entitled bool
+}
+
+// entitledRoom is how many calls beyond the limit entitled calls may make.
+const entitledRoom = 1
+
 // open says whether the target may get a call now.
-func (t *Target) open(suspect bool) bool {
-	if t.State() >= Leaving || t.running.Load() >= t.limit.Load() {
+func (t *Target) open(s Slot) bool {
+	limit := t.limit.Load()
+	if s.Entitled {
+		limit += entitledRoom
+	}
+	if t.State() >= Leaving || t.running.Load() >= limit {
 		return false
 	}
-	return !suspect || t.suspects.Load() == 0
+	return !s.Suspect || t.suspects.Load() == 0
 }
 
-// Begin counts a call in. suspect says that its content has crashed a target;
-// one such call runs at a target at a time. It returns false if there is no
-// room.
-func (t *Target) Begin(now time.Time, suspect bool) bool {
+// Begin counts a call in. It returns false if there is no room.
+func (t *Target) Begin(now time.Time, s Slot) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.open(suspect) {
+	if !t.open(s) {
 		return false
 	}
 	t.running.Add(1)
-	if suspect {
+	if s.Suspect {
 		t.suspects.Add(1)
 	}
 	t.changes.add(now, 1)
@@ -131,11 +176,11 @@
 }
 
 // End counts a call out.
-func (t *Target) End(now time.Time, suspect bool) {
+func (t *Target) End(now time.Time, s Slot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.running.Add(-1)
-	if suspect {
+	if s.Suspect {
 		t.suspects.Add(-1)
 	}
 	t.changes.add(now, -1)
@@ -156,10 +201,12 @@
 func (t *Target) Observe(r Report) (restarted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reported.Store(int32(r.Load))
 	own := int(t.running.Load()) - t.changes.since(r.ObservedAt)
 	others := math.Max(0, float64(r.Load-own))
 	old := math.Float64frombits(t.others.Load())
 	t.others.Store(math.Float64bits(old + othersGain*(others-old)))
+	t.capacity.Store(r.CapacityTokens)
 	if r.CapacityTokens > 0 {
 		p := float64(r.UsedTokens) / float64(r.CapacityTokens)
 		t.pressure.Store(math.Float64bits(p))
--- a/internal/owner/outcome.go
+++ b/internal/owner/outcome.go
@@ -13,9 +13,9 @@
 	if errors.As(err, &n) {
 		// The next owner knows the intent of a call that must not be
 		// repeated, and settles it for whoever sends the request again.
-		return &port.NotOwnerError{Partition: n.Partition, Owner: n.Owner, MayHaveRun: r.at() != phaseWaiting}
+		return &port.NotOwnerError{Partition: n.Partition, Owner: n.Owner, MayHaveRun: r.run() != fault.NotRun}
 	}
-	run := r.at().run()
+	run := r.run()
 	if f, ok := fault.As(err); ok {
 		f = f.WithRequest(r.call.RequestID)
 		if f.Run == fault.NotRun {
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"yuccausher/internal/core/admission"
 	"yuccausher/internal/core/poison"
 	"yuccausher/internal/core/routing"
 	"yuccausher/internal/port"
@@ -17,15 +18,15 @@
 	believed float64
 	expected time.Duration
 	priority int
-	suspect  bool
+	slot     routing.Slot
 	at       time.Time
 	// running is the own load at the target when the call was granted.
 	running int
-	service time.Duration
+	planned time.Duration
 	over    atomic.Bool
 }
 
-func newGrant(p *pool, w *waiter, c routing.Choice, suspect bool, now time.Time) *grant {
+func newGrant(p *pool, w *waiter, c routing.Choice, slot routing.Slot, now time.Time) *grant {
 	uncached := w.work.PromptTokens - int64(c.Cached)
 	g := &grant{
 		pool:     p,
@@ -33,11 +34,11 @@
 		work:     w.work,
 		believed: c.Cached,
 		expected: p.speeds.FirstToken(max(uncached, 0)),
-		priority: priority(w),
-		suspect:  suspect,
+		priority: p.priority(w, now),
+		slot:     slot,
 		at:       now,
 		running:  c.Target.Running(),
-		service:  w.item.Service,
+		planned:  w.item.Service,
 	}
 	if p.isModel() {
 		p.s.beliefs.set(w.work.ProgramID, c.Target, w.work.PromptTokens, now)
@@ -45,14 +46,25 @@
 	return g
 }
 
-// priority orders calls inside an engine: by class, then programs under way
-// before new ones.
-func priority(w *waiter) int {
-	p := 2 * w.item.Class
-	if !w.item.UnderWay {
-		p++
+// priorityUnit is one step of the priority inside an engine.
+const priorityUnit = 100 * time.Millisecond
+
+// overShare is by how much calls of firms beyond their share go later inside
+// an engine.
+const overShare = 10 * time.Second
+
+// priority orders calls inside an engine by the time of the grant and the
+// penalties of admission, so that calls of all hosts stand in one order and
+// age at the same rate.
+func (p *pool) priority(w *waiter, now time.Time) int {
+	if p.s.params.Variant.FirstCome {
+		return 0
 	}
-	return p
+	due := now.Add(admission.Penalty(w.item))
+	if !w.item.Entitled {
+		due = due.Add(overShare)
+	}
+	return int(due.UnixMilli() / priorityUnit.Milliseconds())
 }
 
 // Target implements port.Grant.
@@ -74,12 +86,11 @@
 	s := g.pool.s
 	whole := r.Err == nil
 	changed := g.observeTarget(r, now)
-	crashed := !whole && r.Err.Failure == port.FailureBroken
-	if crashed {
+	if isCrash(r.Err) {
 		s.poison.crash(poison.Mark{Fingerprint: g.work.Fingerprint, Target: g.target.route.Name, At: now.UnixNano()})
 	}
 	s.poison.end(g.work.Fingerprint, g.target.route.Name, whole)
-	g.target.route.End(now, g.suspect)
+	g.target.route.End(now, g.slot)
 	g.observeCache(r, now)
 	g.pool.finish(g, r, now)
 	if changed {
@@ -95,8 +106,8 @@
 	now := time.Now()
 	s := g.pool.s
 	s.poison.end(g.work.Fingerprint, g.target.route.Name, false)
-	g.target.route.End(now, g.suspect)
-	g.pool.wake(now)
+	g.target.route.End(now, g.slot)
+	g.pool.release(g, now)
 }
 
 // observeTarget updates the limit and the health of the target, and returns
@@ -129,6 +140,11 @@
 	g.target.limiter.Observe(now, r.FirstToken, expected, g.running)
 }
 
+// isCrash says whether the target may have crashed on the call.
+func isCrash(err *port.TargetError) bool {
+	return err != nil && err.Failure == port.FailureBroken
+}
+
 func observeFailure(t *target, f port.Failure, now time.Time) {
 	switch f {
 	case port.FailureBusy:
@@ -158,6 +174,7 @@
 	g.target.route.ObserveCache(g.believed, float64(r.Usage.CachedTokens))
 	held := r.Usage.PromptTokens + r.Usage.OutputTokens
 	beliefs.set(g.work.ProgramID, g.target.route, held, now)
+	g.pool.s.lives.served(g.work.ProgramID, held)
 }
 
 // finish learns from a call and grants the freed slot.
@@ -165,14 +182,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.budget.Attempt()
+	p.shares.End(now, g.work.Firm, g.service(r))
 	if r.Err == nil {
 		uncached := r.Usage.PromptTokens - r.Usage.CachedTokens
+		p.memory.Observe(g.believed, float64(r.Usage.CachedTokens))
 		p.speeds.Observe(uncached, r.FirstToken, r.Total)
-		p.queue.Charge(g.work.Firm, r.Total-g.service)
+		p.queue.Charge(g.work.Firm, r.Total-g.planned)
 	}
 	p.dispatch(now)
 }
 
+// release gives back the slot of a call that was not dispatched.
+func (p *pool) release(g *grant, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shares.End(now, g.work.Firm, 0)
+	p.dispatch(now)
+}
+
+// service returns the target's time for a call, less the wait at the target.
+func (g *grant) service(r port.Result) time.Duration {
+	if r.Err != nil || !g.pool.isModel() {
+		return r.Total
+	}
+	uncached := r.Usage.PromptTokens - r.Usage.CachedTokens
+	return r.Total - r.FirstToken + g.pool.speeds.FirstToken(uncached)
+}
+
 func (p *pool) firstToken(uncached int64) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
