--- a/internal/core/ledger/apply_test.go
+++ b/internal/core/ledger/apply_test.go
@@ -143,3 +143,22 @@
 	s.is.Equal(g.SavedAt.Unix(), s.offset-1)
 	s.is.Equal(dump(newcomer.part()), dump(s.part()))
 }
+
+// TestNewcomerRefusesWhatOthersRefused has a host start after a trim, and read
+// a creation first that all others refused as repeated.
+func TestNewcomerRefusesWhatOthersRefused(t *testing.T) {
+	s := newScript(t)
+	g := s.program(100)
+	newcomer := &script{is: s.is, state: NewState(1, s.offset), offset: s.offset, next: make(map[string]uint64)}
+	both := func(want Verdict, r *record.Record) {
+		data := s.encode("a", s.part().Epoch, r)
+		s.is.Equal(s.take(data), want)
+		newcomer.take(data)
+	}
+	again := &record.Open{ProgramId: "root.2", Firm: "f", RequestId: "r", BudgetTokens: 100, Slice: 100}
+	both(Refused, &record.Record{Body: &record.Record_Open{Open: again}})
+	both(Applied, &record.Record{Body: &record.Record_Hold{Hold: &record.Hold{}}})
+	both(Applied, &record.Record{Body: &record.Record_TreeCheckpoint{TreeCheckpoint: s.part().Tree("root").Checkpoint()}})
+	both(Applied, &record.Record{Body: &record.Record_Checkpoint{Checkpoint: g.Checkpoint()}})
+	s.is.Equal(dump(newcomer.part()), dump(s.part()))
+}
