--- a/internal/entry/router_test.go
+++ b/internal/entry/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -148,7 +149,7 @@
 // programAt returns a program whose partition has the given first host.
 func programAt(first string, hosts ...string) string {
 	for i := 0; ; i++ {
-		id := partition.ID(string(rune('a'+i)), "1")
+		id := partition.ID("k"+strconv.Itoa(i), "1")
 		if partition.First(partition.Of(id, 64), hosts) == first {
 			return id
 		}
