--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -33,6 +33,7 @@
 	// changed wakes the claim loop.
 	changed chan struct{}
 	leaving atomic.Bool
+	firms   firms
 	// engines are the incarnations that the engines last reported.
 	engines atomic.Pointer[map[string]uint64]
 
@@ -54,6 +55,9 @@
 // New returns a Service that is not started yet.
 func New(p Params) *Service {
 	p.Settings = p.Settings.withDefaults()
+	if p.Appender == nil {
+		p.Appender = p.Log
+	}
 	if p.Metrics == nil {
 		p.Metrics = tally.NoopScope
 	}
@@ -62,6 +66,7 @@
 		limiter: rate.NewLimiter(rate.Limit(p.Settings.AppendsPerSecond), p.Settings.AppendBurst),
 		changed: make(chan struct{}, 1),
 		ready:   make(chan struct{}),
+		firms:   firms{opening: make(map[string]int64)},
 	}
 }
 
