--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -77,6 +77,7 @@
 		configurationModule,
 		schedulerModule,
 		ownerModule,
+		ordersModule,
 		entryModule,
 		drainModule,
 		serverModule,
