--- a/internal/app/drain.go
+++ b/internal/app/drain.go
@@ -34,7 +34,7 @@
 	config    *config.Holder
 	log       logr.Logger
 	// servers is set by the server module.
-	servers *servers
+	servers drainer
 	// finished is told the end of the drain.
 	finished func()
 
@@ -44,6 +44,11 @@
 	cancel  context.CancelFunc
 }
 
+// drainer stops taking requests and waits for those in flight.
+type drainer interface {
+	drain(ctx context.Context) error
+}
+
 type drainParams struct {
 	fx.In
 
--- /dev/null
+++ b/internal/app/drain_test.go
@@ -0,0 +1,111 @@
+package app
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// testDrainTimeout bounds a planned stop in the tests.
+const testDrainTimeout = 2 * time.Minute
+
+// replace makes a planned stop of some hosts at once and starts new processes
+// in their places. It returns the longest stop.
+func (f *testFleet) replace(t *testing.T, hosts ...*testHost) time.Duration {
+	begin := time.Now()
+	for _, h := range hosts {
+		if err := h.process.Load().drain.Drain(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, h := range hosts {
+		<-h.process.Load().ended
+	}
+	took := time.Since(begin)
+	time.Sleep(time.Second)
+	for _, h := range hosts {
+		h.start(t)
+	}
+	time.Sleep(5 * time.Second)
+	return took
+}
+
+// verify checks that nothing was lost, doubled or cut.
+func (l *load) verify(t *testing.T) {
+	for _, phase := range []string{"before", "during", "after"} {
+		t.Log(l.table(phase))
+	}
+	t.Logf("%d programs, %d postings, refusals asked again: %v", l.programs, len(l.postings), l.retries)
+	for _, wrong := range append(l.wrong, l.doubled()...) {
+		t.Error(wrong)
+	}
+	if l.programs == 0 || len(l.postings) == 0 {
+		t.Error("no load")
+	}
+}
+
+func TestRollingReplacementLosesNothing(t *testing.T) {
+	runFleet(t, 12, testDrainTimeout, func(t *testing.T, f *testFleet) {
+		is := is.New(t)
+		l := newLoad(f, 24)
+		time.Sleep(30 * time.Second)
+		l.enter("during")
+		longest := time.Duration(0)
+		for _, h := range f.hosts {
+			longest = max(longest, f.replace(t, h))
+		}
+		l.enter("after")
+		time.Sleep(30 * time.Second)
+		l.end()
+		t.Logf("longest planned stop %v", longest)
+		l.verify(t)
+		is.True(longest < testDrainTimeout)
+	})
+}
+
+func TestTwoPlannedStopsAtOnce(t *testing.T) {
+	runFleet(t, 6, testDrainTimeout, func(t *testing.T, f *testFleet) {
+		l := newLoad(f, 12)
+		time.Sleep(10 * time.Second)
+		l.enter("during")
+		for i := 0; i < len(f.hosts); i += 2 {
+			f.replace(t, f.hosts[i], f.hosts[i+1])
+		}
+		l.enter("after")
+		time.Sleep(10 * time.Second)
+		l.end()
+		l.verify(t)
+	})
+}
+
+// TestPlannedStopDuringLogOutage expects the stop to end within its bound and
+// to say what it left behind.
+func TestPlannedStopDuringLogOutage(t *testing.T) {
+	const bound = 20 * time.Second
+	runFleet(t, 3, bound, func(t *testing.T, f *testFleet) {
+		is := is.New(t)
+		l := newLoad(f, 6)
+		time.Sleep(10 * time.Second)
+		l.enter("during")
+		f.platform.Log.Down(5 * time.Minute)
+		p := f.hosts[0].process.Load()
+		begin := time.Now()
+		is.NoErr(p.drain.Drain(context.Background()))
+		<-p.ended
+		took := time.Since(begin)
+		t.Logf("stop during an outage took %v", took)
+		is.True(took <= bound+5*time.Second)
+		is.True(p.logged("Partitions were not all released"))
+		time.Sleep(5 * time.Minute)
+		f.hosts[0].start(t)
+		l.enter("after")
+		time.Sleep(time.Minute)
+		l.end()
+		t.Logf("%d programs, refusals asked again: %v, other ends: %d", l.programs, l.retries, len(l.wrong))
+		for _, wrong := range l.doubled() {
+			t.Log(wrong)
+		}
+	})
+}
--- /dev/null
+++ b/internal/app/fleet_test.go
@@ -0,0 +1,235 @@
+package app
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"yuccausher/internal/configuration"
+	"yuccausher/internal/entry"
+	"yuccausher/internal/fault"
+	"yuccausher/internal/membership"
+	"yuccausher/internal/owner"
+	"yuccausher/internal/port"
+	"yuccausher/internal/settings"
+	"yuccausher/internal/standin"
+	_ "yuccausher/internal/testutil"
+	"yuccausher/internal/testutil/peernet"
+)
+
+// testFleet is hosts of the real parts on a net in memory.
+type testFleet struct {
+	platform standin.Platform
+	net      *peernet.Net
+	hosts    []*testHost
+	timeout  time.Duration
+	starts   uint64
+}
+
+// testHost is one place for a process; a process that ended is replaced.
+type testHost struct {
+	fleet   *testFleet
+	id      string
+	process atomic.Pointer[process]
+}
+
+// process is one run of a host. It stands for the servers of the real one.
+type process struct {
+	fx      *fx.App
+	drain   *drain
+	owner   *owner.Service
+	router  *entry.Router
+	members *membership.Service
+	config  *configuration.Service
+
+	accepting atomic.Bool
+	callers   inFlight
+	peers     inFlight
+	ended     chan struct{}
+
+	mu    sync.Mutex
+	lines []string
+}
+
+// inFlight counts requests.
+type inFlight struct{ count atomic.Int64 }
+
+func (c *inFlight) enter() func() {
+	c.count.Add(1)
+	return func() { c.count.Add(-1) }
+}
+
+func (c *inFlight) wait(ctx context.Context) error {
+	for c.count.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// runFleet starts hosts in a bubble of virtual time, over three data centres.
+func runFleet(t *testing.T, hosts int, drainTimeout time.Duration, test func(t *testing.T, f *testFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		var listed []port.ListedHost
+		for i := range hosts {
+			listed = append(listed, port.ListedHost{ID: fmt.Sprintf("10.0.0.%d:7100", i), DataCentre: fmt.Sprintf("dc-%d", i%3)})
+		}
+		f := &testFleet{platform: standin.NewPlatform(listed), net: peernet.New(), timeout: drainTimeout}
+		if err := f.platform.Publish(t.Context(), f.bases()); err != nil {
+			t.Fatal(err)
+		}
+		for _, l := range listed {
+			f.hosts = append(f.hosts, &testHost{fleet: f, id: l.ID})
+		}
+		for _, h := range f.hosts {
+			h.start(t)
+		}
+		time.Sleep(10 * time.Second)
+		test(t, f)
+		for _, h := range f.hosts {
+			h.process.Load().kill()
+		}
+	})
+}
+
+func (f *testFleet) bases() standin.Bases {
+	bases := make(standin.Bases)
+	for _, name := range f.platform.Fleet.TargetNames() {
+		bases[name] = "http://127.0.0.1:1"
+	}
+	return bases
+}
+
+// start begins a new process at the host's address.
+func (h *testHost) start(t *testing.T) {
+	f := h.fleet
+	f.starts++
+	p := &process{ended: make(chan struct{})}
+	set := settings.NewServe(flag.NewFlagSet("serve", flag.ContinueOnError))
+	set.DataCentre = "dc"
+	_ = set.Finish(nil)
+	set.DrainTimeout = f.timeout
+	o := Options{
+		Settings: set,
+		Logger:   funcr.New(p.log, funcr.Options{}),
+		Platform: Platform{
+			Log: f.platform.Log, Engine: f.platform.Fleet.EngineClient(),
+			Service: f.platform.Fleet.ServiceClient(), HostList: f.platform.Fleet,
+		},
+	}
+	self := port.Host{ID: h.id, DataCentre: "dc", Incarnation: f.starts, ClientAddress: h.id}
+	p.fx = fx.New(
+		fx.Supply(o, self),
+		fx.Provide(func() tally.Scope { return tally.NoopScope }),
+		fx.Provide(func() port.Peers { return f.net.Peers(h.id) }),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		platformModule, membershipModule, configurationModule, schedulerModule,
+		ownerModule, ordersModule, entryModule, drainModule,
+		fx.Populate(&p.drain, &p.owner, &p.router, &p.members, &p.config),
+	)
+	p.drain.servers = drainFunc(p.drainRequests)
+	p.drain.finished = func() { p.finish(f.net, h.id) }
+	if err := p.fx.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	f.net.Serve(h.id, peernet.Handlers{
+		Gossip: p.members.Receive, GossipVia: p.members.Reach, Config: p.config.Current,
+		Programs: &counted{Programs: p.owner, in: &p.peers}, Log: f.platform.Log,
+	})
+	p.accepting.Store(true)
+	h.process.Store(p)
+}
+
+func (p *process) log(prefix, args string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lines = append(p.lines, prefix+" "+args)
+}
+
+func (p *process) logged(text string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, line := range p.lines {
+		if strings.Contains(line, text) {
+			return true
+		}
+	}
+	return false
+}
+
+// drainRequests does what the servers of a real host do.
+func (p *process) drainRequests(ctx context.Context) error {
+	p.accepting.Store(false)
+	if err := p.callers.wait(ctx); err != nil {
+		return err
+	}
+	return p.peers.wait(ctx)
+}
+
+func (p *process) finish(net *peernet.Net, id string) {
+	p.accepting.Store(false)
+	net.Remove(id)
+	_ = p.fx.Stop(context.Background())
+	close(p.ended)
+}
+
+func (p *process) kill() {
+	p.drain.abandon()
+	p.drain.finished()
+	<-p.ended
+}
+
+// isReady is what the balancer asks.
+func (p *process) isReady() bool { return p.accepting.Load() && p.drain.Ready() == nil }
+
+// counted counts the calls of other hosts that run here.
+type counted struct {
+	port.Programs
+	in *inFlight
+}
+
+// Call implements port.Programs.
+func (c *counted) Call(ctx context.Context, call port.Call, sink port.Sink) (port.Answer, error) {
+	defer c.in.enter()()
+	return c.Programs.Call(ctx, call, sink)
+}
+
+// Open implements port.Programs.
+func (c *counted) Open(ctx context.Context, spec port.ProgramSpec) (port.ProgramView, error) {
+	defer c.in.enter()()
+	return c.Programs.Open(ctx, spec)
+}
+
+// refused is the fault of a connection that was not taken.
+func refused() error {
+	return fault.New(fault.NotReady, fault.NotRun, "connection refused")
+}
+
+// at runs a caller's request at a process.
+func at[T any](p *process, request func(*entry.Router) (T, error)) (T, error) {
+	var none T
+	if !p.accepting.Load() {
+		return none, refused()
+	}
+	defer p.callers.enter()()
+	return request(p.router)
+}
+
+// drainFunc implements drainer by a function.
+type drainFunc func(context.Context) error
+
+func (f drainFunc) drain(ctx context.Context) error { return f(ctx) }
--- /dev/null
+++ b/internal/app/load_test.go
@@ -0,0 +1,225 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"yuccausher/internal/entry"
+	"yuccausher/internal/fault"
+	"yuccausher/internal/port"
+	"yuccausher/internal/standin"
+)
+
+const (
+	// balancerLag is the time between the balancer's looks at readiness.
+	balancerLag = 500 * time.Millisecond
+	// callsPerProgram is how many calls a program makes, one in three of them
+	// a posting that must not be repeated.
+	callsPerProgram = 9
+)
+
+// load is callers that run programs one after the other.
+type load struct {
+	fleet *testFleet
+	ready atomic.Pointer[[]*process]
+	stop  atomic.Bool
+	tasks sync.WaitGroup
+
+	mu       sync.Mutex
+	phase    string
+	times    map[string][]time.Duration
+	retries  map[fault.Type]int
+	wrong    []string
+	postings []string
+	programs int
+}
+
+func newLoad(f *testFleet, callers int) *load {
+	l := &load{fleet: f, phase: "before", times: make(map[string][]time.Duration), retries: make(map[fault.Type]int)}
+	l.look()
+	l.tasks.Go(func() {
+		for !l.stop.Load() {
+			time.Sleep(balancerLag)
+			l.look()
+		}
+	})
+	for i := range callers {
+		l.tasks.Go(func() { l.caller(i) })
+	}
+	return l
+}
+
+// look is what the balancer does to find the ready hosts.
+func (l *load) look() {
+	var ready []*process
+	for _, h := range l.fleet.hosts {
+		if p := h.process.Load(); p != nil && p.isReady() {
+			ready = append(ready, p)
+		}
+	}
+	l.ready.Store(&ready)
+}
+
+func (l *load) end() {
+	l.stop.Store(true)
+	l.tasks.Wait()
+}
+
+func (l *load) enter(phase string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.phase = phase
+}
+
+func (l *load) complain(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wrong = append(l.wrong, fmt.Sprintf(format, args...))
+}
+
+func (l *load) caller(i int) {
+	random := rand.New(rand.NewPCG(uint64(i), 1))
+	for n := 0; !l.stop.Load(); n++ {
+		l.program(random, fmt.Sprintf("p-%d-%d", i, n))
+		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+	}
+}
+
+// program runs one program to its end and checks its history.
+func (l *load) program(random *rand.Rand, name string) {
+	spec := port.ProgramSpec{Firm: standin.FirmAnnuities, Agent: standin.AgentInquiry, BudgetTokens: 1_000_000, RequestID: name}
+	view, err := ask(l, random, func(ctx context.Context, r *entry.Router) (port.ProgramView, error) { return r.Open(ctx, spec) })
+	if err != nil {
+		l.complain("open %s: %v", name, err)
+		return
+	}
+	for seq := int64(1); seq <= callsPerProgram; seq++ {
+		call := callOf(view.ProgramID, name, seq)
+		if !l.call(random, call) {
+			return
+		}
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+	}
+	l.check(random, view.ProgramID, name)
+}
+
+func callOf(program, name string, seq int64) port.Call {
+	call := port.Call{ProgramID: program, Seq: seq, RequestID: fmt.Sprintf("%s-%d", name, seq), Input: json.RawMessage(fmt.Sprintf("%q", name))}
+	if seq%3 == 0 {
+		call.Kind, call.Service, call.Operation = port.KindService, standin.ServiceLedger, standin.OperationPayout
+		return call
+	}
+	call.Kind, call.Model, call.MaxTokens, call.Stream = port.KindModel, standin.ModelSmall, 200, true
+	return call
+}
+
+// call makes one call until it has an answer, and notes its time.
+func (l *load) call(random *rand.Rand, call port.Call) bool {
+	begin := time.Now()
+	var text []byte
+	sink := func(d port.Delta) error {
+		if d.Offset != int64(len(text)) {
+			l.complain("%s: piece at %d after %d bytes", call.RequestID, d.Offset, len(text))
+		}
+		text = append(text, d.Text...)
+		return nil
+	}
+	if call.Kind == port.KindService {
+		l.mu.Lock()
+		l.postings = append(l.postings, call.RequestID)
+		l.mu.Unlock()
+		sink = nil
+	}
+	answer, err := ask(l, random, func(ctx context.Context, r *entry.Router) (port.Answer, error) {
+		text = text[:0]
+		return r.Call(ctx, call, sink)
+	})
+	if err != nil {
+		l.complain("call %s: %v", call.RequestID, err)
+		return false
+	}
+	if answer.RequestID != call.RequestID || answer.Seq != call.Seq || len(answer.Output) == 0 {
+		l.complain("call %s got the answer to %s", call.RequestID, answer.RequestID)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.times[l.phase] = append(l.times[l.phase], time.Since(begin))
+	return true
+}
+
+// check compares a program's history with its calls.
+func (l *load) check(random *rand.Rand, program, name string) {
+	turns, err := ask(l, random, func(ctx context.Context, r *entry.Router) ([]port.Turn, error) { return r.History(ctx, program) })
+	if err != nil {
+		l.complain("history %s: %v", name, err)
+		return
+	}
+	for i, turn := range turns {
+		if turn.Seq != int64(i+1) || turn.RequestID != fmt.Sprintf("%s-%d", name, i+1) {
+			l.complain("history %s holds %s at %d", name, turn.RequestID, i+1)
+		}
+	}
+	if len(turns) != callsPerProgram {
+		l.complain("history %s has %d turns", name, len(turns))
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.programs++
+}
+
+// ask sends a request to ready hosts until one answers it. Only refusals that
+// say not_run are asked again.
+func ask[T any](l *load, random *rand.Rand, request func(context.Context, *entry.Router) (T, error)) (T, error) {
+	var none T
+	for range 600 {
+		ready := *l.ready.Load()
+		if len(ready) == 0 {
+			time.Sleep(balancerLag)
+			continue
+		}
+		p := ready[random.IntN(len(ready))]
+		result, err := at(p, func(r *entry.Router) (T, error) { return request(context.Background(), r) })
+		if err == nil {
+			return result, nil
+		}
+		f := fault.Of(err)
+		if f.Run != fault.NotRun {
+			return none, err
+		}
+		l.mu.Lock()
+		l.retries[f.Type]++
+		l.mu.Unlock()
+		time.Sleep(max(f.RetryAfter, 100*time.Millisecond))
+	}
+	return none, fault.New(fault.Timeout, fault.NotRun, "no host answered in a minute")
+}
+
+// doubled returns the postings that did not run exactly once.
+func (l *load) doubled() (wrong []string) {
+	runs := l.fleet.platform.Runs.Of(standin.ServiceLedger)
+	for _, id := range l.postings {
+		if runs[id] != 1 {
+			wrong = append(wrong, fmt.Sprintf("%s ran %d times", id, runs[id]))
+		}
+	}
+	return wrong
+}
+
+// table returns the median, the 99th percentile and the longest time of a
+// phase's calls.
+func (l *load) table(phase string) string {
+	times := slices.Sorted(slices.Values(l.times[phase]))
+	if len(times) == 0 {
+		return phase + ": no calls"
+	}
+	at := func(share float64) time.Duration {
+		return times[int(share*float64(len(times)-1))].Round(time.Millisecond)
+	}
+	return fmt.Sprintf("%s: %d calls, p50 %v, p99 %v, longest %v", phase, len(times), at(0.5), at(0.99), at(1))
+}
--- a/internal/testutil/peernet/net.go
+++ b/internal/testutil/peernet/net.go
@@ -27,11 +27,18 @@
 	mu    sync.Mutex
 	hosts map[string]Handlers
 	cuts  map[[2]string]bool
+	// served holds a context per host that ends when it is removed.
+	served map[string]served
+}
+
+type served struct {
+	ctx context.Context
+	end context.CancelFunc
 }
 
 // New returns a net without hosts.
 func New() *Net {
-	return &Net{hosts: make(map[string]Handlers), cuts: make(map[[2]string]bool)}
+	return &Net{hosts: make(map[string]Handlers), cuts: make(map[[2]string]bool), served: make(map[string]served)}
 }
 
 // Serve makes a host reachable.
@@ -39,6 +46,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.hosts[id] = h
+	ctx, end := context.WithCancel(context.Background())
+	n.served[id] = served{ctx: ctx, end: end}
 }
 
 // Remove makes a host refuse all calls.
@@ -46,6 +55,16 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.hosts, id)
+	if s, ok := n.served[id]; ok {
+		s.end()
+	}
+}
+
+// gone returns a context that ends when a host is removed.
+func (n *Net) gone(id string) context.Context {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.served[id].ctx
 }
 
 // Cut drops messages from one host to another, in that direction alone.
@@ -101,9 +120,7 @@
 
 // Programs implements port.Peers.
 func (p *peers) Programs(host string) port.Programs {
-	p.net.mu.Lock()
-	defer p.net.mu.Unlock()
-	return p.net.hosts[host].Programs
+	return &programs{peers: p, host: host}
 }
 
 // Gossip implements port.Peers.
