--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -24,6 +24,13 @@
 	deadline := time.Now().Add(call.Timeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	return confirmed(ctx, s, call.ProgramID, func() (port.Answer, error) {
+		return s.callUntil(ctx, call, deadline, sink)
+	})
+}
+
+// callUntil runs a valid call, joins it or repeats its answer.
+func (s *Service) callUntil(ctx context.Context, call port.Call, deadline time.Time, sink port.Sink) (port.Answer, error) {
 	key := partition.RootKey(call.ProgramID)
 	fingerprint := fingerprintOf(call)
 	for {
@@ -254,12 +261,12 @@
 // end publishes the result of a running call and makes room for the next.
 func (p *part) end(r *running, answer port.Answer, err error) {
 	defer r.cancel()
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if err != nil {
 		err = r.fault(err)
 		p.s.countFault(err)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	r.answer, r.err = answer, err
 	close(r.done)
 	if v := p.live[r.call.ProgramID]; v != nil && v.running == r {
--- a/internal/owner/params.go
+++ b/internal/owner/params.go
@@ -57,11 +57,15 @@
 	// ClockAllowance covers the difference of two hosts' clock rates when an
 	// intent in doubt is waited out.
 	ClockAllowance time.Duration
+	// SliceLease is how long after its last look at the log an owner may use
+	// its escrow. A later owner waits as long before it reconciles it.
+	SliceLease time.Duration
 	// CallTimeout bounds calls that set no timeout.
 	CallTimeout time.Duration
 	// EarlyCalls is how far ahead of a program's next seq a call may wait.
 	EarlyCalls int64
-	// SliceTokens is the least escrow that is granted at once.
+	// SliceTokens is the escrow that is let out at once, unless the budget is
+	// small or the calls are large.
 	SliceTokens int64
 }
 
@@ -76,6 +80,7 @@
 	defaultClaimWait         = 5 * time.Second
 	defaultDispatchAllowance = 2 * time.Second
 	defaultClockAllowance    = 500 * time.Millisecond
+	defaultSliceLease        = 5 * time.Second
 	defaultCallTimeout       = 60 * time.Second
 	defaultEarlyCalls        = 8
 	defaultSliceTokens       = 8192
@@ -100,6 +105,7 @@
 	orDefault(&s.ClaimWait, defaultClaimWait)
 	orDefault(&s.DispatchAllowance, defaultDispatchAllowance)
 	orDefault(&s.ClockAllowance, defaultClockAllowance)
+	orDefault(&s.SliceLease, defaultSliceLease)
 	orDefault(&s.CallTimeout, defaultCallTimeout)
 	orDefault(&s.EarlyCalls, defaultEarlyCalls)
 	orDefault(&s.SliceTokens, defaultSliceTokens)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -28,6 +28,8 @@
 	limiter *rate.Limiter
 	// layout is nil until the first configuration is in force.
 	layout atomic.Pointer[layout]
+	// ready is closed once there is a layout.
+	ready chan struct{}
 	// changed wakes the claim loop.
 	changed chan struct{}
 	leaving atomic.Bool
@@ -55,11 +57,11 @@
 	if p.Metrics == nil {
 		p.Metrics = tally.NoopScope
 	}
-	p.Logger = p.Logger.WithName("owner")
 	return &Service{
 		p:       p,
 		limiter: rate.NewLimiter(rate.Limit(p.Settings.AppendsPerSecond), p.Settings.AppendBurst),
 		changed: make(chan struct{}, 1),
+		ready:   make(chan struct{}),
 	}
 }
 
@@ -102,10 +104,12 @@
 	}
 	l := s.newLayout(snapshot.Document)
 	s.layout.Store(l)
+	close(s.ready)
 	for _, t := range l.streams {
 		s.spawn(func() { t.tail(s.ctx) })
 		s.spawn(func() { t.writer.run(s.ctx) })
 	}
+	s.askEngines()
 	s.spawn(s.pollEngines)
 	s.spawn(s.sweep)
 	s.claimLoop()
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"yuccausher/internal/core/ledger"
+	"yuccausher/internal/fault"
 	"yuccausher/internal/gen/record"
 	"yuccausher/internal/port"
 )
@@ -17,9 +18,6 @@
 	readWait = time.Second
 	// readTimeout bounds a read as a whole.
 	readTimeout = 5 * time.Second
-	// freshFor is how old the end of the last read may be before a dispatch:
-	// a process that was paused for longer reads first.
-	freshFor = readTimeout + time.Second
 )
 
 // stream follows one state stream and applies its records to the partitions.
@@ -35,8 +33,10 @@
 
 	// current is set while the last read reached the end of the stream.
 	current atomic.Bool
-	// polled is when the last read came back, whatever its result.
-	polled atomic.Pointer[time.Time]
+	// confirmed is when the last read began that reached the end.
+	confirmed atomic.Pointer[time.Time]
+	// applied is the offset up to which records are in the state.
+	applied atomic.Int64
 }
 
 func newStream(s *Service, name string) *stream {
@@ -53,9 +53,11 @@
 func (t *stream) tail(ctx context.Context) {
 	pause := retryPauseMin
 	for ctx.Err() == nil {
+		begun := time.Now()
 		err := t.read(ctx)
-		now := time.Now()
-		t.polled.Store(&now)
+		if err == nil && t.current.Load() {
+			t.confirmed.Store(&begun)
+		}
 		if err == nil {
 			pause = retryPauseMin
 			continue
@@ -78,10 +80,20 @@
 	if err != nil {
 		return err
 	}
+	before := t.next
 	t.take(page)
+	if t.next == before && !t.current.Load() {
+		return &port.LogError{Op: "read", Stream: t.name, Cause: &GapError{Next: before, End: page.End}}
+	}
 	return nil
 }
 
+// GapError says that a page lacks the next record although there is one.
+type GapError struct{ Next, End int64 }
+
+// Error implements error.
+func (e *GapError) Error() string { return "page lacks the next record" }
+
 func (t *stream) take(page port.Page) {
 	if page.Oldest > t.next {
 		t.restart(page.Oldest)
@@ -93,10 +105,12 @@
 		if r.Offset > t.next {
 			t.logger.Info("Page has a gap.", "stream", t.name, "offset", r.Offset)
 			t.s.count("log_page_gaps")
+			t.current.Store(false)
 			return
 		}
 		t.apply(r)
 		t.next = r.Offset + 1
+		t.applied.Store(t.next)
 	}
 	caughtUp := t.next >= page.End
 	if caughtUp && !t.current.Swap(true) {
@@ -114,6 +128,7 @@
 		t.s.count("log_trimmed_unread")
 	}
 	t.next = floor
+	t.applied.Store(floor)
 	t.marks = make(ledger.Marks)
 	for _, p := range t.s.partitionsOf(t) {
 		p.restart(floor)
@@ -154,17 +169,21 @@
 	t.s.p.Metrics.Tagged(map[string]string{"verdict": string(v)}).Counter("ledger_records").Inc(1)
 }
 
-// awaitFresh waits until a read came back lately. After a pause of the
-// process the first read tells of claims that were made meanwhile; if the log
-// is down, no claim can be made either.
+// awaitFresh waits until the log was read lately. An owner that was paused,
+// or is cut off from the log, may have a successor that it knows nothing of.
 func (t *stream) awaitFresh(ctx context.Context) error {
-	for {
-		at := t.polled.Load()
-		if at != nil && time.Since(*at) < freshFor {
-			return nil
-		}
+	ctx, cancel := context.WithTimeout(ctx, t.s.p.Settings.ClaimWait)
+	defer cancel()
+	for !t.fresh() {
 		if !sleep(ctx, retryPauseMin) {
-			return ctx.Err()
+			t.s.count("dispatches_without_log")
+			return logUnavailable(fault.NotRun)
 		}
 	}
+	return nil
+}
+
+func (t *stream) fresh() bool {
+	at := t.confirmed.Load()
+	return at != nil && time.Since(*at) < t.s.p.Settings.SliceLease
 }
