--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -80,6 +80,7 @@
 		ordersModule,
 		entryModule,
 		drainModule,
+		gaugeModule,
 		serverModule,
 		fx.Populate(&a.drain),
 		fx.StartTimeout(startTimeout),
--- a/internal/owner/target_test.go
+++ b/internal/owner/target_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"yuccausher/internal/core/config"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/port"
 	"yuccausher/internal/standin"
@@ -49,14 +51,18 @@
 		c := newCluster(t, 2, standin.LogOptions{}, nil)
 		defer c.stop()
 		v := c.open("open", 5000)
-		c.runs.Hang("post", 1, 3*time.Second)
+		call := posting(v.ProgramID, 1, "pay")
+		call.Service = "late"
 		owner := c.owner(v.ProgramID)
-		go func() { _, _ = owner.Call(context.Background(), posting(v.ProgramID, 1, "pay"), nil) }()
+		go func() { _, _ = owner.Call(context.Background(), call, nil) }()
 		time.Sleep(200 * time.Millisecond)
-		c.kill(owner)
-		_, err := c.call(posting(v.ProgramID, 1, "pay"))
+		go c.kill(owner) // which takes until the dispatch has come back
+		c.bury(owner)
+		others := &cluster{t: t, is: c.is, nodes: without(c.nodes, owner)}
+		_, err := others.call(call)
 		c.is.NoErr(err)
-		c.is.Equal(c.runs.Of("post"), map[string]int{"pay": 1})
+		time.Sleep(10 * time.Second)
+		c.is.Equal(c.runs.Of("late"), map[string]int{"pay": 1})
 	})
 }
 
@@ -71,6 +77,7 @@
 		posted, err := c.call(posting(v.ProgramID, 1, "pay"))
 		c.is.NoErr(err)
 		c.is.Equal(posted.RequestID, "pay")
+		c.is.True(!strings.Contains(string(posted.Output), crossedOutput))
 		cross()
 		answer, err := c.call(modelCall(v.ProgramID, 2, "r2"))
 		c.is.NoErr(err)
@@ -136,3 +143,43 @@
 		c.noKV(v.ProgramID)
 	})
 }
+
+// TestTargetHangs bounds each attempt by the configured time: a call that may
+// be repeated runs at another target, one that must not be is settled.
+func TestTargetHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standin.LogOptions{}, func(d *config.Document) {
+			for i := range d.Services {
+				d.Services[i].TimeoutMS = 1000
+			}
+			d.Models[0].MaxOutputTokens = 100
+			d.Models[0].ContextTokens = 200
+		})
+		defer c.stop()
+		v := c.open("open", 5000)
+		began := time.Now()
+		c.runs.Hang("read", 1, 0)
+		read := posting(v.ProgramID, 1, "read")
+		read.Service, read.Idempotent = "read", true
+		_, err := c.call(read)
+		c.is.NoErr(err)
+		c.runs.Hang("post", 1, 0)
+		_, err = c.call(posting(v.ProgramID, 2, "pay"))
+		f, ok := fault.As(err)
+		c.is.True(ok)
+		c.is.Equal(f.Run, fault.Unknown)
+		c.is.True(time.Since(began) < 5*time.Second)
+		c.is.Equal(len(c.runs.Of("post")), 0)
+
+		large := modelCall(v.ProgramID, 3, "large")
+		large.MaxTokens = 101
+		_, err = c.call(large)
+		refusedAs(c, err, fault.InvalidRequest)
+		large.MaxTokens = 100
+		large.Input = []byte(`"` + strings.Repeat("long ", 100) + `"`)
+		_, err = c.call(large)
+		refusedAs(c, err, fault.InvalidRequest)
+		_, err = c.call(modelCall(v.ProgramID, 3, "small"))
+		c.is.NoErr(err)
+	})
+}
