owner: serve no known program while a successor may have gone on with it

An owner that was paused woke during an outage of the log and answered a history with 3 of 6 turns: its successor had written the others, and the outage kept it from seeing the successor's claim. Reads of known programs were served through every outage.

--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -24,20 +24,28 @@
 func confirmed[T any](ctx context.Context, s *Service, id string, look func() (T, error)) (T, error) {
 	t := s.streamOf(partition.RootKey(id))
 	if t != nil && t.isStale() {
-		// Known programs are served during an outage of the log as well.
-		_ = t.confirm(ctx)
+		// Known programs are served during an outage of the log as well, but
+		// not by a host that may have a successor.
+		if err := t.confirm(ctx); err != nil && t.isBlind() {
+			var none T
+			return none, unconfirmed(err)
+		}
 	}
 	result, err := look()
 	if t == nil || !isUnknownProgram(err) {
 		return result, err
 	}
 	if err := t.confirm(ctx); err != nil {
-		return result, fault.New(fault.LogUnavailable, fault.NotRun,
-			"the log can't be read to look the program up").WithRetryAfter(retryAfter).WithCause(err)
+		return result, unconfirmed(err)
 	}
 	return look()
 }
 
+func unconfirmed(cause error) error {
+	f := fault.New(fault.LogUnavailable, fault.NotRun, "the log can't be read to look the program up")
+	return f.WithRetryAfter(retryAfter).WithCause(cause)
+}
+
 func isUnknownProgram(err error) bool {
 	f, ok := fault.As(err)
 	return ok && f.Type == fault.UnknownProgram
--- a/internal/owner/stream.go
+++ b/internal/owner/stream.go
@@ -35,6 +35,11 @@
 	current atomic.Bool
 	// confirmed is when the last read began that reached the end.
 	confirmed atomic.Pointer[time.Time]
+	// tried is up to when reads followed the stream, missed whether the host may have
+	// lacked sight of the stream since the last whole read: an owner that was
+	// paused can't tell whether it has a successor while reads fail.
+	tried  atomic.Pointer[time.Time]
+	missed atomic.Bool
 	// applied is the offset up to which records are in the state.
 	applied atomic.Int64
 }
@@ -57,7 +62,9 @@
 		err := t.read(ctx)
 		if err == nil && t.current.Load() {
 			t.confirmed.Store(&begun)
+			t.missed.Store(false)
 		}
+		t.noteTry(begun, err)
 		if err == nil {
 			pause = retryPauseMin
 			continue
@@ -69,6 +76,27 @@
 	}
 }
 
+// noteTry looks whether a failed read left the stream out of sight for long. A
+// whole read tells what was there when it began.
+func (t *stream) noteTry(begun time.Time, err error) {
+	if err == nil {
+		t.tried.Store(&begun)
+		return
+	}
+	if t.isBlind() {
+		t.missed.Store(true)
+	}
+	now := time.Now()
+	t.tried.Store(&now)
+}
+
+// isBlind says whether the stream was or is out of sight for so long that this
+// host may have a successor.
+func (t *stream) isBlind() bool {
+	at := t.tried.Load()
+	return at == nil || t.missed.Load() || time.Since(*at) >= staleAfter
+}
+
 func (t *stream) read(ctx context.Context) error {
 	wait := readWait
 	if !t.current.Load() {
--- a/internal/testutil/peernet/net.go
+++ b/internal/testutil/peernet/net.go
@@ -29,6 +29,8 @@
 	cuts  map[[2]string]bool
 	// served holds a context per host that ends when it is removed.
 	served map[string]served
+	// paused holds when a paused host goes on.
+	paused map[string]time.Time
 }
 
 type served struct {
@@ -38,7 +40,7 @@
 
 // New returns a net without hosts.
 func New() *Net {
-	return &Net{hosts: make(map[string]Handlers), cuts: make(map[[2]string]bool), served: make(map[string]served)}
+	return &Net{hosts: make(map[string]Handlers), cuts: make(map[[2]string]bool), served: make(map[string]served), paused: make(map[string]time.Time)}
 }
 
 // Serve makes a host reachable.
@@ -74,6 +76,29 @@
 	n.cuts[[2]string{from, to}] = cut
 }
 
+// Pause holds up what reaches a host, and its answers, for d.
+func (n *Net) Pause(id string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused[id] = time.Now().Add(d)
+}
+
+// await waits until a host is not paused, or ctx ends.
+func (n *Net) await(ctx context.Context, id string) error {
+	n.mu.Lock()
+	wait := time.Until(n.paused[id])
+	n.mu.Unlock()
+	if wait <= 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return &port.PeerError{Host: id, Sent: true, Cause: ctx.Err()}
+	case <-time.After(wait):
+		return nil
+	}
+}
+
 func (n *Net) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -107,9 +132,15 @@
 	if !ok {
 		return &port.PeerError{Host: to, Cause: RefusedError{}}
 	}
+	if err := p.net.await(ctx, to); err != nil {
+		return err
+	}
 	if err := run(h); err != nil {
 		return err
 	}
+	if err := p.net.await(ctx, to); err != nil {
+		return err
+	}
 	if p.net.isCut(to, p.from) {
 		<-ctx.Done()
 		return &port.PeerError{Host: to, Sent: true, Cause: ctx.Err()}
