membership: mix the host into the seed, push rumours three times

Hosts with one seed made the same choices, so that all pushed a death to the same few: TestServicesFindKillLeaveAndReturn failed in 28 of 100 runs, since a host heard of the death after more than 3 s. Hosts take their incarnation for the seed, so equal seeds are rare outside tests, but nothing rules them out.

--- a/internal/core/membership/core.go
+++ b/internal/core/membership/core.go
@@ -11,6 +11,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"yuccausher/internal/port"
 )
 
@@ -79,7 +81,7 @@
 func New(self port.Host, settings Settings, seed uint64, now time.Time) *Core {
 	c := &Core{
 		settings: settings,
-		random:   rand.New(rand.NewPCG(seed, self.Incarnation)),
+		random:   rand.New(rand.NewPCG(seed, xxhash.Sum64String(self.ID))),
 		self:     newRow(self, now),
 		rows:     rowSet{byID: make(map[string]*row)},
 		listed:   make(map[string]struct{}),
--- a/internal/core/membership/fault_test.go
+++ b/internal/core/membership/fault_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"yuccausher/internal/core/membership"
 	"yuccausher/internal/port"
 )
 
@@ -144,6 +146,20 @@
 	}
 }
 
+// TestSeedIsMixedWithTheHost expects hosts that were given one seed to make
+// different choices, or else all push a rumour to the same few.
+func TestSeedIsMixedWithTheHost(t *testing.T) {
+	is := is.New(t)
+	due := make(map[time.Time]bool)
+	for i := range 20 {
+		self := port.Host{ID: fmt.Sprintf("10.0.0.%d:7100", i), Incarnation: 1}
+		core := membership.New(self, membership.Defaults(), 1, epoch)
+		core.Tick(epoch)
+		due[core.Due()] = true
+	}
+	is.True(len(due) > 2)
+}
+
 // TestHealing breaks the network in random ways, mends it, and expects all
 // hosts to agree. No host may ever see an incarnation go down.
 func TestHealing(t *testing.T) {
--- a/internal/core/membership/settings.go
+++ b/internal/core/membership/settings.go
@@ -64,7 +64,7 @@
 		ScanInterval:   100 * time.Millisecond,
 		StallLeast:     150 * time.Millisecond,
 		FlushDelay:     10 * time.Millisecond,
-		FlushRounds:    2,
+		FlushRounds:    3,
 		Fanout:         3,
 		MaxRumours:     8,
 		SyncRows:       64,
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -65,6 +65,12 @@
 	_ = f.services[i].Stop(context.Background())
 }
 
+func (f *fleet) end() {
+	for i := range f.services {
+		f.stop(i)
+	}
+}
+
 // states counts the states in which the others see a host.
 func (f *fleet) states(i int) map[port.MemberState]int {
 	states := make(map[port.MemberState]int)
@@ -83,6 +89,7 @@
 		is := is.New(t)
 		const n = 12
 		f := newFleet(n)
+		defer f.end()
 		time.Sleep(2 * time.Second)
 		is.Equal(f.states(0)[port.MemberAlive], n-1)
 		is.Equal(f.services[3].Table()[0].ConfigVersion, int64(1))
@@ -98,9 +105,6 @@
 		time.Sleep(2 * time.Second)
 		is.Equal(f.states(0)[port.MemberAlive], n-1)
 		is.Equal(f.states(5)[port.MemberLeaving], n-1)
-		for i := range n {
-			f.stop(i)
-		}
 	})
 }
 
@@ -108,6 +112,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(3)
+		defer f.end()
 		time.Sleep(time.Second)
 		f.net.Cut(id(0), id(1), true)
 		reached, err := f.services[2].Reach(context.Background(), id(1))
@@ -117,8 +122,5 @@
 		is.True(!reached)
 		time.Sleep(10 * time.Second)
 		is.Equal(f.states(1)[port.MemberDead], 0)
-		for i := range f.services {
-			f.stop(i)
-		}
 	})
 }
