entry: the pieces of a stream always make up its answer

Cause: a streamed call that was sent again after its answer was recorded got the final event without pieces, and a stream whose answer was written anew after a takeover got pieces of one answer and the end of another. Found by TestWorkSurvivesALogOutage on a busy machine (pieces differ from the whole output, on each of its attempts until its time was up). Change: what is missing of a whole answer is passed on before its end; where the answer does not continue the pieces, the stream ends with target_failed and ran, and the recorded answer can be had at once. TestOutputThatDiffersIsNotJoined expected the end of the other answer; it now expects the failure, which is stricter. Before: TestPiecesMakeUpTheAnswer fails for 0 and 4 bytes sent; after: passes.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -174,6 +174,9 @@
 	switch f.Type {
 	case fault.Overloaded, fault.NoTarget, fault.LogUnavailable, fault.NotReady, fault.Timeout:
 		return true
+	case fault.TargetFailed:
+		// The recorded answer can be had.
+		return f.Run == fault.Ran && f.RetryAfter > 0
 	}
 	return false
 }
--- a/internal/entry/pieces.go
+++ b/internal/entry/pieces.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"encoding/json"
+	"strings"
 	"sync"
 
 	"github.com/uber-go/tally/v4"
 
+	"yuccausher/internal/fault"
 	"yuccausher/internal/port"
 )
 
@@ -41,7 +44,7 @@
 
 // pass hands on what is new in a piece. A piece behind a gap is dropped, and
 // so is all that follows a piece that differs from what was passed on, as when
-// another target wrote the answer anew: the final answer is whole in any case.
+// another target wrote the answer anew.
 // The mutex orders the pieces of the one caller; nothing else waits for it.
 func (p *pieces) pass(number int, d port.Delta) error {
 	p.mu.Lock()
@@ -55,8 +58,7 @@
 	}
 	known := min(next-d.Offset, int64(len(d.Text)))
 	if d.Text[:known] != string(p.passed[d.Offset:d.Offset+known]) {
-		p.isStopped = true
-		p.diverged.Inc(1)
+		p.stop()
 		return nil
 	}
 	if known == int64(len(d.Text)) {
@@ -70,6 +72,41 @@
 	return nil
 }
 
+// stop passes nothing on any more. The caller has the mutex.
+func (p *pieces) stop() {
+	if !p.isStopped {
+		p.isStopped = true
+		p.diverged.Inc(1)
+	}
+}
+
+// finish passes on what is missing of a whole answer, so that a caller's
+// pieces always make up the answer at their end. Where what was passed on does
+// not continue in the answer, that is a failure; the recorded answer stands.
+func (p *pieces) finish(a port.Answer) error {
+	var whole string
+	if p.sink == nil || json.Unmarshal(a.Output, &whole) != nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.err != nil {
+		return nil
+	}
+	rest, ok := strings.CutPrefix(whole, string(p.passed))
+	if !ok || p.isStopped {
+		p.stop()
+		return fault.New(fault.TargetFailed, fault.Ran, "the answer was written anew after pieces of another had been sent").
+			WithRequest(a.RequestID).WithRetryAfter(comeBack())
+	}
+	if rest == "" {
+		return nil
+	}
+	// A caller that has gone gets the recorded answer when it asks.
+	p.err = p.sink(port.Delta{Offset: int64(len(p.passed)), Text: rest})
+	return nil
+}
+
 // gone says whether the caller stopped taking pieces.
 func (p *pieces) gone() bool {
 	p.mu.Lock()
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -96,11 +96,15 @@
 		proofSurvives: r.isRecordedBeforeDispatch(call),
 		gone:          pieces.gone,
 	}
-	return route(ctx, r, req, func(ctx context.Context, p port.Programs) (port.Answer, error) {
+	answer, err := route(ctx, r, req, func(ctx context.Context, p port.Programs) (port.Answer, error) {
 		attempt := call
 		attempt.Timeout = max(time.Millisecond, timeout-time.Since(started))
 		return p.Call(ctx, attempt, pieces.attempt())
 	})
+	if err == nil && call.Kind == port.KindModel {
+		err = pieces.finish(answer)
+	}
+	return answer, err
 }
 
 // Program implements port.Programs.
--- a/internal/entry/router_test.go
+++ b/internal/entry/router_test.go
@@ -402,17 +402,41 @@
 		)
 		r := newRouter(newMembers(other), notOwner(other), map[string]callFunc{other: peer}, scope)
 		var got string
-		a, err := r.Call(context.Background(), modelCall("a.1"), func(d port.Delta) error {
+		_, err := r.Call(context.Background(), modelCall("a.1"), func(d port.Delta) error {
 			got += d.Text
 			return nil
 		})
-		is.NoErr(err)
+		f, ok := fault.As(err)
+		is.True(ok) // pieces of one answer have no end of another
+		is.Equal(f.Type, fault.TargetFailed)
+		is.Equal(f.Run, fault.Ran)
+		is.True(f.RetryAfter > 0)
 		is.Equal(got, "one a")
-		is.Equal(string(a.Output), `"two answers"`)
 		is.Equal(scope.Snapshot().Counters()["entry.streams_diverged+"].Value(), int64(1))
 	})
 }
 
+// TestPiecesMakeUpTheAnswer: an answer that is recorded already, or that lost
+// its last pieces on the way, comes in pieces all the same.
+func TestPiecesMakeUpTheAnswer(t *testing.T) {
+	for _, sent := range []int{0, 4, 10} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			peer, _ := script(streams("one answer", 0, sent, 3, nil))
+			r := newRouter(newMembers(other), notOwner(other), map[string]callFunc{other: peer}, tally.NoopScope)
+			var got string
+			a, err := r.Call(context.Background(), modelCall("a.1"), func(d port.Delta) error {
+				is.Equal(d.Offset, int64(len(got)))
+				got += d.Text
+				return nil
+			})
+			is.NoErr(err)
+			is.Equal(got, "one answer")
+			is.Equal(string(a.Output), `"one answer"`)
+		})
+	}
+}
+
 // streams sends output[from:to] in pieces and then fails with err, or answers.
 func streams(output string, from, to, size int, err error) callFunc {
 	return func(_ context.Context, c port.Call, sink port.Sink) (port.Answer, error) {
