Tests of separate processes take ports that the system leaves alone

Cause: one run of five failed since dev's ports, taken from the range of outgoing connections, were in use three times in a row. Change: free ports are sought below that range, all of a fleet's at once.

--- a/cmd/yuccausher/fleet_test.go
+++ b/cmd/yuccausher/fleet_test.go
@@ -123,17 +123,6 @@
 	)
 }
 
-// freeAddress returns a loopback address whose port was free.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // await waits until holds does; it is false if the process ends first.
 func (f *fleet) await(holds func() bool, p *process) bool {
 	f.t.Helper()
--- /dev/null
+++ b/cmd/yuccausher/ports_test.go
@@ -0,0 +1,49 @@
+package main_test
+
+import (
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"testing"
+)
+
+const (
+	// firstPort and lastPort bound the ports that tests hand to processes.
+	// The system takes none of them for outgoing connections.
+	firstPort = 10_000
+	lastPort  = 30_000
+	// portAttempts bounds the search for free ports.
+	portAttempts = 100
+)
+
+// freeAddress returns a loopback address whose port is free.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	return loopback(freePorts(t, 1))
+}
+
+// freePorts returns the first of some free ports in a row.
+func freePorts(t *testing.T, count int) int {
+	t.Helper()
+	for range portAttempts {
+		first := firstPort + rand.IntN(lastPort-firstPort-count)
+		if areFree(first, count) {
+			return first
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+func areFree(first, count int) bool {
+	for p := first; p < first+count; p++ {
+		listener, err := net.Listen("tcp", loopback(p))
+		if err != nil {
+			return false
+		}
+		listener.Close()
+	}
+	return true
+}
+
+func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
--- a/cmd/yuccausher/stop_test.go
+++ b/cmd/yuccausher/stop_test.go
@@ -83,16 +83,12 @@
 	is.True(strings.Contains(string(body), "signal the process"))
 }
 
-// startDev runs "dev" with free ports, as far as that can be known.
+// startDev runs "dev" at free ports and returns its base port.
 func startDev(t *testing.T, hosts int) (*process, int) {
 	t.Helper()
 	for range startAttempts {
-		_, portText, _ := strings.Cut(freeAddress(t), ":")
-		base, err := strconv.Atoi(portText)
-		if err != nil || base+dev.Ports > 1<<16 {
-			continue
-		}
-		p := startProcess(t, "dev", "dev", "-hosts", strconv.Itoa(hosts), "-port", portText, "-log-level", "error")
+		base := freePorts(t, dev.Ports)
+		p := startProcess(t, "dev", "dev", "-hosts", strconv.Itoa(hosts), "-port", strconv.Itoa(base), "-log-level", "error")
 		for !p.hasEnded() {
 			if strings.Contains(p.output.tail(), "dev is ready") {
 				return p, base
