--- a/internal/owner/part.go
+++ b/internal/owner/part.go
@@ -20,6 +20,8 @@
 
 	mu sync.Mutex
 	l  *ledger.Partition
+	// first is the host that should own the partition, as last looked over.
+	first string
 	// wake is closed and made again when the ownership changes.
 	wake chan struct{}
 	// claiming is this host's claim on its way.
@@ -47,6 +49,9 @@
 // live is what is under way for one program.
 type live struct {
 	running *running
+	// left is the seq of a call that left for a target, while the record that
+	// says so is on its way.
+	left int64
 	// unsettled counts records that may yet show up and were given up.
 	unsettled int
 	// waiting counts calls ahead of their turn.
--- a/internal/sched/follow.go
+++ b/internal/sched/follow.go
@@ -188,13 +188,23 @@
 	if restarted {
 		t.limiter.Reset(s.hosts())
 		t.lastEvent = 0
-		s.publishLimit(t)
 	}
+	t.limiter.Report(now, status.Queued)
+	s.publishLimit(t)
 	t.health.Reported(status.Leaving)
 	changed := s.publishState(t, now)
 	t.mu.Unlock()
 	if changed {
 		s.refreshPools(now)
+		return
+	}
+	s.wakePools(now)
+}
+
+// wakePools grants what a new report lets through.
+func (s *Scheduler) wakePools(now time.Time) {
+	for _, p := range s.table.Load().pools {
+		p.wake(now)
 	}
 }
 
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -13,7 +13,7 @@
 
 // scanPerFirm is how many of a firm's calls are tried when the first ones
 // wait for a particular target.
-const scanPerFirm = 8
+const scanPerFirm = 16
 
 // pool is the group of targets of one model or service, with the calls that
 // wait for them.
@@ -23,7 +23,10 @@
 
 	mu      sync.Mutex
 	queue   *admission.Queue
+	entries admission.Entries
+	shares  *admission.Shares
 	policy  routing.Policy
+	memory  routing.Memory
 	speeds  routing.Speeds
 	budget  *retry.Budget
 	targets []*target
@@ -36,7 +39,7 @@
 }
 
 func newPool(s *Scheduler, key poolKey) *pool {
-	p := &pool{s: s, key: key, budget: retry.NewBudget()}
+	p := &pool{s: s, key: key, budget: retry.NewBudget(), shares: admission.NewShares()}
 	rank := admission.Due
 	if s.params.Variant.FirstCome {
 		rank = admission.Arrival
@@ -112,6 +115,17 @@
 	p.subset = routing.Subset(p.s.params.Self.ID, routes)
 }
 
+// entitled says whether the call's firm uses less than its share of the
+// targets' concurrency, of which this host counts its even part.
+func (p *pool) entitled(i *admission.Item, now time.Time) bool {
+	slots := 0
+	for _, t := range p.subset {
+		slots += t.Concurrency()
+	}
+	part := float64(slots) / float64(p.s.hosts())
+	return p.shares.Entitled(now, i.Firm, i.Weight, part, !i.UnderWay)
+}
+
 // slots returns how many calls this host may have at its targets.
 func (p *pool) slots() int {
 	n := 0
@@ -122,13 +136,17 @@
 }
 
 // expectedWait returns how long a call is expected to wait for a target.
-func (p *pool) expectedWait(i *admission.Item) time.Duration {
+func (p *pool) expectedWait(i *admission.Item, now time.Time) time.Duration {
 	if p.queue.Len() == 0 {
 		return 0
 	}
+	entry := time.Duration(0)
+	if i.IsFresh() {
+		entry = p.entries.Wait(now, min(p.queue.Ahead(i), p.queue.Fresh()))
+	}
 	slots := max(p.slots(), 1)
 	seconds := p.speeds.Service() * float64(p.queue.Ahead(i)+1) / float64(slots)
-	return time.Duration(seconds * float64(time.Second))
+	return max(entry, time.Duration(seconds*float64(time.Second)))
 }
 
 // dispatch grants waiting calls their targets while there is room.
@@ -154,14 +172,18 @@
 	if settled == nil {
 		return false
 	}
-	p.settle(settled)
+	p.settle(settled, now)
 	return true
 }
 
 // settle takes a call that has its grant or refusal out of the queue.
-func (p *pool) settle(w *waiter) {
+func (p *pool) settle(w *waiter, now time.Time) {
 	if w.grant != nil {
 		p.queue.Take(w.item)
+		p.shares.Begin(now, w.item.Firm, w.item.Weight)
+		if w.item.IsFresh() {
+			p.entries.Served(now, p.queue.Fresh())
+		}
 		p.s.metrics.granted.Inc(1)
 	} else {
 		p.queue.Remove(w.item)
@@ -178,42 +200,60 @@
 		return false
 	}
 	suspect := verdict == poison.Suspect
-	c := p.decide(w, now, suspect)
+	w.item.Entitled = p.entitled(w.item, now)
+	slot := routing.Slot{Suspect: suspect, Entitled: w.item.Entitled}
+	c := p.decide(w, now, slot)
 	if c.Target == nil {
-		return !suspect
+		return !suspect && !w.item.IsFresh() && !slot.Entitled
 	}
 	if c.Hold {
+		p.hold(w, now)
 		p.s.metrics.held.Inc(1)
 		return false
 	}
 	if !p.s.poison.begin(w.work.Fingerprint, c.Target.Name) {
 		return false
 	}
-	if !c.Target.Begin(now, suspect) {
+	if !c.Target.Begin(now, slot) {
 		p.s.poison.end(w.work.Fingerprint, c.Target.Name, false)
 		return false
 	}
-	w.grant = newGrant(p, w, c, suspect, now)
+	w.grant = newGrant(p, w, c, slot, now)
 	return false
 }
 
+// hold lets a call wait for a target that has its prefix, for as long as it
+// would take to build the prefix again.
+func (p *pool) hold(w *waiter, now time.Time) {
+	if !w.patientTill.IsZero() {
+		return
+	}
+	patience := p.patience(w)
+	w.patientTill = now.Add(patience)
+	time.AfterFunc(patience, func() { p.wake(time.Now()) })
+}
+
 // decide chooses a target for one call.
-func (p *pool) decide(w *waiter, now time.Time, suspect bool) routing.Choice {
+func (p *pool) decide(w *waiter, now time.Time, slot routing.Slot) routing.Choice {
 	p.holders = p.s.beliefs.holders(w.work, p, now, p.holders[:0])
-	p.request = p.newRequest(w, now, suspect)
+	p.request = p.newRequest(w, now, slot)
 	return p.policy.Pick(&p.request, p.subset, p.holders)
 }
 
-func (p *pool) newRequest(w *waiter, now time.Time, suspect bool) routing.Request {
+func (p *pool) newRequest(w *waiter, now time.Time, slot routing.Slot) routing.Request {
 	r := routing.Request{
+		Program:      w.work.ProgramID,
 		PromptTokens: float64(w.work.PromptTokens),
 		Service:      p.speeds.Service(),
 		Decode:       p.speeds.Decode(),
 		CacheFactor:  w.cacheFactor,
 		Distance:     p.s.dists.to,
-		Suspect:      suspect,
-		Patient:      now.Before(w.patientTill),
+		Slot:         slot,
+		Footprint:    w.footprint,
+		Fresh:        w.item.IsFresh(),
+		Patient:      w.patientTill.IsZero() || now.Before(w.patientTill),
 	}
+	r.MemoryReduction = p.memory.Reduction()
 	if p.isModel() {
 		r.PrefillRate = p.speeds.PrefillRate()
 	}
