configuration: wait out the read pause before the second outage of a test

TestLogDownWhilePublishing failed once under -race: it began a second outage 1 s after the first, while a host may pause up to 3 s between failed reads, so that host had not read the base yet and rightly refused with not_run. The wait is 5 s now; what is expected is unchanged.

--- a/internal/configuration/service_test.go
+++ b/internal/configuration/service_test.go
@@ -12,6 +12,9 @@
 	"yuccausher/internal/fault"
 )
 
+// outageSettleTime outlasts the longest pause between two reads that fail.
+const outageSettleTime = 5 * time.Second
+
 // has says whether err is a fault of a type and a run state.
 func has(err error, t fault.Type, run fault.Run) bool {
 	f, ok := fault.As(err)
@@ -81,7 +84,7 @@
 		f.log.Down(2 * time.Second)
 		versions, errs := f.publish(0, f.hosts[0])
 		is.NoErr(errs[0]) // a short outage is waited out
-		time.Sleep(settleTime)
+		time.Sleep(outageSettleTime)
 		f.log.Down(time.Minute)
 		begin := time.Now()
 		_, errs = f.publish(versions[0], f.hosts[1])
