sched, owner: a lost answer of a service is no crash

The promise is about content that crashes each target. Change: a service counts as crashed if it refuses a connection right after it broke one; an engine whose stream breaks counts as before. Before: TestLostAnswersOfAServiceAreNoCrash fails for a service that stays up; after: passes, and one that is down is still quarantined after two.

--- a/internal/owner/tool.go
+++ b/internal/owner/tool.go
@@ -94,14 +94,28 @@
 		r.p.s.count("crossed_answers")
 		err = &port.TargetError{Target: target.Name, Failure: port.FailureMismatch}
 	}
+	failure := targetError(target, err)
+	total := time.Since(begun)
 	grant.Done(port.Result{
-		Err:    targetError(target, err),
-		Total:  time.Since(begun),
+		Err:    failure,
+		Total:  total,
 		Unused: err != nil && given.Err() != nil,
+		Down:   r.isDown(target, failure),
 	})
 	return result, err
 }
 
+// isDown says whether a service that broke the connection refuses further
+// ones: it has crashed.
+func (r *running) isDown(target port.Target, failure *port.TargetError) bool {
+	if failure == nil || failure.Failure != port.FailureBroken {
+		return false
+	}
+	_, _, _, err := r.p.s.askOnce(target, r.call.Service, r.call.RequestID)
+	var te *port.TargetError
+	return errors.As(err, &te) && te.Failure == port.FailureRefused
+}
+
 func (r *running) concludeService(result port.ServiceResult, target string) (port.Answer, error) {
 	turn := r.turn()
 	turn.Output = result.Output
--- a/internal/port/schedule.go
+++ b/internal/port/schedule.go
@@ -45,6 +45,9 @@
 	// Unused says that the result says nothing about the target: nothing was
 	// dispatched after all, or the caller gave the call up.
 	Unused bool
+	// Down says that a service was gone right after it broke the connection.
+	// A service that only loses an answer stays up.
+	Down bool
 }
 
 // Grant is permission to dispatch one call to one target.
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -86,7 +86,7 @@
 	s := g.pool.s
 	whole := r.Err == nil
 	changed := g.observeTarget(r, now)
-	if isCrash(r.Err) {
+	if g.isCrash(r) {
 		s.poison.crash(poison.Mark{Fingerprint: g.work.Fingerprint, Target: g.target.route.Name, At: now.UnixNano()})
 	}
 	s.poison.end(g.work.Fingerprint, g.target.route.Name, whole)
@@ -140,9 +140,13 @@
 	g.target.limiter.Observe(now, r.FirstToken, expected, g.running)
 }
 
-// isCrash says whether the target may have crashed on the call.
-func isCrash(err *port.TargetError) bool {
-	return err != nil && err.Failure == port.FailureBroken
+// isCrash says whether the target may have crashed on the call. An engine's
+// stream breaks off when it does; a service may just have lost the answer.
+func (g *grant) isCrash(r port.Result) bool {
+	if r.Err == nil || r.Err.Failure != port.FailureBroken {
+		return false
+	}
+	return g.pool.isModel() || r.Down
 }
 
 func observeFailure(t *target, f port.Failure, now time.Time) {
