owner: a stream that broke stays broken when the target is gone

Cause: the attempt to resume a broken stream met a refused dial, and the whole call was told to the scheduler as refused: content that crashes engines after its first piece left no mark and could take a third target. Change: where the target did not take the resumption, the break stands. Before: TestCrashInAStreamIsToldAsOne sees refused; after: broken.

--- a/internal/owner/model.go
+++ b/internal/owner/model.go
@@ -95,8 +95,7 @@
 	m.advance(phaseDispatched)
 	result, err := m.generate(target, grant.Priority(), 0, begun, &first)
 	if resumable(err) && m.received() > 0 && m.ctx.Err() == nil {
-		s.count("streams_resumed")
-		result, err = m.generate(target, grant.Priority(), m.received(), begun, &first)
+		result, err = m.resume(target, grant.Priority(), begun, &first, err)
 	}
 	err = m.check(target, result, err)
 	grant.Done(port.Result{
@@ -112,6 +111,17 @@
 	return result, target.Name, err
 }
 
+// resume asks the target for the rest of a stream that broke. Where the target
+// is gone, the break stands: the call had left, and may have crashed it.
+func (m *modelRun) resume(target port.Target, priority int, begun time.Time, first *time.Duration, broken error) (port.ModelResult, error) {
+	m.p.s.count("streams_resumed")
+	result, err := m.generate(target, priority, m.received(), begun, first)
+	if te := targetError(target, err); te != nil && te.NotRun() {
+		return result, broken
+	}
+	return result, err
+}
+
 func (m *modelRun) generate(target port.Target, priority int, from int64, begun time.Time, first *time.Duration) (port.ModelResult, error) {
 	call := port.ModelCall{
 		ProgramID:  m.call.ProgramID,
--- a/internal/owner/target_test.go
+++ b/internal/owner/target_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -228,3 +229,53 @@
 		c.is.NoErr(err)
 	})
 }
+
+// recorder notes the results that a scheduler is told.
+type recorder struct {
+	port.Scheduler
+	mu      sync.Mutex
+	results []port.Result
+}
+
+type recordedGrant struct {
+	port.Grant
+	r *recorder
+}
+
+func (r *recorder) Acquire(ctx context.Context, w port.Work) (port.Grant, error) {
+	g, err := r.Scheduler.Acquire(ctx, w)
+	return &recordedGrant{Grant: g, r: r}, err
+}
+
+func (g *recordedGrant) Done(result port.Result) {
+	g.r.mu.Lock()
+	g.r.results = append(g.r.results, result)
+	g.r.mu.Unlock()
+	g.Grant.Done(result)
+}
+
+// TestCrashInAStreamIsToldAsOne: an engine that dies in a stream and refuses
+// the attempt to resume has broken the call, not refused it.
+func TestCrashInAStreamIsToldAsOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standin.LogOptions{}, nil)
+		defer c.stop()
+		v := c.open("open", 5000)
+		r := &recorder{Scheduler: c.nodes[0].p.Scheduler}
+		c.nodes[0].p.Scheduler = r
+		call := modelCall(v.ProgramID, 1, "r1")
+		call.Model = "slow"
+		var once sync.Once
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		_, _ = c.nodes[0].Call(ctx, call, func(port.Delta) error {
+			once.Do(func() { c.fleet.Engine("slow").Crash() })
+			return nil
+		})
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		c.is.True(len(r.results) > 0)
+		c.is.True(r.results[0].Err != nil)
+		c.is.Equal(r.results[0].Err.Failure, port.FailureBroken)
+	})
+}
