--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -19,7 +19,8 @@
 	RestartsPerDay float64
 	Partitions     float64
 	Streams        float64
-	// LogAppends is how many appends a second the log takes.
+	// LogAppends is how many appends a second the log takes: "several
+	// hundred".
 	LogAppends float64
 	// RetentionSeconds is how long the log keeps a record.
 	RetentionSeconds float64
@@ -47,7 +48,7 @@
 		RestartsPerDay:    350,
 		Partitions:        4096,
 		Streams:           24,
-		LogAppends:        480,
+		LogAppends:        500,
 		RetentionSeconds:  secondsPerDay,
 		CoreShare:         0.013,
 		MemoryBytes:       64 << 20,
