ledger: a late reader takes a checkpoint that no record has overtaken

Cause: a reader that starts after a trim judges records by less state than the others and may count one that they refused; the checkpoint that followed did not replace a program of the same version. Change: checkpoints name the offset that they were built on, and a tree's names its programs; a late reader takes one whole if it has met no record since, and drops programs that the tree did not have.

--- a/internal/core/ledger/apply_test.go
+++ b/internal/core/ledger/apply_test.go
@@ -162,3 +162,22 @@
 	both(Applied, &record.Record{Body: &record.Record_Checkpoint{Checkpoint: g.Checkpoint()}})
 	s.is.Equal(dump(newcomer.part()), dump(s.part()))
 }
+
+// TestNewcomerTakesNoVoidClaim: a process that took a void claim of its own for
+// valid claims again on top of it. Readers of the whole stream refuse that; one
+// that starts after a trim takes the later epoch for proved.
+func TestNewcomerTakesNoVoidClaim(t *testing.T) {
+	s := newScript(t)
+	s.program(100)
+	claim := func() *record.Record { return &record.Record{Body: &record.Record_Claim{Claim: &record.Claim{}}} }
+	s.is.Equal(s.take(s.encode("b", 0, claim())), Void)
+	believed := s.offset
+	newcomer := &script{is: s.is, state: NewState(1, s.offset), offset: s.offset, next: make(map[string]uint64)}
+	both := func(want Verdict, data []byte) {
+		s.is.Equal(s.take(data), want)
+		newcomer.take(data)
+	}
+	both(Applied, s.encode("c", s.part().Epoch, claim()))
+	both(Void, s.encode("b", believed, claim()))
+	s.is.Equal(newcomer.part().Holder, s.part().Holder)
+}
--- a/internal/core/ledger/checkpoint.go
+++ b/internal/core/ledger/checkpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,7 @@
 		Holders:     slices.Clone(g.Holders),
 		Strays:      g.Strays,
 		LeftSeq:     g.LeftSeq,
+		AsOf:        g.tree.partition.offset,
 		Digest:      g.Digest,
 		Spent:       g.Spent,
 		Version:     g.Version,
@@ -43,19 +45,23 @@
 		Unsettled:    t.Unsettled,
 		Targets:      t.Targets,
 		Version:      t.Version,
+		AsOf:         t.partition.offset,
+		ProgramIds:   slices.Sorted(maps.Keys(t.programs)),
 	}
 }
 
 // restore takes a checkpoint. A reader that has the program already only
 // notes that the log has it whole, if nothing has changed since it was made.
-// A reader that came later takes the newest version.
+// A reader that came later takes the newest version. It may also have counted
+// records that the others refused, as it lacked the state that refused them,
+// so that it takes a checkpoint that no record has overtaken in any case.
 func (p *Partition) restore(e Entry, c *record.Checkpoint) Verdict {
 	if c.Open == nil || c.Version < 0 {
 		return Refused
 	}
 	t := p.tree(partition.RootKey(c.Open.ProgramId))
 	g := t.programs[c.Open.ProgramId]
-	if g == nil || g.Version < c.Version {
+	if g == nil || g.Version < c.Version || p.isLate(g.touched, c.AsOf) {
 		t.add(programOf(c, e.AppendedAt))
 		return Applied
 	}
@@ -65,6 +71,10 @@
 	return Applied
 }
 
+// isLate says whether a reader did not read the stream from its begin, and
+// has met no record since a checkpoint was built.
+func (p *Partition) isLate(touched, asOf int64) bool { return p.floor > 0 && touched <= asOf }
+
 func programOf(c *record.Checkpoint, at time.Time) *Program {
 	g := newProgram(c.Open, at)
 	g.OpenedAt = time.UnixMilli(c.OpenedMs)
@@ -82,16 +92,18 @@
 	g.Strays = c.Strays
 	g.LeftSeq = c.LeftSeq
 	g.Version = c.Version
+	g.touched = c.AsOf
 	return g
 }
 
 func (p *Partition) restoreTree(e Entry, c *record.TreeCheckpoint) Verdict {
 	t := p.tree(c.RootKey)
-	if t.Version == c.Version && t.Budget == c.BudgetTokens {
+	if p.isLate(t.touched, c.AsOf) {
+		t.prune(c)
+	} else if t.Version == c.Version && t.Budget == c.BudgetTokens {
 		t.SavedAt = e.AppendedAt
 		return Applied
-	}
-	if t.Version >= c.Version && t.Budget != 0 {
+	} else if t.Version >= c.Version && t.Budget != 0 {
 		return Applied
 	}
 	t.Firm = c.Firm
@@ -104,3 +116,13 @@
 	t.SavedAt = e.AppendedAt
 	return Applied
 }
+
+// prune drops the programs that the tree did not have when the checkpoint was
+// built.
+func (t *Tree) prune(c *record.TreeCheckpoint) {
+	for id, g := range t.programs {
+		if _, ok := slices.BinarySearch(c.ProgramIds, id); !ok && g.touched <= c.AsOf {
+			t.remove(g)
+		}
+	}
+}
--- a/internal/core/ledger/partition.go
+++ b/internal/core/ledger/partition.go
@@ -18,6 +18,8 @@
 	Targets map[string]uint64
 
 	trees map[string]*Tree
+	// offset is that of the last record of the partition.
+	offset int64
 	// floor is the first offset that was read. base is the latest epoch from
 	// before it that some record has shown.
 	floor, base int64
@@ -30,6 +32,12 @@
 
 // Apply takes the next record of the partition.
 func (p *Partition) Apply(e Entry) Verdict {
+	v := p.apply(e)
+	p.offset = e.Offset
+	return v
+}
+
+func (p *Partition) apply(e Entry) Verdict {
 	if _, ok := e.Record.Body.(*record.Record_Quarantine); ok {
 		return Applied
 	}
@@ -67,6 +75,7 @@
 	for _, t := range p.trees {
 		t.unsettle(p.Targets)
 		t.stray(!p.Released)
+		t.touch(e.Offset)
 	}
 	p.Epoch = e.Offset + 1
 	p.Holder = e.Writer()
@@ -77,7 +86,7 @@
 func (p *Partition) applyHeld(e Entry) Verdict {
 	switch b := e.Record.Body.(type) {
 	case *record.Record_Release:
-		p.release()
+		p.release(e)
 		return Applied
 	case *record.Record_Hold:
 		p.Targets = b.Hold.Targets
@@ -89,44 +98,46 @@
 	case *record.Record_TreeCheckpoint:
 		return p.restoreTree(e, b.TreeCheckpoint)
 	case *record.Record_Slice:
-		return p.slice(b.Slice)
+		return p.slice(e, b.Slice)
 	case *record.Record_Reconcile:
-		return p.reconcile(b.Reconcile)
+		return p.reconcile(e, b.Reconcile)
 	case *record.Record_Turn:
-		return p.turn(b.Turn)
+		return p.turn(e, b.Turn)
 	}
 	return p.applyProgram(e)
 }
 
-func (p *Partition) release() {
+func (p *Partition) release(e Entry) {
 	p.Released = true
 	for _, t := range p.trees {
 		t.returnSlice()
+		t.touch(e.Offset)
 	}
 }
 
 func (p *Partition) applyProgram(e Entry) Verdict {
 	switch b := e.Record.Body.(type) {
 	case *record.Record_Intent:
-		return p.withProgram(b.Intent.ProgramId, func(g *Program) bool { return g.intend(e, b.Intent) })
+		return p.withProgram(e, b.Intent.ProgramId, func(g *Program) bool { return g.intend(e, b.Intent) })
 	case *record.Record_Undispatched:
-		return p.withProgram(b.Undispatched.ProgramId, func(g *Program) bool { return g.undispatch(b.Undispatched) })
+		return p.withProgram(e, b.Undispatched.ProgramId, func(g *Program) bool { return g.undispatch(b.Undispatched) })
 	case *record.Record_End:
-		return p.withProgram(b.End.ProgramId, func(g *Program) bool { return g.end(e, b.End) })
+		return p.withProgram(e, b.End.ProgramId, func(g *Program) bool { return g.end(e, b.End) })
 	case *record.Record_EvictAcked:
-		return p.withProgram(b.EvictAcked.ProgramId, func(g *Program) bool { return g.evicted(b.EvictAcked) })
+		return p.withProgram(e, b.EvictAcked.ProgramId, func(g *Program) bool { return g.evicted(b.EvictAcked) })
 	case *record.Record_Forget:
-		return p.forget(b.Forget)
+		return p.forget(e, b.Forget)
 	}
 	return Garbage
 }
 
-func (p *Partition) withProgram(id string, change func(*Program) bool) Verdict {
+func (p *Partition) withProgram(e Entry, id string, change func(*Program) bool) Verdict {
 	g := p.Program(id)
 	if g == nil || !change(g) {
 		return Refused
 	}
 	g.Version++
+	g.touched = e.Offset
 	return Applied
 }
 
@@ -170,7 +181,7 @@
 func (p *Partition) tree(rootKey string) *Tree {
 	t := p.trees[rootKey]
 	if t == nil {
-		t = newTree(rootKey)
+		t = newTree(p, rootKey)
 		p.trees[rootKey] = t
 	}
 	return t
@@ -189,6 +200,7 @@
 		return Refused
 	}
 	t.add(newProgram(o, e.AppendedAt))
+	t.touch(e.Offset)
 	return Applied
 }
 
@@ -197,23 +209,25 @@
 	if t != nil && len(t.programs) > 0 {
 		return Refused
 	}
-	t = newTree(key)
+	t = newTree(p, key)
 	t.Budget = o.BudgetTokens
 	t.Granted = min(o.Slice, o.BudgetTokens)
 	t.Firm = o.Firm
 	t.SavedAt = e.AppendedAt
 	t.add(newProgram(o, e.AppendedAt))
+	t.touch(e.Offset)
 	p.trees[key] = t
 	return Applied
 }
 
-func (p *Partition) forget(f *record.Forget) Verdict {
+func (p *Partition) forget(e Entry, f *record.Forget) Verdict {
 	g := p.Program(f.ProgramId)
 	if g == nil || g.State == Open {
 		return Refused
 	}
 	t := p.trees[partition.RootKey(g.ID)]
 	t.remove(g)
+	t.touched = e.Offset
 	if len(t.programs) == 0 {
 		delete(p.trees, t.RootKey)
 	}
--- a/internal/core/ledger/program.go
+++ b/internal/core/ledger/program.go
@@ -44,6 +44,9 @@
 	// LeftSeq is the seq of the last call that left for a target, or may have,
 	// without an outcome. Calls under an intent are not among them.
 	LeftSeq int64
+	// touched is the offset of the last record that changed the program.
+	touched int64
+	tree    *Tree
 	// Version counts the changes; SavedAt is when the log last got it whole.
 	Version int64
 	SavedAt time.Time
--- a/internal/core/ledger/tree.go
+++ b/internal/core/ledger/tree.go
@@ -27,15 +27,20 @@
 	Version int64
 	SavedAt time.Time
 
-	programs map[string]*Program
-	requests map[string]string
+	// touched is the offset of the last record that changed the tree or its
+	// set of programs.
+	touched   int64
+	partition *Partition
+	programs  map[string]*Program
+	requests  map[string]string
 }
 
-func newTree(rootKey string) *Tree {
+func newTree(p *Partition, rootKey string) *Tree {
 	return &Tree{
-		RootKey:  rootKey,
-		programs: make(map[string]*Program),
-		requests: make(map[string]string),
+		RootKey:   rootKey,
+		partition: p,
+		programs:  make(map[string]*Program),
+		requests:  make(map[string]string),
 	}
 }
 
@@ -49,7 +54,16 @@
 // Free returns the escrow that is neither spent nor in doubt.
 func (t *Tree) Free() int64 { return t.Granted - t.Spent - t.Unsettled }
 
+// touch notes that a record changed the tree, and all its programs with it.
+func (t *Tree) touch(offset int64) {
+	t.touched = offset
+	for _, g := range t.programs {
+		g.touched = offset
+	}
+}
+
 func (t *Tree) add(g *Program) {
+	g.tree = t
 	t.programs[g.ID] = g
 	t.requests[requestKey(g.Open.Firm, g.Open.RequestId)] = g.ID
 }
@@ -97,22 +111,24 @@
 	t.Version++
 }
 
-func (p *Partition) slice(s *record.Slice) Verdict {
+func (p *Partition) slice(e Entry, s *record.Slice) Verdict {
 	t := p.trees[partition.RootKey(s.ProgramId)]
 	if t == nil || s.Charge < 0 {
 		return Refused
 	}
 	t.charge(s.Charge, s.Granted)
+	t.touched = e.Offset
 	if g := t.programs[s.ProgramId]; g != nil {
 		g.Spent += s.Charge
 		g.LeftSeq = max(g.LeftSeq, s.LeftSeq)
 		g.hold(s.Holders)
+		g.touched = e.Offset
 		g.Version++
 	}
 	return Applied
 }
 
-func (p *Partition) reconcile(r *record.Reconcile) Verdict {
+func (p *Partition) reconcile(e Entry, r *record.Reconcile) Verdict {
 	t := p.trees[partition.RootKey(r.ProgramId)]
 	if t == nil || r.Unsettled != t.Unsettled || r.Charge < 0 {
 		return Refused
@@ -123,8 +139,10 @@
 	t.Spent += r.Charge
 	t.Granted = max(t.Granted+r.Charge, t.Spent)
 	t.Version++
+	t.touched = e.Offset
 	if g := t.programs[r.ProgramId]; g != nil {
 		g.hold(r.Holders)
+		g.touched = e.Offset
 		g.Version++
 	}
 	return Applied
@@ -132,7 +150,7 @@
 
 // turn charges the tree even where the program is not known yet, since its
 // checkpoint may come later than the tree's.
-func (p *Partition) turn(r *record.Turn) Verdict {
+func (p *Partition) turn(e Entry, r *record.Turn) Verdict {
 	t := p.trees[partition.RootKey(r.ProgramId)]
 	if t == nil || r.Charge < 0 {
 		return Refused
@@ -142,7 +160,11 @@
 	if g != nil {
 		v = g.turn(r)
 	}
+	if v == Applied {
+		g.touched = e.Offset
+	}
 	if v == Applied || g == nil {
+		t.touched = e.Offset
 		t.charge(r.Charge, r.Granted)
 	}
 	return v
