owner: a call that nobody knows is answered 404 unknown_call

It was answered 400 invalid_request, as if the request were malformed, and with not_run also where an earlier attempt had left for a target. The type is new on the interface; the run state follows the log's mark. A server that ends at a planned stop is no error in the log any more.

--- a/internal/adapter/httpapi/api_test.go
+++ b/internal/adapter/httpapi/api_test.go
@@ -276,7 +276,7 @@
 // TestFailuresOfEveryType checks the status, body and counter of each type.
 func TestFailuresOfEveryType(t *testing.T) {
 	want := map[fault.Type]int{
-		fault.InvalidRequest: 400, fault.UnknownProgram: 404, fault.SeqConflict: 409,
+		fault.InvalidRequest: 400, fault.UnknownProgram: 404, fault.UnknownCall: 404, fault.SeqConflict: 409,
 		fault.BudgetExceeded: 402, fault.Overloaded: 429, fault.DeadlineUnmeetable: 429,
 		fault.Poisoned: 422, fault.ProgramStopped: 409, fault.NoTarget: 503,
 		fault.LogUnavailable: 503, fault.TargetFailed: 502, fault.OutcomeUnknown: 504,
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -113,7 +114,8 @@
 }
 
 func (s *servers) report(err error) {
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+	planned := errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed)
+	if err != nil && !planned {
 		s.log.Error(err, "Server ended.")
 	}
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -17,6 +17,7 @@
 const (
 	InvalidRequest     Type = "invalid_request"
 	UnknownProgram     Type = "unknown_program"
+	UnknownCall        Type = "unknown_call"
 	SeqConflict        Type = "seq_conflict"
 	BudgetExceeded     Type = "budget_exceeded"
 	Overloaded         Type = "overloaded"
@@ -37,7 +38,7 @@
 
 // Types lists every failure type, for metrics and documentation.
 var Types = []Type{
-	InvalidRequest, UnknownProgram, SeqConflict, BudgetExceeded, Overloaded,
+	InvalidRequest, UnknownProgram, UnknownCall, SeqConflict, BudgetExceeded, Overloaded,
 	DeadlineUnmeetable, Poisoned, ProgramStopped, NoTarget, LogUnavailable,
 	TargetFailed, OutcomeUnknown, Timeout, Conflict, InvalidConfig, NotReady,
 	HistoryDiverged, Internal,
@@ -134,6 +135,7 @@
 var statuses = map[Type]int{
 	InvalidRequest:     http.StatusBadRequest,
 	UnknownProgram:     http.StatusNotFound,
+	UnknownCall:        http.StatusNotFound,
 	SeqConflict:        http.StatusConflict,
 	BudgetExceeded:     http.StatusPaymentRequired,
 	Overloaded:         http.StatusTooManyRequests,
--- a/internal/owner/lifecycle.go
+++ b/internal/owner/lifecycle.go
@@ -112,7 +112,11 @@
 	if g.Intent != nil && g.Intent.Seq == seq {
 		return port.Answer{}, true, nil
 	}
-	return port.Answer{}, false, invalid("seq", "no call with this seq is known")
+	run := fault.NotRun
+	if g.MayHaveLeft(seq) || (v != nil && v.left == seq) {
+		run = fault.Unknown
+	}
+	return port.Answer{}, false, fault.New(fault.UnknownCall, run, "no call with this seq has an outcome or runs")
 }
 
 // End ends a program. A model call under way is cancelled.
--- a/internal/owner/target_test.go
+++ b/internal/owner/target_test.go
@@ -124,6 +124,11 @@
 			c.is.Equal(fault.Of(err).Type, fault.BudgetExceeded)
 			c.is.Equal(fault.Of(err).Run, fault.Unknown)
 		}
+		for seq, run := range map[int64]fault.Run{1: fault.Unknown, 2: fault.NotRun} {
+			_, _, err := owner.Answer(context.Background(), v.ProgramID, seq)
+			c.is.Equal(fault.Of(err).Type, fault.UnknownCall)
+			c.is.Equal(fault.Of(err).Run, run)
+		}
 		time.Sleep(time.Second)
 		c.kill(owner)
 		time.Sleep(3 * time.Second)
