--- a/internal/adapter/service/client.go
+++ b/internal/adapter/service/client.go
@@ -26,7 +26,7 @@
 // Client calls the plain services. It implements port.Service.
 type Client struct {
 	pooled *httpcall.Client
-	// unpooled serves the calls that may not be repeated.
+	// unpooled serves the non-idempotent calls.
 	unpooled *httpcall.Client
 }
 
--- a/internal/core/ledger/program.go
+++ b/internal/core/ledger/program.go
@@ -33,7 +33,7 @@
 	Digest []byte
 	// Spent is the program's own part of its tree's spending, in tokens.
 	Spent int64
-	// Intent stands while a call that must not be repeated has no outcome.
+	// Intent stands while a non-idempotent call has no outcome.
 	Intent *record.Intent
 	// IntentEpoch is the claim under which the intent was written.
 	IntentEpoch int64
--- a/internal/core/ledger/tree.go
+++ b/internal/core/ledger/tree.go
@@ -7,7 +7,7 @@
 	"yuccausher/internal/gen/record"
 )
 
-// Tree is a root program with all its sub-agents, which spend one budget.
+// Tree is a root program with all its child programs, which spend one budget.
 // Spent + Unsettled <= Granted <= Budget, unless a target used more than was
 // reserved. All amounts are tokens.
 type Tree struct {
--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -69,9 +69,9 @@
 }
 
 // mayHaveLeft says whether an earlier attempt of a call may have been at a
-// target. A call that must not be repeated has an intent if it has left.
+// target. A non-idempotent call has an intent if it has left.
 func (p *part) mayHaveLeft(g *ledger.Program, call port.Call) bool {
-	if p.s.runsOnce(call) {
+	if p.s.isNonIdempotent(call) {
 		return false
 	}
 	v := p.live[g.ID]
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -117,7 +117,7 @@
 		deadline = end
 	}
 	r := newRunning(p, call, fingerprint, deadline)
-	r.once = p.s.runsOnce(call)
+	r.once = p.s.isNonIdempotent(call)
 	r.left = p.mayHaveLeft(g, call)
 	r.join()
 	v.running = r
@@ -126,8 +126,8 @@
 	return r
 }
 
-// runsOnce says whether a call must not be repeated.
-func (s *Service) runsOnce(call port.Call) bool {
+// isNonIdempotent says whether a call is non-idempotent.
+func (s *Service) isNonIdempotent(call port.Call) bool {
 	if call.Kind == port.KindModel {
 		return false
 	}
@@ -152,7 +152,7 @@
 	case r.call.Kind == port.KindModel:
 		return r.runModel()
 	case r.once:
-		return r.runOnce()
+		return r.runNonIdempotent()
 	}
 	return r.runRepeatable()
 }
--- a/internal/owner/once.go
+++ b/internal/owner/once.go
@@ -12,9 +12,9 @@
 	"yuccausher/internal/port"
 )
 
-// runOnce runs a service call that must not be repeated: its intent is seen
+// runNonIdempotent runs a non-idempotent service call: its intent is seen
 // in the log, then it is dispatched once, then its outcome is recorded.
-func (r *running) runOnce() (port.Answer, error) {
+func (r *running) runNonIdempotent() (port.Answer, error) {
 	work, err := r.serviceWork()
 	if err != nil {
 		return port.Answer{}, err
--- a/internal/owner/open.go
+++ b/internal/owner/open.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// admitOpen refuses a sub-agent without an open parent of its own firm, and a
+// admitOpen refuses a child program without an open parent of its own firm, and a
 // root that its firm has no budget for.
 func (p *part) admitOpen(spec port.ProgramSpec, full error) error {
 	if spec.Parent == "" {
--- a/internal/owner/params.go
+++ b/internal/owner/params.go
@@ -54,8 +54,8 @@
 	// ClaimWait bounds how long a call waits for a claim to be seen.
 	ClaimWait time.Duration
 	// DispatchAllowance is how long after its intent was handed to the log a
-	// call that must not be repeated may still be dispatched; it is also how
-	// long such a call waits for the log.
+	// non-idempotent call may still be dispatched; it is also how long such a
+	// call waits for the log.
 	DispatchAllowance time.Duration
 	// ClockAllowance covers the difference of two hosts' clock rates when an
 	// intent in doubt is waited out.
--- a/internal/owner/running.go
+++ b/internal/owner/running.go
@@ -50,7 +50,7 @@
 	answer port.Answer
 	err    error
 
-	// once says that the call must not be repeated. left says that an earlier
+	// once says that the call is non-idempotent. left says that an earlier
 	// attempt under the same seq may have been at a target.
 	once bool
 	left bool
@@ -111,8 +111,8 @@
 	r.mu.Unlock()
 }
 
-// leave lets a caller go. The last one takes the call with it, unless it must
-// not be repeated and has left, or has run.
+// leave lets a caller go. The last one takes the call with it, unless it is
+// non-idempotent and has left, or has run.
 func (r *running) leave() {
 	r.mu.Lock()
 	r.callers--
@@ -123,7 +123,7 @@
 	}
 }
 
-// cancelUnlessLeft cancels the call, unless it must not be repeated and has
+// cancelUnlessLeft cancels the call, unless it is non-idempotent and has
 // left: that one ends by itself.
 func (r *running) cancelUnlessLeft() {
 	if !r.once || r.at() == phaseWaiting {
--- a/internal/sched/lives.go
+++ b/internal/sched/lives.go
@@ -13,7 +13,7 @@
 const lifeGain = 0.05
 
 // lives learns how long the programs of an agent usually take from their first
-// call to their end, and how many tokens they hold at last. Sub-agents are not
+// call to their end, and how many tokens they hold at last. Child programs are not
 // counted.
 type lives struct {
 	mu    sync.Mutex
