owner: one place for the bound of a host's appends

The default of 20 appends a second stood in the owner, in the settings and in the capacity model; the owner's constant serves all three. The branches of a late reader's tree checkpoint are plain conditions, and a comment is wrapped. Behaviour as before.

--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -3,12 +3,11 @@
 import (
 	"yuccausher/internal/core/membership"
 	"yuccausher/internal/core/routing"
+	"yuccausher/internal/owner"
 )
 
 // The settings of the product that the model needs.
 const (
-	// appendsPerHost is the writer's bound, in appends a second.
-	appendsPerHost = 20
 	// listReads is how often a host reads the target list, a second.
 	listReads = 1
 	// measuredTurnBytes is the input and output of a turn in the replay
@@ -77,9 +76,9 @@
 	turn := s.ProgramTokens / s.ProgramTurns * bytesOfToken
 	perSecond := s.RequestsPerSecond * (turn + overhead)
 	return []Row{
-		{role, "appends, all hosts, today", Control, Rate, s.Hosts * appendsPerHost, s.LogAppends,
+		{role, "appends, all hosts, today", Control, Rate, s.Hosts * owner.DefaultAppendsPerSecond, s.LogAppends,
 			"hosts × the writer's bound of 20/s, which does not depend on the load (TestAppendsPerHost)", "today: each host appends for itself"},
-		{role, "appends, relayed", Control, Rate, s.Streams * appendsPerHost, s.LogAppends,
+		{role, "appends, relayed", Control, Rate, s.Streams * owner.DefaultAppendsPerSecond, s.LogAppends,
 			"streams × 20/s", "to build: one host a stream gathers the records of all (owner.Appender is the seam)"},
 		{role, "bytes of records around a turn", Control, Bytes, overhead, 400,
 			"CapacityReplayTurns: slope of log-bytes − 4,096", "protobuf records"},
--- a/internal/core/ledger/checkpoint.go
+++ b/internal/core/ledger/checkpoint.go
@@ -98,14 +98,17 @@
 
 func (p *Partition) restoreTree(e Entry, c *record.TreeCheckpoint) Verdict {
 	t := p.tree(c.RootKey)
-	if p.isLate(t.touched, c.AsOf) {
-		t.prune(c)
-	} else if t.Version == c.Version && t.Budget == c.BudgetTokens {
+	late := p.isLate(t.touched, c.AsOf)
+	if !late && t.Version == c.Version && t.Budget == c.BudgetTokens {
 		t.SavedAt = e.AppendedAt
 		return Applied
-	} else if t.Version >= c.Version && t.Budget != 0 {
+	}
+	if !late && t.Version >= c.Version && t.Budget != 0 {
 		return Applied
 	}
+	if late {
+		t.prune(c)
+	}
 	t.Firm = c.Firm
 	t.Budget = c.BudgetTokens
 	t.Spent = c.Spent
--- a/internal/owner/bound_test.go
+++ b/internal/owner/bound_test.go
@@ -34,7 +34,7 @@
 				served := c.load(ids, span)
 				var appends int
 				link.set(func(g *gate) { appends = g.appends })
-				bound := defaultAppendsPerSecond*int(span/time.Second+2) + defaultAppendBurst
+				bound := DefaultAppendsPerSecond*int(span/time.Second+2) + defaultAppendBurst
 				t.Logf("offered %d/s, served %d, appends %d in %v, bound %d", perSecond, served, appends, span, bound)
 				c.is.True(appends <= bound)
 				c.is.True(appends <= 2*served+bound/10) // an idle host appends no more than it must
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -18,10 +18,10 @@
 	confirmPause = 5 * time.Millisecond
 )
 
-// confirmed looks a program up by its ID or root key. A miss counts only once the state holds all
-// that the log held when the look-up began, since a host that was paused, or
-// cut off from the log, may lack what its successor wrote. unread is what the
-// refusal says if the log can't be read.
+// confirmed looks a program up by its ID or root key. A miss counts only once
+// the state holds all that the log held when the look-up began, since a host
+// that was paused, or cut off from the log, may lack what its successor wrote.
+// unread is what the refusal says if the log can't be read.
 func confirmed[T any](ctx context.Context, s *Service, id string, unread fault.Run, look func() (T, error)) (T, error) {
 	t := s.streamOf(partition.RootKey(id))
 	if t != nil && t.isStale() {
--- a/internal/owner/params.go
+++ b/internal/owner/params.go
@@ -73,7 +73,9 @@
 }
 
 const (
-	defaultAppendsPerSecond  = 20
+	// DefaultAppendsPerSecond bounds the appends of one host to the log, whatever
+	// the load.
+	DefaultAppendsPerSecond  = 20
 	defaultAppendBurst       = 5
 	defaultAppendTimeout     = 5 * time.Second
 	defaultRetention         = time.Hour
@@ -98,7 +100,7 @@
 
 // withDefaults returns the settings with each zero value replaced.
 func (s Settings) withDefaults() Settings {
-	orDefault(&s.AppendsPerSecond, defaultAppendsPerSecond)
+	orDefault(&s.AppendsPerSecond, DefaultAppendsPerSecond)
 	orDefault(&s.AppendBurst, defaultAppendBurst)
 	orDefault(&s.AppendTimeout, defaultAppendTimeout)
 	orDefault(&s.Retention, defaultRetention)
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -2,10 +2,12 @@
 
 import (
 	"flag"
+	"strconv"
 	"strings"
 	"time"
 
 	"yuccausher/internal/adapter/logging"
+	"yuccausher/internal/owner"
 )
 
 // Serve holds the settings of one host.
@@ -82,7 +84,7 @@
 	g.add("max-requests", "4096", "callers' requests served at a time", "NUMBER from 1 to 1000000", takeNumber(&s.MaxRequests, 1, 1_000_000))
 	g.add("max-body", "4MiB", "longest body of a caller's request", "SIZE from 1KiB to 12MiB", takeSize(&s.MaxBody, 1<<10, 12<<20))
 	g.add("max-body-total", "256MiB", "bodies of all callers' requests being served", "SIZE from 1MiB to 64GiB", takeSize(&s.MaxBodyTotal, 1<<20, 64<<30))
-	g.add("append-rate", "20", "appends of this host to the log per second", "NUMBER from 1 to 10000", takeNumber(&s.AppendRate, 1, 10_000))
+	g.add("append-rate", strconv.Itoa(owner.DefaultAppendsPerSecond), "appends of this host to the log per second", "NUMBER from 1 to 10000", takeNumber(&s.AppendRate, 1, 10_000))
 }
 
 func (s *Serve) addTimes() {
