platform: the whole path on the users' machines, thin

A host follows the store's configuration and targets, forwards safe, unsafe and stream requests, and claims programs' budgets in the shared log.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -17,7 +17,7 @@
 func commands() map[string][]subcommands.Command {
 	return map[string][]subcommands.Command{
 		"see it run":        {&demoCommand{}, &devCommand{}, &standinCommand{}, &loadCommand{}},
-		"run a host":        {&serveCommand{}},
+		"run a host":        {&serveCommand{}, &frontCommand{}},
 		"operate the fleet": {&checkConfigCommand{}, &ctlCommand{}, &capacityCommand{}},
 	}
 }
--- /dev/null
+++ b/internal/cli/front.go
@@ -0,0 +1,146 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/subcommands"
+
+	"yuccausher/internal/adapter/logging"
+	"yuccausher/internal/front"
+	"yuccausher/internal/settings"
+	"yuccausher/platform"
+)
+
+// memoryShare is the part of the host's memory that the heap may take before
+// the collector works harder; the rest is for stacks and socket buffers.
+const memoryShare = 0.6
+
+// frontCommand runs one host on the users' platform.
+type frontCommand struct {
+	settings *settings.Front
+	unknown  []string
+}
+
+// Name implements subcommands.Command.
+func (*frontCommand) Name() string { return "front" }
+
+// Synopsis implements subcommands.Command.
+func (*frontCommand) Synopsis() string { return "run one host on the users' platform until SIGTERM" }
+
+// Usage implements subcommands.Command.
+func (*frontCommand) Usage() string {
+	return `front -config FILE [-metrics-port PORT] [-log-level LEVEL] [-log-rate NUMBER]
+
+Runs one host on the users' platform, which tells it addresses and bounds in
+FILE. SIGTERM makes a planned stop: the host leaves the rotation, answers what
+comes meanwhile and exits with 0. SIGHUP reads FILE again. Each flag can also be
+set in the environment: -config is ` + platform.SettingsVariable + `.
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *frontCommand) SetFlags(f *flag.FlagSet) { c.settings = settings.NewFront(f) }
+
+// filter implements argumentFilter.
+func (c *frontCommand) filter(args []string) []string {
+	flags := flag.NewFlagSet(c.Name(), flag.ContinueOnError)
+	settings.NewFront(flags)
+	known, unknown := settings.SplitUnknown(flags, args)
+	c.unknown = unknown
+	return known
+}
+
+// Execute implements subcommands.Command.
+func (c *frontCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.settings.Finish(c.unknown); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	told, err := platform.ReadSettings(c.settings.PlatformFile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	logger := logging.NewStructured(os.Stdout, logging.Level(c.settings.LogLevel), int(c.settings.LogRate))
+	defer closeLog(logger)
+	if err := runFront(ctx, c.settings, told, logger.Logger); err != nil {
+		logger.Error(err, "Host has failed.")
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// logCloseTimeout bounds the wait for the last lines of the log.
+const logCloseTimeout = 200 * time.Millisecond
+
+func closeLog(l *logging.Structured) {
+	ctx, cancel := context.WithTimeout(context.Background(), logCloseTimeout)
+	defer cancel()
+	l.Close(ctx)
+}
+
+// runFront runs a host until a signal ends it.
+func runFront(ctx context.Context, s *settings.Front, told platform.Settings, logger logr.Logger) error {
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	if told.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(told.MemoryBytes)))
+	}
+	f, err := front.New(frontOptions(s, told, logger))
+	if err != nil {
+		return err
+	}
+	log := logger.WithName("front")
+	if err := f.Start(ctx); err != nil {
+		return err
+	}
+	log.Info("Host is up.", "host", told.HostName, "data_centre", told.DataCentre, "callers", told.CallerAddress,
+		"store", told.Store.Address, "retention", told.Store.Retention.String(), "stop_time", told.StopTime.String())
+	reloads := watchSettings(ctx, s.PlatformFile, told, log)
+	<-ctx.Done()
+	stop()
+	<-reloads
+	log.Info("Host is stopping.", "host", told.HostName)
+	err = f.Stop(context.Background())
+	log.Info("Host has stopped.", "host", told.HostName)
+	return err
+}
+
+func frontOptions(s *settings.Front, told platform.Settings, logger logr.Logger) front.Options {
+	store := platform.NewStore(told.Store.Address)
+	metricsAddress := ""
+	if s.MetricsPort > 0 {
+		metricsAddress = net.JoinHostPort(told.IP, strconv.FormatInt(s.MetricsPort, 10))
+	}
+	return front.Options{
+		CallerAddress:  told.CallerAddress,
+		ReadyAddress:   told.ReadyAddress,
+		MetricsAddress: metricsAddress,
+		DataCentre:     told.DataCentre,
+		DrainTime:      told.DrainTime,
+		StopTime:       told.StopTime,
+		Retention:      told.Store.Retention,
+		Seed:           rand.Uint64(),
+		Logger:         logger,
+		Platform: front.Platform{
+			Log:                 store,
+			Configuration:       platform.Keyed{Store: store, Partition: platform.ConfigurationPartition},
+			ConfigurationKey:    platform.ConfigurationKey,
+			DecodeConfiguration: platform.DecodeConfiguration,
+			Targets:             platform.Keyed{Store: store, Partition: platform.TargetsPartition},
+			DecodeTarget:        platform.DecodeTarget,
+			Protocol:            platform.Headers{},
+			ReadyPath:           platform.ReadyPath,
+		},
+	}
+}
--- /dev/null
+++ b/internal/core/budget/slice.go
@@ -0,0 +1,49 @@
+package budget
+
+// turnsAhead is how many further turns a claim asks for beside the one that
+// needs it. Turns generate a fraction of the most that they may, so that one
+// claim lasts for most programs.
+const turnsAhead = 2
+
+// shareAhead bounds what is asked for ahead to this part of what is left of
+// the budget, so that one host does not take what others need.
+const shareAhead = 4
+
+// Slice is what one host holds of a program's budget. It is not safe for
+// concurrent use.
+type Slice struct {
+	// Confirmed is the host's total in the log.
+	Confirmed int64
+	// Spent was handed to callers; Open is the most that running turns may
+	// still hand out.
+	Spent, Open int64
+}
+
+// Begin starts a turn of at most most tokens if the slice holds it.
+func (s *Slice) Begin(most int64) bool {
+	if s.Confirmed-s.Spent-s.Open < most {
+		return false
+	}
+	s.Open += most
+	return true
+}
+
+// End ends a turn that was begun with most and handed out spent.
+func (s *Slice) End(most, spent int64) {
+	s.Open -= most
+	s.Spent += spent
+}
+
+// Needed returns the total to claim for turns of most tokens together.
+func (s *Slice) Needed(most int64) int64 { return s.Spent + s.Open + most }
+
+// Ahead returns the total to claim for a turn of most tokens and some that
+// may follow, where the claims of all hosts are known to be claimed.
+func (s *Slice) Ahead(most, budget, claimed int64) int64 {
+	needed := s.Needed(most)
+	left := budget - claimed - (needed - s.Confirmed)
+	return needed + max(min(turnsAhead*most, left/shareAhead), 0)
+}
+
+// Unused returns how much of the slice no turn needs.
+func (s *Slice) Unused() int64 { return max(s.Confirmed-s.Spent-s.Open, 0) }
--- /dev/null
+++ b/internal/core/fleet/fleet.go
@@ -0,0 +1,290 @@
+package fleet
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fleet holds the targets of all services. It is safe for concurrent use.
+type Fleet struct {
+	// dataCentre is the host's own, whose targets are preferred.
+	dataCentre string
+
+	mu       sync.Mutex
+	byID     map[string]*Target
+	services map[string][]*Target
+	random   *rand.Rand
+}
+
+// New returns an empty fleet as seen from a data centre. The seed decides
+// between targets that look alike.
+func New(dataCentre string, seed uint64) *Fleet {
+	return &Fleet{
+		dataCentre: dataCentre,
+		byID:       make(map[string]*Target),
+		services:   make(map[string][]*Target),
+		random:     rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// Change says what a record changed.
+type Change int
+
+// The changes of a target.
+const (
+	Unchanged Change = iota
+	Joined
+	Restarted
+	Leaving
+	Returned
+	Lapsed
+	Removed
+)
+
+// String names the change.
+func (c Change) String() string {
+	return [...]string{"unchanged", "joined", "restarted", "leaving", "returned", "lapsed", "removed"}[c]
+}
+
+// Put takes a target's record.
+func (f *Fleet) Put(m Member) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.byID[m.ID]
+	if old == nil {
+		f.add(m)
+		return Joined
+	}
+	if !old.isSameStart(m) {
+		f.drop(old)
+		f.add(m)
+		return Restarted
+	}
+	change := Unchanged
+	switch {
+	case m.Leaving && !old.Leaving:
+		change = Leaving
+	case !old.goneAt.IsZero():
+		change = Returned
+	}
+	old.Member = m
+	old.goneAt = time.Time{}
+	return change
+}
+
+func (f *Fleet) add(m Member) {
+	t := &Target{Member: m}
+	f.byID[m.ID] = t
+	f.services[m.Service] = append(f.services[m.Service], t)
+}
+
+func (f *Fleet) drop(t *Target) {
+	delete(f.byID, t.ID)
+	list := f.services[t.Service]
+	if i := slices.Index(list, t); i >= 0 {
+		// Choices read the list under the lock, so it may change in place.
+		f.services[t.Service] = slices.Delete(list, i, i+1)
+	}
+}
+
+// Remove takes a target out, because its record is gone.
+func (f *Fleet) Remove(id string) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.byID[id]
+	if t == nil {
+		return Unchanged
+	}
+	f.drop(t)
+	return Removed
+}
+
+// Lapse notes that a record is gone which may have expired only because the
+// store was away. The target stays in use until Expire removes it.
+func (f *Fleet) Lapse(id string, now time.Time) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.byID[id]
+	if t == nil || !t.goneAt.IsZero() {
+		return Unchanged
+	}
+	t.goneAt = now
+	return Lapsed
+}
+
+// Expire removes the targets whose records lapsed and did not return, and
+// returns their IDs.
+func (f *Fleet) Expire() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var gone []string
+	for id, t := range f.byID {
+		if !t.goneAt.IsZero() {
+			gone = append(gone, id)
+		}
+	}
+	for _, id := range gone {
+		f.drop(f.byID[id])
+	}
+	return gone
+}
+
+// IDs returns the IDs of all targets.
+func (f *Fleet) IDs() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ids := make([]string, 0, len(f.byID))
+	for id := range f.byID {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Members returns what the targets say of themselves.
+func (f *Fleet) Members() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]Member, 0, len(f.byID))
+	for _, t := range f.byID {
+		list = append(list, t.Member)
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	Service string
+	// Affinity is shared by requests that share a long prompt prefix; empty
+	// for requests that any target serves as well.
+	Affinity string
+	// Exclude lists the targets that have already refused the request.
+	Exclude []string
+}
+
+// Choice is a target for one dispatch. End must be called once.
+type Choice struct {
+	Member
+	fleet  *Fleet
+	target *Target
+}
+
+// End takes the outcome of the dispatch.
+func (c *Choice) End(now time.Time, o Outcome, first time.Duration) {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	c.target.inFlight--
+	c.target.observe(now, o, first)
+}
+
+const (
+	// sampled is how many targets beside the home are compared. Few of them
+	// keep hosts with the same view apart.
+	sampled = 2
+	// homeFactor and homeSlack are how much slower the home of a prefix may be
+	// before another target is better: reading a prompt again takes about as
+	// long, in seconds.
+	homeFactor = 1.5
+	homeSlack  = 0.015
+	// remoteFactor makes targets of other data centres less attractive than
+	// equal ones nearby, since traffic between data centres costs.
+	remoteFactor = 1.1
+)
+
+// Choose returns a target for a dispatch, or nil if there is none that might
+// take it. Targets that refused work as full a moment ago come last.
+func (f *Fleet) Choose(r Request, now time.Time) *Choice {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	open := make([]*Target, 0, 16)
+	paused := make([]*Target, 0, 4)
+	for _, t := range f.services[r.Service] {
+		switch {
+		case slices.Contains(r.Exclude, t.ID) || t.Leaving:
+		case !t.isOpen(now) || now.Before(t.fullUntil):
+			paused = append(paused, t)
+		default:
+			open = append(open, t)
+		}
+	}
+	if len(open) == 0 {
+		open = paused
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	best := f.best(r, open, now)
+	best.inFlight++
+	return &Choice{Member: best.Member, fleet: f, target: best}
+}
+
+func (f *Fleet) best(r Request, open []*Target, now time.Time) *Target {
+	if r.Affinity == "" {
+		return f.cheapest(open, now)
+	}
+	home := rendezvous(r.Affinity, open)
+	best, least := home, home.cost(now)
+	limit := least/homeFactor - homeSlack
+	for range sampled {
+		t := open[f.random.IntN(len(open))]
+		if c := t.cost(now); c < limit && c < least {
+			best, least = t, c
+		}
+	}
+	return best
+}
+
+// cheapest compares all targets, those of other data centres at a surcharge.
+// Equal costs are decided at random.
+func (f *Fleet) cheapest(open []*Target, now time.Time) *Target {
+	var best *Target
+	least := 0.0
+	offset := f.random.IntN(len(open))
+	for i := range open {
+		t := open[(i+offset)%len(open)]
+		c := t.cost(now) * (1 + float64(t.inFlight))
+		if t.DataCentre != f.dataCentre {
+			c *= remoteFactor
+		}
+		if best == nil || c < least {
+			best, least = t, c
+		}
+	}
+	return best
+}
+
+// rendezvous returns the target with the highest hash with the key, which is
+// the same at all hosts that see the same targets.
+func rendezvous(key string, targets []*Target) *Target {
+	var best *Target
+	var most uint64
+	for _, t := range targets {
+		var d xxhash.Digest
+		d.Reset()
+		_, _ = d.WriteString(key)
+		_, _ = d.WriteString(t.ID)
+		if h := d.Sum64(); best == nil || h > most {
+			best, most = t, h
+		}
+	}
+	return best
+}
+
+// Count returns how many targets of a service may be chosen.
+func (f *Fleet) Count(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, t := range f.services[service] {
+		if !t.Leaving {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/fleet/target.go
@@ -0,0 +1,142 @@
+// Package fleet keeps what a host knows of the targets of each service and
+// chooses the target of a request. It learns from the targets' own records and
+// from the answers to the host's requests; it asks nobody.
+package fleet
+
+import (
+	"time"
+)
+
+// Member is what a target says of itself.
+type Member struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	// Slots is how many requests the target runs at once.
+	Slots int
+	// Leaving targets finish what they have and take nothing new.
+	Leaving bool
+	// StartedAt tells starts under the same ID apart.
+	StartedAt int64
+}
+
+// isSameStart says whether two records are of one run of a target.
+func (m Member) isSameStart(o Member) bool {
+	return m.ID == o.ID && m.StartedAt == o.StartedAt && m.Address == o.Address && m.Service == o.Service
+}
+
+const (
+	// latencyGain is the weight of one answer in a target's mean latency.
+	latencyGain = 0.2
+	// initialLatency is assumed until a target has answered, in seconds. It is
+	// low, so that a new target is tried.
+	initialLatency = 0.02
+	// failurePause is how long a target that failed to connect is left alone;
+	// it doubles with each failure in a row up to maxFailurePause.
+	failurePause    = 200 * time.Millisecond
+	maxFailurePause = 3 * time.Second
+	// fullPause is how long a target that refused a request as full is left
+	// alone while others have room: about the time of one request.
+	fullPause = 60 * time.Millisecond
+	// brokenGain is the weight of one answer in the share of broken ones.
+	brokenGain = 0.1
+	// brokenCost is how much slower a target counts whose answers all break.
+	brokenCost = 8.0
+	// staleAfter is when a mean that is much above the others' counts as half;
+	// without it a target that was slow once would never be tried again.
+	staleAfter = 2 * time.Second
+)
+
+// Target is one run of a target. Its fields are guarded by the fleet.
+type Target struct {
+	Member
+
+	inFlight int
+	// latency is the mean time to the first byte of an answer, in seconds.
+	latency    float64
+	observedAt time.Time
+	// broken is the share of answers that broke off or never came.
+	broken   float64
+	failures int
+	// pausedUntil is when the target may be chosen again after failures.
+	pausedUntil time.Time
+	fullUntil   time.Time
+	// goneAt is when the target's record lapsed during an outage of the
+	// store; zero if it stands.
+	goneAt time.Time
+}
+
+// cost is the expected time of a request at the target relative to others, in
+// seconds.
+func (t *Target) cost(now time.Time) float64 {
+	latency := t.latency
+	if latency == 0 {
+		latency = initialLatency
+	}
+	if age := now.Sub(t.observedAt); age > staleAfter && latency > initialLatency {
+		halvings := float64(age) / float64(staleAfter)
+		latency = initialLatency + (latency-initialLatency)/(1+halvings)
+	}
+	load := float64(t.inFlight) / float64(t.Slots)
+	return latency * (1 + load) * (1 + brokenCost*t.broken)
+}
+
+func (t *Target) isOpen(now time.Time) bool {
+	return !t.Leaving && now.After(t.pausedUntil)
+}
+
+// Outcome is how a dispatch to a target ended.
+type Outcome int
+
+// The outcomes of a dispatch.
+const (
+	// Answered dispatches got a whole answer.
+	Answered Outcome = iota
+	// Abandoned dispatches were given up by the caller or by a time limit.
+	Abandoned
+	// Full targets refused the request without running it.
+	Full
+	// Unreachable targets took no connection.
+	Unreachable
+	// Broken answers were cut off, garbled or never came.
+	Broken
+	// Replaced addresses answered for another target.
+	Replaced
+)
+
+// String names the outcome.
+func (o Outcome) String() string {
+	return [...]string{"answered", "abandoned", "full", "unreachable", "broken", "replaced"}[o]
+}
+
+// observe takes the outcome of a dispatch. first is the time to the first
+// byte, zero if there was none.
+func (t *Target) observe(now time.Time, o Outcome, first time.Duration) {
+	if first > 0 {
+		t.observedAt = now
+		if t.latency == 0 {
+			t.latency = first.Seconds()
+		}
+		t.latency += latencyGain * (first.Seconds() - t.latency)
+	}
+	switch o {
+	case Answered:
+		t.failures = 0
+		t.broken -= brokenGain * t.broken
+	case Full:
+		t.fullUntil = now.Add(fullPause)
+	case Broken:
+		t.broken += brokenGain * (1 - t.broken)
+	case Unreachable:
+		t.fail(now)
+	case Replaced:
+		t.pausedUntil = now.Add(maxFailurePause)
+	}
+}
+
+func (t *Target) fail(now time.Time) {
+	pause := min(failurePause<<min(t.failures, 8), maxFailurePause)
+	t.failures++
+	t.pausedUntil = now.Add(pause)
+}
--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+
+	"yuccausher/internal/core/route"
+)
+
+const (
+	// maxBodies bounds the bodies of all requests being answered, in bytes: a
+	// quarter of the memory of a small host.
+	maxBodies = 28 << 20
+	// defaultMaxBody bounds a body while the configuration does not, in bytes.
+	defaultMaxBody = 4 << 20
+	// bodyChunk is how much of a body is read at a time, in bytes.
+	bodyChunk = 32 << 10
+)
+
+// bodyBudget bounds the memory that bodies take.
+type bodyBudget struct{ used atomic.Int64 }
+
+// take returns false if there is no room for n more bytes.
+func (b *bodyBudget) take(n int) bool {
+	if b.used.Add(int64(n)) > maxBodies {
+		b.used.Add(-int64(n))
+		return false
+	}
+	return true
+}
+
+func (b *bodyBudget) free(n int) { b.used.Add(-int64(n)) }
+
+// readBody reads the whole body, so that the request can be sent again after a
+// target refused it. It returns false after it has refused the request.
+func (j *job) readBody(limits route.Limits) bool {
+	most := limits.BodyBytes
+	if most <= 0 {
+		most = defaultMaxBody
+	}
+	if j.r.ContentLength > most {
+		j.refuse(refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
+		return false
+	}
+	if limits.HeaderBytes > 0 && headerBytes(j.r) > limits.HeaderBytes {
+		j.refuse(refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_too_large"})
+		return false
+	}
+	var body bytes.Buffer
+	chunk := int64(bodyChunk)
+	if n := j.r.ContentLength; n >= 0 {
+		chunk = min(n, bodyChunk)
+	}
+	for {
+		n, err := io.CopyN(&body, j.r.Body, max(chunk, 1))
+		if !j.g.bodies.take(int(n)) {
+			j.g.bodies.free(body.Len() - int(n))
+			j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "bodies_full", retryAfter: fullRetry})
+			return false
+		}
+		if int64(body.Len()) > most {
+			j.g.bodies.free(body.Len())
+			j.refuse(refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
+			return false
+		}
+		if errors.Is(err, io.EOF) {
+			j.body = body.Bytes()
+			return true
+		}
+		if err != nil {
+			j.g.bodies.free(body.Len())
+			j.fail("body_broken", err)
+			return false
+		}
+	}
+}
+
+// headerBytes is about the size of a request's header as it was sent.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/gateway/dispatch.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/core/route"
+	"yuccausher/internal/upstream"
+)
+
+// result is what came of one dispatch.
+type result int
+
+const (
+	// finished dispatches were answered, or the caller was told of a failure.
+	finished result = iota
+	// notRun dispatches were refused by the target or never left.
+	notRun
+	// unknown dispatches may have run and brought no answer.
+	unknown
+	// cut dispatches broke off after the caller had a part of the answer.
+	cut
+)
+
+const (
+	// fullWait is how long a request waits after all targets refused it before
+	// it asks again: less than the time of a request at an idle target.
+	fullWait = 25 * time.Millisecond
+	// maxIdleOnce is the longest idle time of a connection for a request that
+	// must not run twice: a target's close that crosses it leaves its outcome
+	// unknown.
+	maxIdleOnce = 2 * time.Second
+	// maxIdleAny is the same for other requests, which the target's own limit
+	// bounds.
+	maxIdleAny = time.Minute
+)
+
+// dispatchUntilAnswered sends the request to one target after the other until
+// one answers, or until it can't be sent any more.
+func (j *job) dispatchUntilAnswered(ctx context.Context) {
+	for {
+		choice := j.g.fleet.Choose(fleet.Request{Service: j.service, Affinity: j.prefixKey(), Exclude: j.refusedBy}, time.Now())
+		if choice == nil {
+			if !j.wait(ctx) {
+				return
+			}
+			continue
+		}
+		j.target = choice.ID
+		switch j.dispatch(ctx, choice) {
+		case finished:
+			return
+		case notRun:
+			j.refusedBy = append(j.refusedBy, choice.ID)
+		case unknown:
+			if !j.mayRunAgain(ctx) {
+				j.endUnanswered(ctx)
+				return
+			}
+			j.refusedBy = append(j.refusedBy, choice.ID)
+		case cut:
+			if !j.mayRunAgain(ctx) {
+				j.outcome = "cut"
+				breakOff()
+			}
+			j.refusedBy = append(j.refusedBy, choice.ID)
+		}
+		if ctx.Err() != nil {
+			j.endUnanswered(ctx)
+			return
+		}
+	}
+}
+
+// prefixKey is the affinity of requests with prompts.
+func (j *job) prefixKey() string {
+	if j.route.Kind != route.Stream {
+		return ""
+	}
+	return j.affinity()
+}
+
+// mayRunAgain says whether another target may run the request.
+func (j *job) mayRunAgain(ctx context.Context) bool {
+	if ctx.Err() != nil || !j.route.IsIdempotent() {
+		return false
+	}
+	if j.route.Kind == route.Stream && j.events > 0 && j.lastEvent == "" {
+		return false
+	}
+	return j.runs < j.route.Attempts
+}
+
+// wait lets some time pass after all targets refused the request. It returns
+// false after it has given the request up.
+func (j *job) wait(ctx context.Context) bool {
+	if len(j.refusedBy) == 0 {
+		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no_target", retryAfter: noTargetRetry})
+		return false
+	}
+	if j.runs > 0 {
+		j.endUnanswered(ctx)
+		return false
+	}
+	if time.Since(j.started) > j.route.Objective {
+		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targets_full", retryAfter: fullRetry})
+		return false
+	}
+	timer := time.NewTimer(fullWait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		j.refusedBy = j.refusedBy[:0]
+		return true
+	case <-ctx.Done():
+		j.endUnanswered(ctx)
+		return false
+	}
+}
+
+// endUnanswered gives the final answer of a request that got none.
+func (j *job) endUnanswered(ctx context.Context) {
+	switch {
+	case j.r.Context().Err() != nil:
+		j.outcome = "caller_gone"
+	case j.headerSent:
+		j.outcome = "cut"
+		breakOff()
+	case j.runs == 0:
+		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "timeout_not_run", cause: j.cause})
+	case ctx.Err() != nil:
+		j.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout", cause: j.cause})
+	default:
+		j.refuse(refusal{status: http.StatusBadGateway, reason: "target_failed", cause: j.cause})
+	}
+}
+
+// dispatch sends the request to one target and passes its answer on.
+func (j *job) dispatch(ctx context.Context, choice *fleet.Choice) result {
+	sent := time.Now()
+	conn, err := j.connect(ctx, choice, false)
+	if err != nil {
+		j.cause = err
+		choice.End(time.Now(), outcomeOf(ctx, fleet.Unreachable), 0)
+		return notRun
+	}
+	stop := conn.Watch(ctx)
+	defer func() { stop() }()
+	response, err := conn.Exchange(ctx, j.request(choice, sent), j.isOwn)
+	if err != nil && conn.Kept && ctx.Err() == nil && j.mayRepeat(err) {
+		// The target may have closed the kept connection as the request left.
+		j.g.metrics.staleConnections.Inc(1)
+		stop()
+		if conn, err = j.connect(ctx, choice, true); err != nil {
+			j.cause = err
+			choice.End(time.Now(), outcomeOf(ctx, fleet.Unreachable), 0)
+			return notRun
+		}
+		stop = conn.Watch(ctx)
+		response, err = conn.Exchange(ctx, j.request(choice, sent), j.isOwn)
+	}
+	if err != nil {
+		return j.unanswered(ctx, choice, err)
+	}
+	return j.relay(ctx, choice, conn, response, sent)
+}
+
+// connect returns a connection to the chosen target.
+func (j *job) connect(ctx context.Context, choice *fleet.Choice, fresh bool) (*upstream.Conn, error) {
+	target := upstream.Target{ID: choice.ID, Address: choice.Address, StartedAt: choice.StartedAt}
+	if fresh {
+		return j.g.pool.Dial(ctx, target)
+	}
+	maxIdle := maxIdleAny
+	if !j.route.IsIdempotent() {
+		maxIdle = maxIdleOnce
+	}
+	return j.g.pool.Connect(ctx, target, maxIdle)
+}
+
+// mayRepeat says whether a request that brought no answer on a kept
+// connection may be sent to the same target again.
+func (j *job) mayRepeat(err error) bool {
+	var exchange *upstream.ExchangeError
+	if !errors.As(err, &exchange) || exchange.Garbled {
+		return false
+	}
+	return !exchange.Sent || j.route.IsIdempotent()
+}
+
+func (j *job) unanswered(ctx context.Context, choice *fleet.Choice, err error) result {
+	j.cause = err
+	var exchange *upstream.ExchangeError
+	choice.End(time.Now(), outcomeOf(ctx, fleet.Broken), 0)
+	if errors.As(err, &exchange) && !exchange.Sent {
+		return notRun
+	}
+	j.runs++
+	return unknown
+}
+
+// outcomeOf is the outcome of a dispatch that failed: o, unless the caller or
+// the time limit ended it.
+func outcomeOf(ctx context.Context, o fleet.Outcome) fleet.Outcome {
+	if ctx.Err() != nil {
+		return fleet.Abandoned
+	}
+	return o
+}
+
+func (j *job) isOwn(h http.Header) bool {
+	id := j.g.protocol.Answer(0, h).RequestID
+	return id == "" || id == j.call.RequestID
+}
+
+func (j *job) request(choice *fleet.Choice, now time.Time) upstream.Request {
+	h := j.g.protocol.Outgoing(j.r.Header, Dispatch{TargetID: choice.ID, TimeLeft: j.deadline().Sub(now), ResumeAfter: j.lastEvent})
+	return upstream.Request{Method: j.r.Method, URI: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/core/fleet"
+)
+
+// latencyBuckets bound the time to the first byte and to the end of answers.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 12)
+
+// metrics counts what becomes of requests.
+type metrics struct {
+	scope            tally.Scope
+	first            tally.Histogram
+	total            tally.Histogram
+	staleConnections tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	return &metrics{
+		scope:            scope,
+		first:            scope.Histogram("first_byte", latencyBuckets),
+		total:            scope.Histogram("request", latencyBuckets),
+		staleConnections: scope.Counter("stale_connections"),
+	}
+}
+
+// finished counts a request by its outcome.
+func (m *metrics) finished(j *job, total time.Duration) {
+	m.scope.Tagged(map[string]string{"outcome": j.outcome}).Counter("requests").Inc(1)
+	m.total.RecordDuration(total)
+	if j.first > 0 {
+		m.first.RecordDuration(j.first)
+	}
+	if j.runs > 1 {
+		m.scope.Counter("runs_repeated").Inc(int64(j.runs - 1))
+	}
+}
+
+// refusedBy counts a dispatch that a target did not run.
+func (m *metrics) refusedBy(o fleet.Outcome) {
+	m.scope.Tagged(map[string]string{"reason": o.String()}).Counter("retries").Inc(1)
+}
--- /dev/null
+++ b/internal/spending/metrics.go
@@ -0,0 +1,34 @@
+package spending
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/core/budget"
+)
+
+// claimBuckets bound the time from a claim's append to its verdict.
+var claimBuckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 12)
+
+type metrics struct {
+	scope     tally.Scope
+	claim     tally.Histogram
+	fromSlice tally.Counter
+	failures  tally.Counter
+	invalid   tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	return &metrics{
+		scope:     scope,
+		claim:     scope.Histogram("claim", claimBuckets),
+		fromSlice: scope.Counter("turns_from_slices"),
+		failures:  scope.Counter("log_failures"),
+		invalid:   scope.Counter("invalid_records"),
+	}
+}
+
+func (m *metrics) claims(v budget.Verdict) {
+	m.scope.Tagged(map[string]string{"verdict": v.String()}).Counter("claims").Inc(1)
+}
--- /dev/null
+++ b/internal/spending/service.go
@@ -0,0 +1,146 @@
+// Package spending keeps programs within their budgets across all hosts. A
+// host claims a slice of a program's budget in the shared log before its first
+// turn and spends it without further calls; internal/core/budget decides which
+// claims hold.
+package spending
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/gateway"
+	"yuccausher/internal/port"
+)
+
+const (
+	// topic holds the claims.
+	topic = "spending"
+	// partitions is how many partitions of the topic carry the claims. Four of
+	// them take 4,000 appends a second at 1 ms each, as many as the turns of
+	// the size to design for. All hosts must agree on it.
+	partitions = 4
+	// reserveWait is the longest wait for a claim: a store that answers 60
+	// times slower than usual still makes it.
+	reserveWait = 900 * time.Millisecond
+	// unknownRetry is when callers may come back while the store is away.
+	unknownRetry = 100 * time.Millisecond
+	// sweepInterval is how often unused parts of slices are looked for.
+	sweepInterval = time.Second
+	// idleAfter is when the unused part of a slice is given back: programs
+	// pause for tools for less.
+	idleAfter = 1500 * time.Millisecond
+	// forgetAfter is when a host forgets its slice of a silent program.
+	forgetAfter = 90 * time.Second
+	// minMemory is the shortest time for which spent budgets are remembered: a
+	// stopped program may come back after a minute.
+	minMemory = 5 * time.Minute
+)
+
+// Params are what a service is built from.
+type Params struct {
+	Log       port.SharedLog
+	Retention time.Duration
+	Logger    logr.Logger
+	Scope     tally.Scope
+}
+
+// Service reserves tokens of programs' budgets. It implements gateway.Budgets.
+type Service struct {
+	writer    uint64
+	ledgers   [partitions]*ledger
+	retention time.Duration
+	log       logr.Logger
+	stop      context.CancelFunc
+	done      sync.WaitGroup
+}
+
+var _ gateway.Budgets = (*Service)(nil)
+
+// New returns a service that writes under a new name.
+func New(p Params) *Service {
+	s := &Service{writer: rand.Uint64(), retention: p.Retention, log: p.Logger.WithName("spending")}
+	m := newMetrics(p.Scope.SubScope("spending"))
+	for i := range s.ledgers {
+		s.ledgers[i] = newLedger(p.Log, port.Partition{Topic: topic, Part: i}, s.writer, s.log, m)
+	}
+	return s
+}
+
+// Start starts the writers.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	s.log.Info("Spending is up.", "writer", s.writer)
+	for _, l := range s.ledgers {
+		s.done.Go(func() { l.run(ctx) })
+	}
+	s.done.Go(func() { s.sweep(ctx) })
+	return nil
+}
+
+// Stop ends the writers after they have given unused slices back.
+func (s *Service) Stop(context.Context) error {
+	s.stop()
+	s.done.Wait()
+	return nil
+}
+
+func (s *Service) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, l := range s.ledgers {
+				l.sweep(now, s.retention)
+			}
+		}
+	}
+}
+
+// IsReachable says whether claims can be written now, as far as is known.
+func (s *Service) IsReachable(now time.Time) bool {
+	for _, l := range s.ledgers {
+		if l.isAway(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// Reserve implements gateway.Budgets.
+func (s *Service) Reserve(ctx context.Context, program string, total, most int64) (gateway.Reservation, error) {
+	l := s.ledgers[xxhash.Sum64String(program)%partitions]
+	if r, ok := l.begin(program, most); ok {
+		return r, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveWait)
+	defer cancel()
+	w := &want{program: program, budget: total, most: most, done: make(chan error, 1)}
+	if err := l.enqueue(w); err != nil {
+		return nil, unknownBudget(program, err)
+	}
+	select {
+	case err := <-w.done:
+		if err != nil {
+			return nil, err
+		}
+		return w.reservation, nil
+	case <-ctx.Done():
+		l.abandon(w)
+		return nil, unknownBudget(program, ctx.Err())
+	}
+}
+
+func unknownBudget(program string, cause error) error {
+	return &gateway.BudgetUnknownError{Program: program, RetryAfter: unknownRetry, Cause: errors.Trace(cause)}
+}
--- /dev/null
+++ b/internal/spending/slices.go
@@ -0,0 +1,94 @@
+package spending
+
+import (
+	"time"
+
+	"yuccausher/internal/core/budget"
+	"yuccausher/internal/gateway"
+)
+
+// slice is the host's part of one program's budget.
+type slice struct {
+	budget.Slice
+	program string
+	budget  int64
+	usedAt  time.Time
+	// wanted is how many turns wait for a claim.
+	wanted int
+}
+
+// reservation is a turn under way. It implements gateway.Reservation.
+type reservation struct {
+	ledger *ledger
+	slice  *slice
+	most   int64
+	spent  int64
+}
+
+// Spend implements gateway.Reservation.
+func (r *reservation) Spend(tokens int64) { r.spent += tokens }
+
+// End implements gateway.Reservation.
+func (r *reservation) End() {
+	l := r.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.slice.End(r.most, r.spent)
+	r.slice.usedAt = time.Now()
+	if r.slice.Unused() == 0 && r.slice.Needed(0) > r.slice.Confirmed {
+		l.log.Info("A turn has spent more than it reserved.", "program", r.slice.program,
+			"reserved", r.most, "spent", r.spent)
+	}
+}
+
+// begin starts a turn if the host's slice holds it.
+func (l *ledger) begin(program string, most int64) (gateway.Reservation, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.slices[program]
+	if s == nil || !s.Begin(most) {
+		return nil, false
+	}
+	s.usedAt = time.Now()
+	l.metrics.fromSlice.Inc(1)
+	return &reservation{ledger: l, slice: s, most: most}, true
+}
+
+// sliceOf returns the host's slice of a program. What an earlier, forgotten
+// slice held counts as spent.
+func (l *ledger) sliceOf(program string, total int64) *slice {
+	s := l.slices[program]
+	if s == nil {
+		held := l.book.Held(program, l.writer)
+		s = &slice{program: program, Slice: budget.Slice{Confirmed: held, Spent: held}}
+		l.slices[program] = s
+	}
+	s.budget = total
+	return s
+}
+
+// sweep gives back what idle slices hold of budgets that are nearly claimed,
+// and forgets programs that are silent.
+func (l *ledger) sweep(now time.Time, retention time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for program, s := range l.slices {
+		idle := now.Sub(s.usedAt)
+		switch {
+		case s.Open > 0 || s.wanted > 0:
+		case idle > forgetAfter:
+			delete(l.slices, program)
+		case idle > idleAfter && s.Unused() > 0 && l.isTight(s):
+			l.releases[program] = s
+		}
+	}
+	l.book.Forget(now.Add(-max(retention, minMemory)))
+	if len(l.releases) > 0 {
+		l.wake()
+	}
+}
+
+// isTight says whether other hosts may soon miss what the slice holds.
+func (l *ledger) isTight(s *slice) bool {
+	return 2*l.book.Claimed(s.program) > s.budget
+}
