--- /dev/null
+++ b/internal/adapter/budgetrpc/client.go
@@ -0,0 +1,125 @@
+// Package budgetrpc carries requests for tokens between hosts over drpc.
+package budgetrpc
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"yuccausher/internal/gen/spending"
+	"yuccausher/internal/port"
+	"yuccausher/internal/socket"
+)
+
+const (
+	// dialTimeout bounds a connection to another host, which is a few
+	// milliseconds away.
+	dialTimeout = 150 * time.Millisecond
+	// downTime is how long a host that took no connection is left alone.
+	downTime = time.Second
+	// idleTimeout is how long a connection that is not used is kept, idlePerHost
+	// how many of them for each host.
+	idleTimeout = 10 * time.Second
+	idlePerHost = 2
+)
+
+// Directory lists the hosts.
+type Directory interface {
+	Self() string
+	Hosts() []string
+}
+
+// Client asks other hosts. It implements port.Lenders.
+type Client struct {
+	Directory
+	dialer net.Dialer
+	pool   *drpcpool.Pool[string, drpcpool.Conn]
+
+	mu   sync.Mutex
+	down map[string]time.Time
+}
+
+var _ port.Lenders = (*Client)(nil)
+
+// NewClient returns a client for the hosts of a directory.
+func NewClient(d Directory) *Client {
+	return &Client{
+		Directory: d,
+		dialer:    net.Dialer{Timeout: dialTimeout, Control: socket.DetectSilence},
+		pool:      drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: idlePerHost}),
+		down:      make(map[string]time.Time),
+	}
+}
+
+// HostDownError says that a host took no connection a moment ago.
+type HostDownError struct{ Host string }
+
+// Error implements error.
+func (e *HostDownError) Error() string { return "host " + e.Host + " took no connection" }
+
+func (c *Client) connect(ctx context.Context, host string) (drpc.Conn, error) {
+	c.mu.Lock()
+	isDown := time.Now().Before(c.down[host])
+	c.mu.Unlock()
+	if isDown {
+		return nil, &HostDownError{Host: host}
+	}
+	return c.pool.Get(ctx, host, c.dial), nil
+}
+
+func (c *Client) dial(ctx context.Context, host string) (drpcpool.Conn, error) {
+	conn, err := c.dialer.DialContext(ctx, "tcp", host)
+	if err != nil {
+		c.mu.Lock()
+		c.down[host] = time.Now().Add(downTime)
+		c.mu.Unlock()
+		return nil, errors.Annotatef(err, "host %s", host)
+	}
+	return drpcconn.New(conn), nil
+}
+
+// Reserve implements port.Lenders.
+func (c *Client) Reserve(ctx context.Context, host string, r port.LendRequest) (port.LendDecision, uint64, error) {
+	conn, err := c.connect(ctx, host)
+	if err != nil {
+		return port.LendAway, 0, err
+	}
+	defer conn.Close()
+	reply, err := spending.NewDRPCBudgetsClient(conn).Reserve(ctx, &spending.ReserveRequest{
+		Program: []byte(r.Program),
+		Budget:  r.Budget,
+		Most:    r.Most,
+		Claimed: r.Claimed,
+		MayLend: r.MayLend,
+	})
+	if err != nil {
+		return port.LendAway, 0, errors.Annotatef(err, "reserve at host %s", host)
+	}
+	switch reply.Decision {
+	case spending.Decision_DECISION_GRANTED:
+		return port.LendGranted, reply.Reservation, nil
+	case spending.Decision_DECISION_SPENT:
+		return port.LendSpent, 0, nil
+	}
+	return port.LendAway, 0, nil
+}
+
+// Settle implements port.Lenders.
+func (c *Client) Settle(ctx context.Context, host string, reservation uint64, spent int64) error {
+	conn, err := c.connect(ctx, host)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_, err = spending.NewDRPCBudgetsClient(conn).Settle(ctx, &spending.SettleRequest{Reservation: reservation, Spent: spent})
+	return errors.Annotatef(err, "settle at host %s", host)
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() error { return c.pool.Close() }
--- /dev/null
+++ b/internal/adapter/budgetrpc/server.go
@@ -0,0 +1,61 @@
+package budgetrpc
+
+import (
+	"context"
+	"net"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"yuccausher/internal/gen/spending"
+	"yuccausher/internal/port"
+)
+
+// Server answers other hosts.
+type Server struct{ drpc *drpcserver.Server }
+
+// NewServer returns a server for a lender.
+func NewServer(lender port.Lender, log logr.Logger) (*Server, error) {
+	mux := drpcmux.New()
+	if err := spending.DRPCRegisterBudgets(mux, &handler{lender: lender}); err != nil {
+		return nil, errors.Trace(err)
+	}
+	ended := func(err error) { log.V(1).Info("A connection of another host has ended.", "cause", err.Error()) }
+	return &Server{drpc: drpcserver.NewWithOptions(mux, drpcserver.Options{Log: ended})}, nil
+}
+
+// Serve accepts connections until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	return errors.Trace(s.drpc.Serve(ctx, l))
+}
+
+type handler struct{ lender port.Lender }
+
+// Reserve implements spending.DRPCBudgetsServer.
+func (h *handler) Reserve(ctx context.Context, r *spending.ReserveRequest) (*spending.ReserveReply, error) {
+	decision, reservation := h.lender.Lend(ctx, port.LendRequest{
+		Program: string(r.Program),
+		Budget:  r.Budget,
+		Most:    r.Most,
+		Claimed: r.Claimed,
+		MayLend: r.MayLend,
+	})
+	reply := &spending.ReserveReply{Reservation: reservation}
+	switch decision {
+	case port.LendGranted:
+		reply.Decision = spending.Decision_DECISION_GRANTED
+	case port.LendSpent:
+		reply.Decision = spending.Decision_DECISION_SPENT
+	default:
+		reply.Decision = spending.Decision_DECISION_AWAY
+	}
+	return reply, nil
+}
+
+// Settle implements spending.DRPCBudgetsServer.
+func (h *handler) Settle(_ context.Context, r *spending.SettleRequest) (*spending.SettleReply, error) {
+	h.lender.SettleLoan(r.Reservation, r.Spent)
+	return &spending.SettleReply{}, nil
+}
--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -118,6 +118,7 @@
 
 func frontOptions(s *settings.Front, told platform.Settings, logger logr.Logger) front.Options {
 	store := platform.NewStore(told.Store.Address)
+	hosts := platform.Keyed{Store: store, Partition: platform.HostsPartition}
 	metricsAddress := ""
 	if s.MetricsPort > 0 {
 		metricsAddress = net.JoinHostPort(told.IP, strconv.FormatInt(s.MetricsPort, 10))
@@ -126,6 +127,8 @@
 		CallerAddress:  told.CallerAddress,
 		ReadyAddress:   told.ReadyAddress,
 		MetricsAddress: metricsAddress,
+		PeerAddress:    net.JoinHostPort(told.IP, strconv.Itoa(told.FirstPort)),
+		HostName:       told.HostName,
 		DataCentre:     told.DataCentre,
 		DrainTime:      told.DrainTime,
 		StopTime:       told.StopTime,
@@ -139,6 +142,8 @@
 			DecodeConfiguration: platform.DecodeConfiguration,
 			Targets:             platform.Keyed{Store: store, Partition: platform.TargetsPartition},
 			DecodeTarget:        platform.DecodeTarget,
+			Hosts:               hosts,
+			PutHost:             hosts.Put,
 			Protocol:            platform.Headers{},
 			ReadyPath:           platform.ReadyPath,
 		},
--- a/internal/core/budget/slice.go
+++ b/internal/core/budget/slice.go
@@ -14,6 +14,8 @@
 type Slice struct {
 	// Confirmed is the host's total in the log.
 	Confirmed int64
+	// Lent may be spent beyond what is confirmed, while the log is away.
+	Lent int64
 	// Spent was handed to callers; Open is the most that running turns may
 	// still hand out.
 	Spent, Open int64
@@ -21,7 +23,7 @@
 
 // Begin starts a turn of at most most tokens if the slice holds it.
 func (s *Slice) Begin(most int64) bool {
-	if s.Confirmed-s.Spent-s.Open < most {
+	if s.Confirmed+s.Lent-s.Spent-s.Open < most {
 		return false
 	}
 	s.Open += most
@@ -45,5 +47,30 @@
 	return needed + max(min(turnsAhead*most, left/shareAhead), 0)
 }
 
+// lendShare bounds what may be lent without a claim to this part of a budget.
+// Two hosts that lend at the same time, each unaware of the other, then stay
+// within it.
+const lendShare = 2
+
+// Lend raises what may be spent without a claim so that a turn of most tokens
+// fits, where claimed is the most that is known to be claimed by all hosts. It
+// returns false if the budget may not hold the turn. One turn is lent in any
+// case that the claims leave room for.
+func (s *Slice) Lend(most, budget, claimed int64) bool {
+	needed := max(s.Needed(most)-s.Confirmed, 0)
+	if claimed+needed > budget || needed > max(most, budget/lendShare) {
+		return false
+	}
+	s.Lent = max(s.Lent, needed)
+	return true
+}
+
+// Settle ends the loan. It returns the total to claim for what was spent and
+// is still open, and whether that is more than is confirmed.
+func (s *Slice) Settle() (total int64, isMore bool) {
+	s.Lent = 0
+	return s.Needed(0), s.Needed(0) > s.Confirmed
+}
+
 // Unused returns how much of the slice no turn needs.
 func (s *Slice) Unused() int64 { return max(s.Confirmed-s.Spent-s.Open, 0) }
--- /dev/null
+++ b/internal/follow/hosts.go
@@ -0,0 +1,196 @@
+package follow
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"yuccausher/internal/gen/spending"
+	"yuccausher/internal/port"
+)
+
+const (
+	// registerInterval is how often a host renews its record.
+	registerInterval = 10 * time.Second
+	// registerRetry is the pause after a record that could not be written.
+	registerRetry = 500 * time.Millisecond
+	// hostsPause is how often the hosts' records are read. Hosts need each other
+	// only while the store is away.
+	hostsPause = 4 * time.Second
+	// hostGoneAfter is when a host that has not renewed its record is left out;
+	// it allows for one lost record.
+	hostGoneAfter = 25 * time.Second
+	// unregisterTimeout bounds the removal of the record at the host's end.
+	unregisterTimeout = 200 * time.Millisecond
+)
+
+// HostsParams are what Hosts are built from.
+type HostsParams struct {
+	// Name is this host's name, Address where other hosts reach it.
+	Name       string
+	Address    string
+	DataCentre string
+	Stream     port.KeyedStream
+	// Put writes a record of the stream; an empty value removes the key.
+	Put    func(ctx context.Context, key string, value []byte) error
+	Logger logr.Logger
+}
+
+// Hosts keeps this host's record in the store and reads those of the others.
+type Hosts struct {
+	params HostsParams
+	tail   *tail
+	log    logr.Logger
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+
+	mu   sync.Mutex
+	seen map[string]hostSeen
+}
+
+type hostSeen struct {
+	address string
+	// offset and at are where and when the host's newest record was read.
+	offset int64
+	at     time.Time
+}
+
+// NewHosts returns a directory of the hosts.
+func NewHosts(p HostsParams) *Hosts {
+	h := &Hosts{params: p, log: p.Logger.WithName("hosts"), seen: make(map[string]hostSeen)}
+	h.tail = &tail{stream: p.Stream, handler: h, pause: hostsPause, log: h.log}
+	return h
+}
+
+// Start registers the host and starts to read.
+func (h *Hosts) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	h.done.Go(func() { h.tail.run(ctx) })
+	h.done.Go(func() { h.register(ctx) })
+	return nil
+}
+
+// Stop removes the host's record.
+func (h *Hosts) Stop(ctx context.Context) error {
+	h.stop()
+	h.done.Wait()
+	ctx, cancel := context.WithTimeout(ctx, unregisterTimeout)
+	defer cancel()
+	if err := h.params.Put(ctx, h.params.Name, nil); err != nil {
+		h.log.Info("The record could not be removed; it will expire.", "cause", err.Error())
+	}
+	return nil
+}
+
+func (h *Hosts) register(ctx context.Context) {
+	value, err := proto.Marshal(&spending.Host{Address: h.params.Address, DataCentre: h.params.DataCentre})
+	if err != nil {
+		h.log.Error(err, "The record can't be encoded.")
+		return
+	}
+	for ctx.Err() == nil {
+		pause := registerInterval
+		if err := h.params.Put(ctx, h.params.Name, value); err != nil {
+			pause = registerRetry
+			h.log.V(1).Info("The record could not be written.", "cause", err.Error())
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// Self returns this host's address.
+func (h *Hosts) Self() string { return h.params.Address }
+
+// Hosts returns the addresses of the other hosts, in order.
+func (h *Hosts) Hosts() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := make([]string, 0, len(h.seen))
+	for _, s := range h.seen {
+		if s.address != h.params.Address {
+			list = append(list, s.address)
+		}
+	}
+	slices.SortFunc(list, cmp.Compare[string])
+	return list
+}
+
+func (h *Hosts) reset(records []port.KeyedRecord) {
+	kept := make(map[string]bool, len(records))
+	for _, r := range records {
+		kept[r.Key] = true
+		h.apply(r)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name := range h.seen {
+		if !kept[name] {
+			delete(h.seen, name)
+		}
+	}
+}
+
+func (h *Hosts) apply(r port.KeyedRecord) {
+	address, err := hostAddress(r.Value)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old, isKnown := h.seen[r.Key]
+	switch {
+	case err != nil:
+		h.log.Info("A host's record can't be read and is passed over.", "host", r.Key, "cause", err.Error())
+	case address == "":
+		if isKnown {
+			delete(h.seen, r.Key)
+			h.log.Info("Host has left.", "host", r.Key)
+		}
+	default:
+		if !isKnown || old.address != address {
+			h.log.Info("Host is known.", "host", r.Key, "address", address, "offset", r.Offset)
+		}
+		if !isKnown || r.Offset > old.offset {
+			h.seen[r.Key] = hostSeen{address: address, offset: r.Offset, at: time.Now()}
+		}
+	}
+}
+
+// hostAddress reads a host's record; a removed one gives no address.
+func hostAddress(value []byte) (string, error) {
+	if len(value) == 0 {
+		return "", nil
+	}
+	var m spending.Host
+	if err := proto.Unmarshal(value, &m); err != nil {
+		return "", errors.Annotate(err, "host record")
+	}
+	return m.Address, nil
+}
+
+// read leaves out the hosts that have not renewed their records. While the
+// store is away nothing is read, and all are kept.
+func (h *Hosts) read(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, s := range h.seen {
+		if now.Sub(s.at) > hostGoneAfter {
+			delete(h.seen, name)
+			h.log.Info("Host has not renewed its record and is left out.", "host", name)
+		}
+	}
+}
+
+// returned gives all hosts time to renew their records after an outage.
+func (h *Hosts) returned(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, s := range h.seen {
+		s.at = now
+		h.seen[name] = s
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"yuccausher/internal/adapter/budgetrpc"
 	"yuccausher/internal/adapter/metrics"
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
@@ -30,7 +31,10 @@
 	DecodeConfiguration func([]byte) (route.Document, error)
 	Targets             port.KeyedStream
 	DecodeTarget        func(id string, value []byte) (fleet.Member, error)
-	Protocol            gateway.Protocol
+	// Hosts holds the hosts' own records, which PutHost writes.
+	Hosts    port.KeyedStream
+	PutHost  func(ctx context.Context, key string, value []byte) error
+	Protocol gateway.Protocol
 	// ReadyPath is where the platform asks whether the host takes callers.
 	ReadyPath string
 }
@@ -42,7 +46,10 @@
 	CallerAddress  string
 	ReadyAddress   string
 	MetricsAddress string
-	DataCentre     string
+	// PeerAddress takes other hosts, which find it under HostName.
+	PeerAddress string
+	HostName    string
+	DataCentre  string
 	// DrainTime is how soon a leaving target must get no more requests.
 	DrainTime time.Duration
 	// StopTime is the time between SIGTERM and SIGKILL.
@@ -76,7 +83,7 @@
 	f.fx = fx.New(
 		fx.Supply(o),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Provide(newMetrics, newScope, newFleet, newFollower, newSpending, newPool, newGateway, newServers),
+		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newLenders, newSpending, newLending, newPool, newGateway, newServers),
 		fx.Provide(func() *route.Holder { return &route.Holder{} }),
 		fx.Populate(&f.servers),
 		fx.StartTimeout(startTimeout),
@@ -137,8 +144,31 @@
 	return f
 }
 
-func newSpending(lc fx.Lifecycle, o Options, scope tally.Scope) *spending.Service {
-	s := spending.New(spending.Params{Log: o.Platform.Log, Retention: o.Retention, Logger: o.Logger, Scope: scope})
+func newHosts(lc fx.Lifecycle, o Options) *follow.Hosts {
+	h := follow.NewHosts(follow.HostsParams{
+		Name:       o.HostName,
+		Address:    o.PeerAddress,
+		DataCentre: o.DataCentre,
+		Stream:     o.Platform.Hosts,
+		Put:        o.Platform.PutHost,
+		Logger:     o.Logger,
+	})
+	lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
+	return h
+}
+
+func newLenders(lc fx.Lifecycle, h *follow.Hosts) port.Lenders {
+	c := budgetrpc.NewClient(h)
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { return c.Close() }})
+	return c
+}
+
+func newLending(s *spending.Service, o Options) (*budgetrpc.Server, error) {
+	return budgetrpc.NewServer(s, o.Logger.WithName("lending"))
+}
+
+func newSpending(lc fx.Lifecycle, o Options, lenders port.Lenders, scope tally.Scope) *spending.Service {
+	s := spending.New(spending.Params{Log: o.Platform.Log, Lenders: lenders, Retention: o.Retention, Logger: o.Logger, Scope: scope})
 	lc.Append(fx.Hook{OnStart: s.Start, OnStop: s.Stop})
 	return s
 }
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/fx"
 
+	"yuccausher/internal/adapter/budgetrpc"
 	"yuccausher/internal/adapter/metrics"
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
@@ -45,6 +46,7 @@
 	tables   *route.Holder
 	fleet    *fleet.Fleet
 	pool     *upstream.Pool
+	lending  *budgetrpc.Server
 	log      logr.Logger
 	list     []*server
 	leaving  atomic.Bool
@@ -68,6 +70,7 @@
 	Tables    *route.Holder
 	Fleet     *fleet.Fleet
 	Pool      *upstream.Pool
+	Lending   *budgetrpc.Server
 	Metrics   *metrics.Metrics
 }
 
@@ -80,6 +83,7 @@
 		tables:   p.Tables,
 		fleet:    p.Fleet,
 		pool:     p.Pool,
+		lending:  p.Lending,
 		log:      p.Options.Logger.WithName("front"),
 	}
 	probes := http.NewServeMux()
@@ -119,6 +123,15 @@
 	}
 	run, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
+	l, err := config.Listen(ctx, "tcp", s.options.PeerAddress)
+	if err != nil {
+		return errors.Annotatef(err, "listen at %s", s.options.PeerAddress)
+	}
+	go func() {
+		if err := s.lending.Serve(run, l); err != nil && run.Err() == nil {
+			s.log.Error(err, "The server for other hosts has ended.", "address", s.options.PeerAddress)
+		}
+	}()
 	go s.maintain(run)
 	return nil
 }
@@ -162,8 +175,8 @@
 		return "no configuration"
 	case s.follower.TargetsReadAt().IsZero():
 		return "targets not read"
-	case !s.spending.IsReachable(now):
-		return "budgets not reachable"
+	case s.spending.IsIsolated(now):
+		return "neither store nor hosts reached"
 	}
 	return ""
 }
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -18,9 +18,8 @@
 	// firstRetry and maxRetry bound the pause after a call that failed.
 	firstRetry = 50 * time.Millisecond
 	maxRetry   = 400 * time.Millisecond
-	// awayAfter is when a store whose calls fail counts as away, and turns
-	// that need a claim are refused at once.
-	awayAfter = 300 * time.Millisecond
+	// awayAfter is when a store that has not answered a call counts as away.
+	awayAfter = patience
 	// maxBatch is how many claims are appended at a time.
 	maxBatch = 256
 )
@@ -28,6 +27,9 @@
 // errAway says that calls to the store have failed for some time.
 var errAway = errors.New("shared log is away")
 
+// errSlow says that a claim was not decided in time.
+var errSlow = errors.New("shared log is slow")
+
 // want is a turn that waits for a claim.
 type want struct {
 	program string
@@ -65,6 +67,8 @@
 	// failingSince is when the first of the latest calls failed; zero after a
 	// success.
 	failingSince time.Time
+	// callingSince is when the call under way began; zero between calls.
+	callingSince time.Time
 	verdicts     map[uint64]budget.Verdict
 }
 
@@ -121,7 +125,10 @@
 }
 
 func (l *ledger) isAwayLocked(now time.Time) bool {
-	return !l.failingSince.IsZero() && now.Sub(l.failingSince) > awayAfter
+	if !l.callingSince.IsZero() && now.Sub(l.callingSince) > awayAfter {
+		return true
+	}
+	return !l.failingSince.IsZero()
 }
 
 // run writes claims until ctx ends.
@@ -134,7 +141,9 @@
 		case <-l.wakeUp:
 		}
 		for l.hasWork() && ctx.Err() == nil {
+			l.calling(time.Now())
 			err := l.round(ctx)
+			l.calling(time.Time{})
 			l.observe(err)
 			if err == nil {
 				pause = firstRetry
@@ -155,6 +164,12 @@
 	}
 }
 
+func (l *ledger) calling(since time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.callingSince = since
+}
+
 // observe notes whether the store is away.
 func (l *ledger) observe(err error) {
 	l.mu.Lock()
@@ -163,6 +178,7 @@
 	case err == nil && !l.failingSince.IsZero():
 		l.log.Info("Shared log answers again.", "partition", l.partition.Part, "away", time.Since(l.failingSince).String())
 		l.failingSince = time.Time{}
+		l.settleLoans()
 	case err != nil && l.failingSince.IsZero():
 		l.log.Info("Shared log fails.", "partition", l.partition.Part, "cause", err.Error())
 		l.failingSince = time.Now()
@@ -337,7 +353,10 @@
 		most += w.most
 	}
 	total := s.Needed(most)
+	isSettled := false
 	switch {
+	case len(p.wants) == 0 && total > s.Confirmed:
+		isSettled = true
 	case len(p.wants) == 0:
 		// From now on the part that is given back must not be spent, whether
 		// or not the claim arrives.
@@ -348,7 +367,7 @@
 	total = max(total, s.Confirmed)
 	s.wanted += len(p.wants)
 	l.sequence++
-	p.claim = budget.Claim{Writer: l.writer, Sequence: l.sequence, Program: s.program, Budget: s.budget, Total: total}
+	p.claim = budget.Claim{Writer: l.writer, Sequence: l.sequence, Program: s.program, Budget: s.budget, Total: total, Settled: isSettled}
 }
 
 // requeue puts the turns back whose claims failed.
@@ -357,6 +376,9 @@
 	defer l.mu.Unlock()
 	for _, p := range batch {
 		p.slice.wanted -= len(p.wants)
+		if len(p.wants) == 0 {
+			l.releases[p.slice.program] = p.slice
+		}
 		for _, w := range p.wants {
 			if !w.abandoned {
 				l.queue = append(l.queue, w)
--- /dev/null
+++ b/internal/spending/lend.go
@@ -0,0 +1,280 @@
+package spending
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"yuccausher/internal/gateway"
+	"yuccausher/internal/port"
+)
+
+const (
+	// askedForClaim is how many hosts are asked whether they reach the log
+	// before it counts as away for all. If a third of the hosts are cut off,
+	// all of them are among these once in 80 times.
+	askedForClaim = 4
+	// claimTimeout is how long an asked host may take to claim: some times the
+	// 10 ms that it needs.
+	claimTimeout = 100 * time.Millisecond
+	// askTimeout bounds one request to another host.
+	askTimeout = claimTimeout + 100*time.Millisecond
+	// settleTimeout bounds the report of what a borrowed reservation spent.
+	settleTimeout = time.Second
+	// allAwayFor is how long the finding that no host reaches the log is used
+	// without asking again.
+	allAwayFor = 500 * time.Millisecond
+	// loanExpiry is when a loan counts as spent whose borrower is silent.
+	loanExpiry = time.Minute
+)
+
+// errNobody says that no host could be asked.
+var errNobody = errors.New("no other host answers")
+
+// loans are the reservations that other hosts hold of this one.
+type loans struct {
+	mu      sync.Mutex
+	last    uint64
+	granted map[uint64]loan
+	// allAway is until when the log counts as away for all hosts.
+	allAway atomic.Int64
+	// helper is the host that has last reserved for this one.
+	helper atomic.Pointer[string]
+	// isolated says that no other host answered the last time.
+	isolated atomic.Bool
+}
+
+type loan struct {
+	reservation gateway.Reservation
+	at          time.Time
+}
+
+// borrow asks other hosts for a reservation: first for a claim in the log,
+// which some of them may reach, then for a loan.
+func (s *Service) borrow(ctx context.Context, l *ledger, r port.LendRequest, cause error) (gateway.Reservation, error) {
+	if s.lenders == nil {
+		return nil, cause
+	}
+	order := rendezvous(r.Program, append(s.lenders.Hosts(), s.lenders.Self()))
+	if time.Now().UnixNano() > s.loans.allAway.Load() {
+		reservation, answered, err := s.askForClaim(ctx, order, r)
+		if reservation != nil || err != nil {
+			return reservation, err
+		}
+		s.loans.isolated.Store(answered == 0)
+		if answered == 0 {
+			// A host that reaches nobody can't tell what the others lend.
+			return nil, unknownBudget(r.Program, errors.Annotate(errNobody, cause.Error()))
+		}
+		s.loans.allAway.Store(time.Now().Add(allAwayFor).UnixNano())
+	}
+	return s.askForLoan(ctx, l, order, r, cause)
+}
+
+// askForClaim asks hosts that may reach the log. answered is how many said
+// that they don't.
+func (s *Service) askForClaim(ctx context.Context, order []string, r port.LendRequest) (_ gateway.Reservation, answered int, _ error) {
+	asked := 0
+	for _, host := range s.helperFirst(order) {
+		if host == s.lenders.Self() {
+			continue
+		}
+		if asked++; asked > askedForClaim || ctx.Err() != nil {
+			break
+		}
+		decision, reservation, err := s.ask(ctx, host, r)
+		if err != nil {
+			continue
+		}
+		answered++
+		if decision != port.LendAway {
+			s.loans.helper.Store(&host)
+			g, err := s.decided(r, host, decision, reservation)
+			return g, answered, err
+		}
+	}
+	return nil, answered, nil
+}
+
+// helperFirst puts the host first that has last reserved for this one.
+func (s *Service) helperFirst(order []string) []string {
+	helper := s.loans.helper.Load()
+	if helper == nil || !slices.Contains(order, *helper) {
+		return order
+	}
+	return append([]string{*helper}, order...)
+}
+
+// askForLoan asks the first host of the program's order that answers for a
+// loan without a claim, so that all hosts ask the same.
+func (s *Service) askForLoan(ctx context.Context, l *ledger, order []string, r port.LendRequest, cause error) (gateway.Reservation, error) {
+	r.MayLend = true
+	for _, host := range order {
+		if ctx.Err() != nil {
+			break
+		}
+		if host == s.lenders.Self() {
+			if g, ok := l.lend(r); ok {
+				return g, nil
+			}
+			return nil, cause
+		}
+		decision, reservation, err := s.ask(ctx, host, r)
+		if err != nil {
+			continue
+		}
+		if decision == port.LendAway {
+			return nil, cause
+		}
+		return s.decided(r, host, decision, reservation)
+	}
+	return nil, cause
+}
+
+func (s *Service) ask(ctx context.Context, host string, r port.LendRequest) (port.LendDecision, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	decision, reservation, err := s.lenders.Reserve(ctx, host, r)
+	if err != nil {
+		s.metrics.lendFailures.Inc(1)
+		s.log.V(1).Info("A host did not answer.", "host", host, "cause", err.Error())
+	}
+	return decision, reservation, err
+}
+
+// decided turns another host's answer into a reservation.
+func (s *Service) decided(r port.LendRequest, host string, decision port.LendDecision, reservation uint64) (gateway.Reservation, error) {
+	s.log.Info("Another host has decided.", "program", r.Program, "host", host, "granted", decision == port.LendGranted, "lent", r.MayLend)
+	if decision == port.LendSpent {
+		return nil, &gateway.BudgetSpentError{Program: r.Program, Budget: r.Budget}
+	}
+	s.metrics.borrowed.Inc(1)
+	return &borrowed{service: s, host: host, id: reservation}, nil
+}
+
+// borrowed is a reservation at another host. It implements
+// gateway.Reservation.
+type borrowed struct {
+	service *Service
+	host    string
+	id      uint64
+	spent   int64
+}
+
+// Spend implements gateway.Reservation.
+func (b *borrowed) Spend(tokens int64) { b.spent += tokens }
+
+// End implements gateway.Reservation. A report that is lost leaves the
+// reservation spent in full.
+func (b *borrowed) End() {
+	s := b.service
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		defer cancel()
+		if err := s.lenders.Settle(ctx, b.host, b.id, b.spent); err != nil {
+			s.log.Info("A loan could not be settled.", "host", b.host, "reservation", b.id, "spent", b.spent, "cause", err.Error())
+		}
+	}()
+}
+
+// Lend implements port.Lender.
+func (s *Service) Lend(ctx context.Context, r port.LendRequest) (port.LendDecision, uint64) {
+	l := s.ledger(r.Program)
+	if !r.MayLend {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, claimTimeout)
+		defer cancel()
+	}
+	reservation, err := l.reserve(ctx, r.Program, r.Budget, r.Most)
+	var spent *gateway.BudgetSpentError
+	switch {
+	case err == nil:
+	case errors.As(err, &spent):
+		return port.LendSpent, 0
+	case !r.MayLend:
+		return port.LendAway, 0
+	default:
+		var ok bool
+		if reservation, ok = l.lend(r); !ok {
+			return port.LendAway, 0
+		}
+	}
+	s.metrics.lent.Inc(1)
+	return port.LendGranted, s.loans.add(reservation, time.Now())
+}
+
+func (l *loans) add(r gateway.Reservation, now time.Time) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.granted == nil {
+		l.granted = make(map[uint64]loan)
+	}
+	for id, old := range l.granted {
+		if now.Sub(old.at) > loanExpiry {
+			delete(l.granted, id)
+		}
+	}
+	l.last++
+	l.granted[l.last] = loan{reservation: r, at: now}
+	return l.last
+}
+
+// SettleLoan implements port.Lender.
+func (s *Service) SettleLoan(reservation uint64, spent int64) {
+	s.loans.mu.Lock()
+	g, ok := s.loans.granted[reservation]
+	delete(s.loans.granted, reservation)
+	s.loans.mu.Unlock()
+	if !ok {
+		return
+	}
+	g.reservation.Spend(spent)
+	g.reservation.End()
+}
+
+// lend starts a turn without a claim.
+func (l *ledger) lend(r port.LendRequest) (gateway.Reservation, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sliceOf(r.Program, r.Budget)
+	claimed := max(l.book.Claimed(r.Program), r.Claimed)
+	if !s.Lend(r.Most, r.Budget, claimed) || !s.Begin(r.Most) {
+		l.log.Info("Not lent.", "program", r.Program, "budget", r.Budget, "claimed", claimed, "spent", s.Spent, "open", s.Open)
+		return nil, false
+	}
+	s.usedAt = time.Now()
+	return &reservation{ledger: l, slice: s, most: r.Most}, true
+}
+
+// settleLoans claims what was lent, now that the log answers again. The caller
+// holds the lock.
+func (l *ledger) settleLoans() {
+	for program, s := range l.slices {
+		if s.Lent == 0 {
+			continue
+		}
+		if _, isMore := s.Settle(); isMore {
+			l.releases[program] = s
+		}
+	}
+}
+
+// rendezvous orders hosts by their hash with a key, the same at all hosts that
+// know the same ones.
+func rendezvous(key string, hosts []string) []string {
+	rank := func(host string) uint64 {
+		var d xxhash.Digest
+		d.Reset()
+		_, _ = d.WriteString(key)
+		_, _ = d.WriteString(host)
+		return d.Sum64()
+	}
+	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
+	return hosts
+}
--- a/internal/spending/metrics.go
+++ b/internal/spending/metrics.go
@@ -17,15 +17,22 @@
 	fromSlice tally.Counter
 	failures  tally.Counter
 	invalid   tally.Counter
+	// borrowed and lent count reservations at and for other hosts.
+	borrowed     tally.Counter
+	lent         tally.Counter
+	lendFailures tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
 	return &metrics{
-		scope:     scope,
-		claim:     scope.Histogram("claim", claimBuckets),
-		fromSlice: scope.Counter("turns_from_slices"),
-		failures:  scope.Counter("log_failures"),
-		invalid:   scope.Counter("invalid_records"),
+		scope:        scope,
+		claim:        scope.Histogram("claim", claimBuckets),
+		fromSlice:    scope.Counter("turns_from_slices"),
+		failures:     scope.Counter("log_failures"),
+		invalid:      scope.Counter("invalid_records"),
+		borrowed:     scope.Counter("borrowed"),
+		lent:         scope.Counter("lent"),
+		lendFailures: scope.Counter("lend_failures"),
 	}
 }
 
--- /dev/null
+++ b/internal/spending/reserve.go
@@ -0,0 +1,59 @@
+package spending
+
+import (
+	"context"
+	"time"
+
+	"yuccausher/internal/gateway"
+)
+
+// reserve takes tokens out of the host's slice, or claims more of them in the
+// log. Its errors are *gateway.BudgetSpentError and
+// *gateway.BudgetUnknownError.
+func (l *ledger) reserve(ctx context.Context, program string, total, most int64) (gateway.Reservation, error) {
+	if r, ok := l.begin(program, most); ok {
+		return r, nil
+	}
+	if l.isStopped(program, time.Now()) {
+		return nil, &gateway.BudgetSpentError{Program: program, Budget: total}
+	}
+	ctx, cancel := context.WithTimeout(ctx, settlePatience)
+	defer cancel()
+	w := &want{program: program, budget: total, most: most, done: make(chan error, 1)}
+	if err := l.enqueue(w); err != nil {
+		return nil, unknownBudget(program, err)
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		select {
+		case err := <-w.done:
+			if err != nil {
+				return nil, err
+			}
+			return w.reservation, nil
+		case <-timer.C:
+			if !l.isSettling(w) {
+				l.abandon(w)
+				return nil, unknownBudget(program, errSlow)
+			}
+		case <-ctx.Done():
+			l.abandon(w)
+			return nil, unknownBudget(program, ctx.Err())
+		}
+	}
+}
+
+// isSettling says whether a turn waits for other hosts' slices.
+func (l *ledger) isSettling(w *want) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return w.settled
+}
+
+// claimed returns how much of a program's budget is known to be claimed.
+func (l *ledger) claimed(program string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Claimed(program)
+}
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -26,9 +26,12 @@
 	// them take 4,000 appends a second at 1 ms each, as many as the turns of
 	// the size to design for. All hosts must agree on it.
 	partitions = 4
-	// reserveWait is the longest wait for a claim: a store that answers 60
-	// times slower than usual still makes it.
-	reserveWait = 900 * time.Millisecond
+	// patience is how long a turn waits for a claim before other hosts are
+	// asked. A claim takes two calls of 4 ms each.
+	patience = 300 * time.Millisecond
+	// settlePatience is the same for a turn that waits for other hosts to give
+	// back what they don't use.
+	settlePatience = patience + settleTime
 	// unknownRetry is when callers may come back while the store is away.
 	unknownRetry = 100 * time.Millisecond
 	// sweepInterval is how often unused parts of slices are looked for.
@@ -51,7 +54,9 @@
 
 // Params are what a service is built from.
 type Params struct {
-	Log       port.SharedLog
+	Log port.SharedLog
+	// Lenders are the other hosts, asked while this one does not reach the log.
+	Lenders   port.Lenders
 	Retention time.Duration
 	Logger    logr.Logger
 	Scope     tally.Scope
@@ -63,6 +68,9 @@
 	ledgers   [partitions]*ledger
 	retention time.Duration
 	log       logr.Logger
+	metrics   *metrics
+	lenders   port.Lenders
+	loans     loans
 	stop      context.CancelFunc
 	done      sync.WaitGroup
 }
@@ -71,8 +79,9 @@
 
 // New returns a service that writes under a new name.
 func New(p Params) *Service {
-	s := &Service{writer: rand.Uint64(), retention: p.Retention, log: p.Logger.WithName("spending")}
+	s := &Service{writer: rand.Uint64(), retention: p.Retention, log: p.Logger.WithName("spending"), lenders: p.Lenders}
 	m := newMetrics(p.Scope.SubScope("spending"))
+	s.metrics = m
 	for i := range s.ledgers {
 		s.ledgers[i] = newLedger(p.Log, port.Partition{Topic: topic, Part: i}, s.writer, s.log, m)
 	}
@@ -113,41 +122,33 @@
 	}
 }
 
-// IsReachable says whether claims can be written now, as far as is known.
-func (s *Service) IsReachable(now time.Time) bool {
+// IsIsolated says whether this host reaches neither the log nor another host.
+func (s *Service) IsIsolated(now time.Time) bool {
+	if !s.loans.isolated.Load() {
+		return false
+	}
 	for _, l := range s.ledgers {
 		if l.isAway(now) {
-			return false
+			return true
 		}
 	}
-	return true
+	s.loans.isolated.Store(false)
+	return false
 }
 
 // Reserve implements gateway.Budgets.
 func (s *Service) Reserve(ctx context.Context, program string, total, most int64) (gateway.Reservation, error) {
-	l := s.ledgers[xxhash.Sum64String(program)%partitions]
-	if r, ok := l.begin(program, most); ok {
-		return r, nil
-	}
-	if l.isStopped(program, time.Now()) {
-		return nil, &gateway.BudgetSpentError{Program: program, Budget: total}
-	}
-	ctx, cancel := context.WithTimeout(ctx, reserveWait)
-	defer cancel()
-	w := &want{program: program, budget: total, most: most, done: make(chan error, 1)}
-	if err := l.enqueue(w); err != nil {
-		return nil, unknownBudget(program, err)
-	}
-	select {
-	case err := <-w.done:
-		if err != nil {
-			return nil, err
-		}
-		return w.reservation, nil
-	case <-ctx.Done():
-		l.abandon(w)
-		return nil, unknownBudget(program, ctx.Err())
+	l := s.ledger(program)
+	r, err := l.reserve(ctx, program, total, most)
+	var unknown *gateway.BudgetUnknownError
+	if err == nil || !errors.As(err, &unknown) || ctx.Err() != nil {
+		return r, err
 	}
+	return s.borrow(ctx, l, port.LendRequest{Program: program, Budget: total, Most: most, Claimed: l.claimed(program)}, err)
+}
+
+func (s *Service) ledger(program string) *ledger {
+	return s.ledgers[xxhash.Sum64String(program)%partitions]
 }
 
 func unknownBudget(program string, cause error) error {
