--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -17,9 +17,10 @@
 
 const (
 	// askedForClaim is how many hosts are asked whether they reach the log
-	// before it counts as away for all. If a third of the hosts are cut off,
-	// all of them are among these once in 80 times.
-	askedForClaim = 4
+	// before it counts as away for all. If half of the hosts are cut off, all
+	// of them are among these once in 4,000 times. Hosts that know that they
+	// are cut off answer at once.
+	askedForClaim = 12
 	// claimTimeout is how long an asked host may take to claim: some times the
 	// 10 ms that it needs.
 	claimTimeout = 100 * time.Millisecond
@@ -29,7 +30,7 @@
 	settleTimeout = time.Second
 	// allAwayFor is how long the finding that no host reaches the log is used
 	// without asking again.
-	allAwayFor = 500 * time.Millisecond
+	allAwayFor = time.Second
 	// loanExpiry is when a loan counts as spent whose borrower is silent.
 	loanExpiry = time.Minute
 )
