--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -48,13 +48,15 @@
 	pool     *upstream.Pool
 	lending  *budgetrpc.Server
 	log      logr.Logger
-	list     []*server
-	leaving  atomic.Bool
-	ready    atomic.Bool
-	stop     context.CancelFunc
+	// callers is the server for callers, also in list.
+	callers *http.Server
+	list    []listening
+	leaving atomic.Bool
+	ready   atomic.Bool
+	stop    context.CancelFunc
 }
 
-type server struct {
+type listening struct {
 	http    *http.Server
 	address string
 }
@@ -88,7 +90,7 @@
 	}
 	probes := http.NewServeMux()
 	probes.HandleFunc(p.Options.Platform.ReadyPath, s.answerReady)
-	s.add(p.Options.CallerAddress, p.Gateway)
+	s.callers = s.add(p.Options.CallerAddress, p.Gateway)
 	s.add(p.Options.ReadyAddress, probes)
 	if p.Options.MetricsAddress != "" {
 		mux := http.NewServeMux()
@@ -99,13 +101,15 @@
 	return s
 }
 
-func (s *servers) add(address string, h http.Handler) {
-	s.list = append(s.list, &server{address: address, http: &http.Server{
+func (s *servers) add(address string, h http.Handler) *http.Server {
+	server := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}})
+	}
+	s.list = append(s.list, listening{address: address, http: server})
+	return server
 }
 
 func (s *servers) start(ctx context.Context) error {
@@ -211,33 +215,35 @@
 	// rotationTime is how long the platform may still send new connections to
 	// a host that says it is not ready: two probes a second apart.
 	rotationTime = 2500 * time.Millisecond
-	// quietTime is how long nothing may be in flight before a leaving host
-	// ends.
-	quietTime = 300 * time.Millisecond
 	// stopReserve is the part of the stop time that is kept for the end of the
 	// process.
 	stopReserve = 700 * time.Millisecond
-	// drainPoll is how often a leaving host looks at what is in flight.
-	drainPoll = 50 * time.Millisecond
 )
 
-// drain takes the host out of rotation and returns when nothing has been in
-// flight for a while, or when the stop time has nearly passed.
+// drain takes the host out of rotation, answers what comes meanwhile, and
+// returns when nothing is in flight any more or the stop time has nearly
+// passed.
 func (s *servers) drain(ctx context.Context) {
 	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, s.options.StopTime-stopReserve)
+	defer cancel()
 	s.leaving.Store(true)
 	s.updateReady(started)
-	busyAt := started
-	for {
-		now := time.Now()
-		if s.gateway.InFlight() > 0 {
-			busyAt = now
-		}
-		isOut := now.Sub(started) > rotationTime && now.Sub(busyAt) > quietTime
-		if isOut || now.Sub(started) > s.options.StopTime-stopReserve || ctx.Err() != nil {
-			s.log.Info("Drained.", "took", now.Sub(started).String(), "in_flight", s.gateway.InFlight())
-			return
-		}
-		time.Sleep(drainPoll)
+	timer := time.NewTimer(rotationTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	// Shutdown takes no more connections, closes those that carry no request
+	// and waits for the others.
+	err := s.callers.Shutdown(ctx)
+	s.log.Info("Drained.", "took", time.Since(started).String(), "in_flight", s.gateway.InFlight(), "cause", errorText(err))
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
 	}
+	return err.Error()
 }
