spending, budget, platform: tests in virtual time over a stand-in of the store

The stand-in speaks the store's HTTP interface and has its faults: refusing, silent, slow, lost and late answers, trimmed records, for one host or all.

--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -175,13 +175,13 @@
 // reservation spent in full.
 func (b *borrowed) End() {
 	s := b.service
-	go func() {
+	s.done.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		if err := s.lenders.Settle(ctx, b.host, b.id, b.spent); err != nil {
 			s.log.Info("A loan could not be settled.", "host", b.host, "reservation", b.id, "spent", b.spent, "cause", err.Error())
 		}
-	}()
+	})
 }
 
 // Lend implements port.Lender.
--- /dev/null
+++ b/internal/spending/service_test.go
@@ -0,0 +1,369 @@
+package spending
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/gateway"
+	"yuccausher/internal/port"
+	"yuccausher/internal/standin/metastore"
+)
+
+// latency is the time of a call to the store.
+const latency = 4 * time.Millisecond
+
+// fleet is a number of hosts over one store.
+type fleet struct {
+	store *metastore.Store
+	hosts []*Service
+	names []string
+	// cut holds the hosts that reach no other host.
+	cut map[string]bool
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{store: metastore.New(), cut: make(map[string]bool)}
+	f.store.Latency = latency
+	f.store.Timeout = time.Second
+	for i := range n {
+		f.names = append(f.names, fmt.Sprintf("host-%d", i))
+	}
+	for i := range n {
+		f.hosts = append(f.hosts, f.start(t, i))
+	}
+	return f
+}
+
+// start starts a run of a host's process.
+func (f *fleet) start(t *testing.T, i int) *Service {
+	t.Helper()
+	s := New(Params{
+		Log:       f.store.Client(f.names[i]),
+		Lenders:   &lenders{fleet: f, self: f.names[i]},
+		Retention: 5 * time.Minute,
+		Logger:    logr.Discard(),
+		Scope:     tally.NoopScope,
+	})
+	if err := s.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Stop(context.Background()) })
+	return s
+}
+
+// lenders are the other hosts of a fleet, a millisecond away.
+type lenders struct {
+	fleet *fleet
+	self  string
+}
+
+func (l *lenders) Self() string { return l.self }
+
+func (l *lenders) Hosts() []string {
+	var others []string
+	for _, name := range l.fleet.names {
+		if name != l.self {
+			others = append(others, name)
+		}
+	}
+	return others
+}
+
+func (l *lenders) reach(host string) (*Service, error) {
+	time.Sleep(time.Millisecond)
+	if l.fleet.cut[l.self] || l.fleet.cut[host] {
+		return nil, errors.New("cut off")
+	}
+	for i, name := range l.fleet.names {
+		if name == host {
+			return l.fleet.hosts[i], nil
+		}
+	}
+	return nil, errors.New("unknown host")
+}
+
+func (l *lenders) Reserve(ctx context.Context, host string, r port.LendRequest) (port.LendDecision, uint64, error) {
+	s, err := l.reach(host)
+	if err != nil {
+		return port.LendAway, 0, err
+	}
+	decision, id := s.Lend(ctx, r)
+	return decision, id, nil
+}
+
+func (l *lenders) Settle(_ context.Context, host string, reservation uint64, spent int64) error {
+	s, err := l.reach(host)
+	if err != nil {
+		return err
+	}
+	s.SettleLoan(reservation, spent)
+	return nil
+}
+
+// turn runs a turn that may hand out most tokens and hands out spent.
+func turn(s *Service, program string, budget, most, spent int64) error {
+	r, err := s.Reserve(context.Background(), program, budget, most)
+	if err != nil {
+		return err
+	}
+	r.Spend(spent)
+	r.End()
+	return nil
+}
+
+func isSpent(err error) bool {
+	var spent *gateway.BudgetSpentError
+	return errors.As(err, &spent)
+}
+
+func isUnknown(err error) bool {
+	var unknown *gateway.BudgetUnknownError
+	return errors.As(err, &unknown)
+}
+
+func TestSliceServesFurtherTurnsWithoutCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1)
+		is.NoErr(turn(f.hosts[0], "p", 20000, 280, 70))
+		calls := f.store.Calls()
+		for range 6 {
+			is.NoErr(turn(f.hosts[0], "p", 20000, 280, 70))
+		}
+		is.Equal(f.store.Calls(), calls)
+	})
+}
+
+func TestFirstTurnWaitsForTwoCallsAtMost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2)
+		for i := range 40 {
+			is.NoErr(turn(f.hosts[0], fmt.Sprint("other", i), 20000, 280, 70))
+		}
+		started := time.Now()
+		is.NoErr(turn(f.hosts[1], "p", 20000, 280, 70))
+		is.True(time.Since(started) <= 2*latency)
+	})
+}
+
+// The turns of a program that changes its host with each of them find room in
+// a small budget, since hosts give back what they don't use. Seen on quiet-1:
+// 84 tokens of 1,300 were spent when the third host was refused.
+func TestTurnsOfAWanderingProgramFitItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 8)
+		const budget, most, spent = 1300, 280, 100
+		for i := range 8 {
+			is.NoErr(turn(f.hosts[i], "p", budget, most, spent))
+		}
+	})
+}
+
+func TestSpentBudgetIsRefusedAtAllHostsAndAfterRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3)
+		const budget, most = 840, 280
+		handed := 0
+		for i := range 30 {
+			err := turn(f.hosts[i%3], "runaway", budget, most, most)
+			if err == nil {
+				handed += most
+				continue
+			}
+			is.True(isSpent(err))
+		}
+		is.Equal(handed, budget)
+		for i := range f.hosts {
+			f.hosts[i] = f.start(t, i)
+		}
+		for _, h := range f.hosts {
+			is.True(isSpent(turn(h, "runaway", budget, most, most)))
+		}
+	})
+}
+
+func TestTurnsAtOnceShareTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4)
+		const budget, most, turns = 840, 280, 24
+		results := make(chan error, turns)
+		for i := range turns {
+			go func() {
+				r, err := f.hosts[i%4].Reserve(context.Background(), "p", budget, most)
+				if err == nil {
+					r.Spend(most)
+					time.Sleep(100 * time.Millisecond)
+					r.End()
+				}
+				results <- err
+			}()
+		}
+		granted := 0
+		for range turns {
+			if err := <-results; err == nil {
+				granted++
+			}
+		}
+		is.True(granted*most <= budget)
+		is.True(granted >= 2)
+	})
+}
+
+func TestLostAnswerOfAClaimDoesNotCountTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1)
+		f.store.SetFaults("host-0", metastore.Faults{LoseAnswers: 1})
+		err := turn(f.hosts[0], "p", 840, 280, 70)
+		is.True(err == nil || isUnknown(err))
+		time.Sleep(3 * time.Second)
+		is.NoErr(turn(f.hosts[0], "p", 840, 280, 70))
+		time.Sleep(3 * time.Second)
+		is.True(f.hosts[0].ledger("p").claimed("p") <= 2*70+280)
+	})
+}
+
+func TestLateClaimIsOvertaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2)
+		f.store.SetFaults("host-0", metastore.Faults{Late: 1})
+		// The claim that hangs is for 350 tokens; another host claims instead.
+		is.NoErr(turn(f.hosts[0], "p", 840, 280, 280))
+		time.Sleep(3 * time.Second)
+		is.NoErr(turn(f.hosts[0], "p", 840, 280, 280))
+		is.NoErr(turn(f.hosts[0], "p", 840, 280, 280))
+		f.store.Flush()
+		is.True(isSpent(turn(f.hosts[1], "p", 840, 280, 280)))
+		is.Equal(f.hosts[1].ledger("p").claimed("p"), int64(840))
+	})
+}
+
+// Five of twelve hosts did not reach the store on trouble-1; a host that asked
+// only others that were cut off lent tokens that the rest claimed in the log.
+func TestHostCutOffFromTheStoreClaimsThroughOthers(t *testing.T) {
+	for _, fault := range []metastore.Faults{{Refuse: true}, {Silent: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 12)
+			for i := range 5 {
+				f.store.SetFaults(f.names[i], fault)
+			}
+			const budget, most = 840, 280
+			var handed int64
+			for i := range 60 {
+				if err := turn(f.hosts[i%12], "runaway", budget, most, most); err == nil {
+					handed += most
+				}
+			}
+			is.True(handed <= budget)
+			is.True(handed >= budget-most)
+			is.NoErr(turn(f.hosts[0], "good", 5000, 280, 70))
+			is.True(!f.hosts[0].IsIsolated(time.Now()))
+		})
+	}
+}
+
+func TestHostsLendWhileTheStoreIsAway(t *testing.T) {
+	for _, fault := range []metastore.Faults{{Refuse: true}, {Silent: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 12)
+			is.NoErr(turn(f.hosts[0], "old", 3000, 280, 70))
+			f.store.SetFaults(metastore.EveryHost, fault)
+			for _, h := range f.hosts {
+				_ = turn(h, "probe", 20000, 280, 70)
+			}
+			time.Sleep(500 * time.Millisecond)
+			for i := range 5 {
+				is.NoErr(turn(f.hosts[i], "new", 1300, 280, 70))
+				is.NoErr(turn(f.hosts[i], "old", 3000, 280, 70))
+			}
+			var handed int64
+			for i := range 60 {
+				if err := turn(f.hosts[i%12], "runaway", 840, 280, 280); err == nil {
+					handed += 280
+				}
+			}
+			is.True(handed <= 840)
+			f.store.SetFaults(metastore.EveryHost, metastore.Faults{})
+			time.Sleep(5 * time.Second)
+			is.NoErr(turn(f.hosts[3], "new", 1300, 280, 70))
+			is.True(f.hosts[3].ledger("new").claimed("new") >= 6*70)
+			for i := range 24 {
+				if err := turn(f.hosts[i%12], "runaway", 840, 280, 280); err == nil {
+					handed += 280
+				}
+			}
+			is.True(handed <= 840+280)
+		})
+	}
+}
+
+func TestIsolatedHostRefusesAndSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4)
+		f.cut["host-0"] = true
+		f.store.SetFaults("host-0", metastore.Faults{Silent: true})
+		started := time.Now()
+		is.True(isUnknown(turn(f.hosts[0], "p", 5000, 280, 70)))
+		is.True(time.Since(started) < time.Second)
+		is.True(f.hosts[0].IsIsolated(time.Now()))
+		started = time.Now()
+		is.True(isUnknown(turn(f.hosts[0], "p", 5000, 280, 70)))
+		is.True(time.Since(started) < 100*time.Millisecond)
+		f.store.SetFaults("host-0", metastore.Faults{})
+		time.Sleep(3 * time.Second)
+		is.True(!f.hosts[0].IsIsolated(time.Now()))
+		is.NoErr(turn(f.hosts[0], "p", 5000, 280, 70))
+	})
+}
+
+func TestUnsettledLoanCountsInFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2)
+		decision, _ := f.hosts[1].Lend(context.Background(), port.LendRequest{Program: "p", Budget: 560, Most: 280})
+		is.Equal(decision, port.LendGranted)
+		is.NoErr(turn(f.hosts[0], "p", 560, 280, 280))
+		is.True(isSpent(turn(f.hosts[0], "p", 560, 280, 280)))
+	})
+}
+
+func TestClaimsThatCannotBeReadArePassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1)
+		for i := range partitions {
+			_, err := f.store.Client("x").Append(context.Background(), port.Partition{Topic: topic, Part: i}, [][]byte{{0xff, 0xff}, {}})
+			is.NoErr(err)
+		}
+		is.NoErr(turn(f.hosts[0], "p", 5000, 280, 70))
+	})
+}
+
+func TestTrimmedLogIsReadFromItsOldestRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2)
+		is.NoErr(turn(f.hosts[0], "p", 5000, 280, 70))
+		for i := range partitions {
+			f.store.Trim(port.Partition{Topic: topic, Part: i}, 1)
+		}
+		is.NoErr(turn(f.hosts[1], "p", 5000, 280, 70))
+	})
+}
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -76,8 +76,8 @@
 	for program, s := range l.slices {
 		idle := now.Sub(s.usedAt)
 		switch {
-		case s.Open > 0 || s.wanted > 0:
-		case idle > forgetAfter:
+		case s.wanted > 0:
+		case idle > forgetAfter && s.Open == 0:
 			delete(l.slices, program)
 		case idle > idleAfter && s.Unused() > 0 && l.isTight(s):
 			l.releases[program] = s
