--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+func member(id string) Member {
+	return Member{ID: id, Service: "s", Address: "10.0.0.1:80", DataCentre: "here", Slots: 8}
+}
+
+func newFleet(n int) *Fleet {
+	f := New("here", 1)
+	for i := range n {
+		f.Put(member(fmt.Sprintf("t%d", i)))
+	}
+	return f
+}
+
+func TestPutTellsWhatChanged(t *testing.T) {
+	is := is.New(t)
+	f := New("here", 1)
+	m := member("a")
+	is.Equal(f.Put(m), Joined)
+	is.Equal(f.Put(m), Unchanged)
+	m.Leaving = true
+	is.Equal(f.Put(m), Leaving)
+	is.Equal(f.Choose(Request{Service: "s"}, start), nil)
+	m.Leaving, m.StartedAt = false, 5
+	is.Equal(f.Put(m), Restarted)
+	is.True(f.Choose(Request{Service: "s"}, start) != nil)
+	is.Equal(f.Remove("a"), Removed)
+	is.Equal(f.Remove("a"), Unchanged)
+}
+
+func TestLapsedTargetsStayUntilTheyExpire(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	is.Equal(f.Lapse("t0", start), Lapsed)
+	is.Equal(f.Lapse("t1", start), Lapsed)
+	is.Equal(f.Count("s"), 2)
+	is.Equal(f.Put(member("t0")), Returned)
+	is.Equal(f.Expire(), []string{"t1"})
+	is.Equal(f.IDs(), []string{"t0"})
+}
+
+func TestAddressThatMovesToAnotherServiceLeavesTheOld(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	m := member("t0")
+	m.Service = "other"
+	is.Equal(f.Put(m), Restarted)
+	is.Equal(f.Choose(Request{Service: "s"}, start), nil)
+}
+
+func TestExcludedTargetsAreNotChosen(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	for range 20 {
+		is.Equal(f.Choose(Request{Service: "s", Exclude: []string{"t0"}}, start).ID, "t1")
+	}
+	is.Equal(f.Choose(Request{Service: "s", Exclude: []string{"t0", "t1"}}, start), nil)
+}
+
+// Hosts that see the same targets send one program to the same of them.
+func TestAffinityIsTheSameAtAllHosts(t *testing.T) {
+	is := is.New(t)
+	homes := map[string]int{}
+	for i := range 90 {
+		r := Request{Service: "s", Affinity: fmt.Sprint("program", i)}
+		a := New("here", 1)
+		b := New("there", 2)
+		for j := range 9 {
+			a.Put(member(fmt.Sprintf("t%d", j)))
+			b.Put(member(fmt.Sprintf("t%d", 8-j)))
+		}
+		chosen := a.Choose(r, start).ID
+		is.Equal(chosen, b.Choose(r, start).ID)
+		homes[chosen]++
+	}
+	is.Equal(len(homes), 9)
+}
+
+// A target that has become five times slower loses its programs, and gets
+// them back some time after it has recovered.
+func TestSlowTargetIsLeftAndTriedAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	r := Request{Service: "s", Affinity: "program"}
+	home := f.Choose(r, start)
+	now := start
+	answer := func(c *Choice, first time.Duration) {
+		now = now.Add(10 * time.Millisecond)
+		c.End(now, Answered, first)
+	}
+	answer(home, 40*time.Millisecond)
+	for i := range 40 {
+		for _, id := range f.IDs() {
+			if id != home.ID {
+				others := Request{Service: "s", Exclude: []string{home.ID}, Affinity: fmt.Sprint(i, id)}
+				answer(f.Choose(others, now), 40*time.Millisecond)
+			}
+		}
+		c := f.Choose(r, now)
+		first := 40 * time.Millisecond
+		if c.ID == home.ID {
+			first = 400 * time.Millisecond
+		}
+		answer(c, first)
+	}
+	moved := 0
+	for range 20 {
+		c := f.Choose(r, now)
+		if c.ID != home.ID {
+			moved++
+		}
+		first := 40 * time.Millisecond
+		if c.ID == home.ID {
+			first = 400 * time.Millisecond
+		}
+		answer(c, first)
+	}
+	is.True(moved >= 15)
+	now = now.Add(time.Minute)
+	is.Equal(f.Choose(r, now).ID, home.ID)
+}
+
+func TestUnreachableTargetIsLeftAloneForAWhile(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	c := f.Choose(Request{Service: "s", Exclude: []string{"t1"}}, start)
+	c.End(start, Unreachable, 0)
+	for range 10 {
+		c := f.Choose(Request{Service: "s"}, start.Add(10*time.Millisecond))
+		is.Equal(c.ID, "t1")
+		c.End(start, Answered, time.Millisecond)
+	}
+	seen := map[string]bool{}
+	for range 40 {
+		c := f.Choose(Request{Service: "s"}, start.Add(time.Second))
+		seen[c.ID] = true
+	}
+	is.Equal(len(seen), 2)
+}
+
+// A target that is paused is still better than none.
+func TestPausedTargetsAreTheLastResort(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.Choose(Request{Service: "s"}, start).End(start, Unreachable, 0)
+	is.True(f.Choose(Request{Service: "s"}, start) != nil)
+}
+
+func TestFullTargetsAreAvoided(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	c := f.Choose(Request{Service: "s"}, start)
+	full := c.ID
+	c.End(start, Full, 0)
+	for range 20 {
+		is.True(f.Choose(Request{Service: "s"}, start.Add(time.Millisecond)).ID != full)
+	}
+}
+
+func TestLoadIsSpreadOverPlainTargets(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5)
+	counts := map[string]int{}
+	for range 20 {
+		counts[f.Choose(Request{Service: "s"}, start).ID]++
+	}
+	for _, n := range counts {
+		is.Equal(n, 4)
+	}
+}
+
+func TestTargetsNearbyArePreferred(t *testing.T) {
+	is := is.New(t)
+	f := New("here", 1)
+	far := member("far")
+	far.DataCentre = "there"
+	f.Put(far)
+	f.Put(member("near"))
+	for range 10 {
+		c := f.Choose(Request{Service: "s"}, start)
+		is.Equal(c.ID, "near")
+		c.End(start, Answered, 0)
+	}
+}
