--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -173,6 +173,26 @@
 	Member
 	fleet  *Fleet
 	target *Target
+	sent   time.Time
+	began  bool
+}
+
+// Began says that the first byte of an answer has arrived.
+func (c *Choice) Began() {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	c.begin()
+}
+
+func (c *Choice) begin() {
+	if c.began {
+		return
+	}
+	c.began = true
+	w := c.target.waiting
+	if i := slices.Index(w, c.sent); i >= 0 {
+		c.target.waiting = slices.Delete(w, i, i+1)
+	}
 }
 
 // End takes the outcome of the dispatch.
@@ -180,18 +200,18 @@
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
 	c.target.inFlight--
+	c.begin()
 	c.target.observe(now, o, first)
 }
 
 const (
-	// sampled is how many targets beside the home are compared. Few of them
-	// keep hosts with the same view apart.
-	sampled = 2
-	// homeFactor and homeSlack are how much slower the home of a prefix may be
-	// before another target is better: reading a prompt again takes about as
-	// long, in seconds.
-	homeFactor = 1.5
-	homeSlack  = 0.015
+	// homes is how many targets are compared for requests that share a prefix.
+	// All hosts compare the same ones, so that a program that has left its
+	// first home finds its prefix at the next.
+	homes = 3
+	// missCost is what reading a prompt again costs at any but the first home,
+	// in seconds: some 2,000 tokens.
+	missCost = 0.010
 	// remoteFactor makes targets of other data centres less attractive than
 	// equal ones nearby, since traffic between data centres costs.
 	remoteFactor = 1.1
@@ -221,19 +241,22 @@
 	}
 	best := f.best(r, open, now)
 	best.inFlight++
-	return &Choice{Member: best.Member, fleet: f, target: best}
+	best.waiting = append(best.waiting, now)
+	return &Choice{Member: best.Member, fleet: f, target: best, sent: now}
 }
 
 func (f *Fleet) best(r Request, open []*Target, now time.Time) *Target {
 	if r.Affinity == "" {
 		return f.cheapest(open, now)
 	}
-	home := rendezvous(r.Affinity, open)
-	best, least := home, home.cost(now)
-	limit := least/homeFactor - homeSlack
-	for range sampled {
-		t := open[f.random.IntN(len(open))]
-		if c := t.cost(now); c < limit && c < least {
+	var best *Target
+	least := 0.0
+	for rank, t := range rendezvous(r.Affinity, open)[:min(homes, len(open))] {
+		c := t.cost(now)
+		if rank > 0 {
+			c += missCost
+		}
+		if best == nil || c < least {
 			best, least = t, c
 		}
 	}
@@ -259,21 +282,27 @@
 	return best
 }
 
-// rendezvous returns the target with the highest hash with the key, which is
-// the same at all hosts that see the same targets.
-func rendezvous(key string, targets []*Target) *Target {
-	var best *Target
-	var most uint64
-	for _, t := range targets {
+// rendezvous orders targets by their hash with a key, which is the same at all
+// hosts that see the same targets.
+func rendezvous(key string, targets []*Target) []*Target {
+	type ranked struct {
+		target *Target
+		hash   uint64
+	}
+	list := make([]ranked, len(targets))
+	for i, t := range targets {
 		var d xxhash.Digest
 		d.Reset()
 		_, _ = d.WriteString(key)
 		_, _ = d.WriteString(t.ID)
-		if h := d.Sum64(); best == nil || h > most {
-			best, most = t, h
-		}
+		list[i] = ranked{target: t, hash: d.Sum64()}
 	}
-	return best
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+	ordered := make([]*Target, len(list))
+	for i, r := range list {
+		ordered[i] = r.target
+	}
+	return ordered
 }
 
 // Count returns how many targets of a service may be chosen.
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -27,8 +27,11 @@
 }
 
 const (
-	// latencyGain is the weight of one answer in a target's mean latency.
-	latencyGain = 0.2
+	// fallGain and riseGain are the weights of one answer in a target's mean
+	// latency. A target that has become slow is noticed sooner than one that
+	// has recovered, since the former holds up programs.
+	fallGain = 0.2
+	riseGain = 0.35
 	// initialLatency is assumed until a target has answered, in seconds. It is
 	// low, so that a new target is tried.
 	initialLatency = 0.02
@@ -53,6 +56,9 @@
 	Member
 
 	inFlight int
+	// waiting holds when the requests were sent that have had no answer yet,
+	// the oldest first.
+	waiting []time.Time
 	// latency is the mean time to the first byte of an answer, in seconds.
 	latency    float64
 	observedAt time.Time
@@ -78,6 +84,11 @@
 		halvings := float64(age) / float64(staleAfter)
 		latency = initialLatency + (latency-initialLatency)/(1+halvings)
 	}
+	if len(t.waiting) > 0 {
+		// A request that waits tells sooner than its answer will that the
+		// target has become slow.
+		latency = max(latency, now.Sub(t.waiting[0]).Seconds())
+	}
 	load := float64(t.inFlight) / float64(t.Slots)
 	return latency * (1 + load) * (1 + brokenCost*t.broken)
 }
@@ -118,7 +129,11 @@
 		if t.latency == 0 {
 			t.latency = first.Seconds()
 		}
-		t.latency += latencyGain * (first.Seconds() - t.latency)
+		gain := fallGain
+		if first.Seconds() > t.latency {
+			gain = riseGain
+		}
+		t.latency += gain * (first.Seconds() - t.latency)
 	}
 	switch o {
 	case Answered:
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -9,6 +9,7 @@
 
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
+	"yuccausher/internal/core/urgency"
 	"yuccausher/internal/upstream"
 )
 
@@ -218,6 +219,11 @@
 }
 
 func (j *job) request(choice *fleet.Choice, now time.Time) upstream.Request {
-	h := j.g.protocol.Outgoing(j.r.Header, Dispatch{TargetID: choice.ID, TimeLeft: j.deadline().Sub(now), ResumeAfter: j.lastEvent})
+	d := Dispatch{TargetID: choice.ID, TimeLeft: j.deadline().Sub(now), ResumeAfter: j.lastEvent}
+	if j.route.Kind == route.Stream && j.call.HasFinish {
+		d.HasPriority = true
+		d.Priority = int(urgency.Of(j.call.FinishIn - now.Sub(j.started)))
+	}
+	h := j.g.protocol.Outgoing(j.r.Header, d)
 	return upstream.Request{Method: j.r.Method, URI: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body}
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -16,9 +16,10 @@
 	Program  string
 	// Session names one line of turns of a program.
 	Session string
-	// FinishIn is how long the whole program may still take; zero if the
-	// request does not say.
-	FinishIn time.Duration
+	// FinishIn is how long the whole program may still take to be on time; zero
+	// if it is late already. HasFinish says that the request names it.
+	FinishIn  time.Duration
+	HasFinish bool
 	// Budget is how many tokens all turns of the program may generate.
 	// HasBudget says that the request names one.
 	Budget    int64
@@ -37,6 +38,10 @@
 	// TargetID is the only target that may run the request.
 	TargetID string
 	TimeLeft time.Duration
+	// Priority orders requests inside an engine, 0 first. HasPriority says that
+	// it is set.
+	Priority    int
+	HasPriority bool
 	// ResumeAfter is the last event that the caller has got from an earlier
 	// run; empty if this is the first.
 	ResumeAfter string
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -137,6 +137,7 @@
 		}
 		if first == 0 {
 			first = time.Since(sent)
+			choice.Began()
 			j.first = time.Since(j.started)
 		}
 		// An event that may have reached the caller counts as spent.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -44,7 +44,7 @@
 		s.add(models, replica.Options{ID: id, Events: 9})
 	}
 	broken := 0
-	for i := range 8 {
+	for i := range 24 {
 		for _, r := range s.replicas {
 			r.FailAlways(replica.None)
 		}
