--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -208,10 +208,10 @@
 	// homes is how many targets are compared for requests that share a prefix.
 	// All hosts compare the same ones, so that a program that has left its
 	// first home finds its prefix at the next.
-	homes = 3
+	homes = 2
 	// missCost is what reading a prompt again costs at any but the first home,
-	// in seconds: some 2,000 tokens.
-	missCost = 0.010
+	// in seconds: some 3,000 tokens.
+	missCost = 0.015
 	// remoteFactor makes targets of other data centres less attractive than
 	// equal ones nearby, since traffic between data centres costs.
 	remoteFactor = 1.1
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -46,6 +46,9 @@
 	brokenGain = 0.1
 	// brokenCost is how much slower a target counts whose answers all break.
 	brokenCost = 8.0
+	// loadCost is how much slower a target counts whose slots are all taken by
+	// this host's requests. Others' requests come on top.
+	loadCost = 3.0
 	// staleAfter is when a mean that is much above the others' counts as half;
 	// without it a target that was slow once would never be tried again.
 	staleAfter = 2 * time.Second
@@ -90,7 +93,7 @@
 		latency = max(latency, now.Sub(t.waiting[0]).Seconds())
 	}
 	load := float64(t.inFlight) / float64(t.Slots)
-	return latency * (1 + load) * (1 + brokenCost*t.broken)
+	return latency * (1 + loadCost*load) * (1 + brokenCost*t.broken)
 }
 
 func (t *Target) isOpen(now time.Time) bool {
