--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -18,17 +17,18 @@
 	mu       sync.Mutex
 	byID     map[string]*Target
 	services map[string][]*Target
-	random   *rand.Rand
+	// seed orders targets that are alike differently at each host.
+	seed uint64
 }
 
-// New returns an empty fleet as seen from a data centre. The seed decides
-// between targets that look alike.
+// New returns an empty fleet as seen from a data centre. Hosts with different
+// seeds keep to different targets.
 func New(dataCentre string, seed uint64) *Fleet {
 	return &Fleet{
 		dataCentre: dataCentre,
 		byID:       make(map[string]*Target),
 		services:   make(map[string][]*Target),
-		random:     rand.New(rand.NewPCG(seed, seed)),
+		seed:       seed,
 	}
 }
 
@@ -212,9 +212,9 @@
 	// missCost is what reading a prompt again costs at any but the first home,
 	// in seconds: some 3,000 tokens.
 	missCost = 0.015
-	// remoteFactor makes targets of other data centres less attractive than
-	// equal ones nearby, since traffic between data centres costs.
-	remoteFactor = 1.1
+	// slowFactor is how much slower than the median a plain target may be
+	// before others go first. The times of single requests differ by as much.
+	slowFactor = 4.0
 )
 
 // Choose returns a target for a dispatch, or nil if there is none that might
@@ -247,7 +247,7 @@
 
 func (f *Fleet) best(r Request, open []*Target, now time.Time) *Target {
 	if r.Affinity == "" {
-		return f.cheapest(open, now)
+		return f.least(open, now)
 	}
 	var best *Target
 	least := 0.0
@@ -263,23 +263,42 @@
 	return best
 }
 
-// cheapest compares all targets, those of other data centres at a surcharge.
-// Equal costs are decided at random.
-func (f *Fleet) cheapest(open []*Target, now time.Time) *Target {
-	var best *Target
-	least := 0.0
-	offset := f.random.IntN(len(open))
-	for i := range open {
-		t := open[(i+offset)%len(open)]
-		c := t.cost(now) * (1 + float64(t.inFlight))
-		if t.DataCentre != f.dataCentre {
-			c *= remoteFactor
-		}
-		if best == nil || c < least {
-			best, least = t, c
-		}
+// least returns the target with the fewest of this host's requests, and of
+// those the first in an order of the host's own. Each host so keeps to few
+// targets while its load is low, which spares connections, and hosts differ in
+// the targets that they keep to.
+func (f *Fleet) least(open []*Target, now time.Time) *Target {
+	slow := slowFactor * medianCost(open, now)
+	return slices.MinFunc(open, func(a, b *Target) int {
+		return cmp.Or(
+			compareBool(a.restingCost(now) > slow, b.restingCost(now) > slow),
+			cmp.Compare(a.inFlight, b.inFlight),
+			compareBool(a.DataCentre != f.dataCentre, b.DataCentre != f.dataCentre),
+			cmp.Compare(f.rank(a), f.rank(b)),
+		)
+	})
+}
+
+// rank is a target's place in the host's own order.
+func (f *Fleet) rank(t *Target) uint64 { return xxhash.Sum64String(t.ID) ^ f.seed }
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
-	return best
+	return 1
+}
+
+func medianCost(targets []*Target, now time.Time) float64 {
+	costs := make([]float64, len(targets))
+	for i, t := range targets {
+		costs[i] = t.restingCost(now)
+	}
+	slices.Sort(costs)
+	return costs[len(costs)/2]
 }
 
 // rendezvous orders targets by their hash with a key, which is the same at all
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -76,9 +76,9 @@
 	goneAt time.Time
 }
 
-// cost is the expected time of a request at the target relative to others, in
-// seconds.
-func (t *Target) cost(now time.Time) float64 {
+// restingCost is the expected time of a request at the target without this
+// host's load, relative to others, in seconds.
+func (t *Target) restingCost(now time.Time) float64 {
 	latency := t.latency
 	if latency == 0 {
 		latency = initialLatency
@@ -92,8 +92,14 @@
 		// target has become slow.
 		latency = max(latency, now.Sub(t.waiting[0]).Seconds())
 	}
+	return latency * (1 + brokenCost*t.broken)
+}
+
+// cost is the expected time of a request at the target with what this host has
+// there already, relative to others, in seconds.
+func (t *Target) cost(now time.Time) float64 {
 	load := float64(t.inFlight) / float64(t.Slots)
-	return latency * (1 + loadCost*load) * (1 + brokenCost*t.broken)
+	return t.restingCost(now) * (1 + loadCost*load)
 }
 
 func (t *Target) isOpen(now time.Time) bool {
