spending: slices are given back only where few further turns fit

Cause: a slice was given back once a quarter of the budget was claimed, also where dozens of turns still fit.

--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -351,6 +351,7 @@
 	var most int64
 	for _, w := range p.wants {
 		most += w.most
+		s.most = max(s.most, w.most)
 	}
 	total := s.Needed(most)
 	isSettled := false
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -13,7 +13,9 @@
 	budget.Slice
 	program string
 	budget  int64
-	usedAt  time.Time
+	// most is the largest turn that was asked for.
+	most   int64
+	usedAt time.Time
 	// wanted is how many turns wait for a claim.
 	wanted int
 }
@@ -90,11 +92,12 @@
 	}
 }
 
-// tightShare is the claimed part of a budget from which on other hosts may miss
-// what a slice holds: the turns of one program come through several hosts.
-const tightShare = 0.25
+// tightTurns is how many further turns a budget must have room for, so that
+// other hosts do not miss what a slice holds: those that may have claimed since
+// this host has last read the log.
+const tightTurns = 4
 
 // isTight says whether other hosts may soon miss what the slice holds.
 func (l *ledger) isTight(s *slice) bool {
-	return float64(l.book.Claimed(s.program)) > tightShare*float64(s.budget)
+	return s.budget-l.book.Claimed(s.program) < tightTurns*s.most
 }
