spending: a log that loses answers or is slow is not away

And a part of a slice that was given back could be spent again when an earlier claim was read back first. Now a read tells a lost append from an outage, only the latest claim of a slice confirms it, hosts that reach the log say so (busy), and nothing is lent then. Claims whose answers got lost are read back after 25 ms; each partition may have two appends under way, eight partitions instead of four; with a slow log more is claimed at a time.

--- a/internal/adapter/budgetrpc/client.go
+++ b/internal/adapter/budgetrpc/client.go
@@ -88,7 +88,7 @@
 func (c *Client) Reserve(ctx context.Context, host string, r port.LendRequest) (port.LendDecision, uint64, error) {
 	conn, err := c.connect(ctx, host)
 	if err != nil {
-		return port.LendAway, 0, err
+		return port.LendBusy, 0, err
 	}
 	defer conn.Close()
 	reply, err := spending.NewDRPCBudgetsClient(conn).Reserve(ctx, &spending.ReserveRequest{
@@ -99,15 +99,17 @@
 		MayLend: r.MayLend,
 	})
 	if err != nil {
-		return port.LendAway, 0, errors.Annotatef(err, "reserve at host %s", host)
+		return port.LendBusy, 0, errors.Annotatef(err, "reserve at host %s", host)
 	}
 	switch reply.Decision {
 	case spending.Decision_DECISION_GRANTED:
 		return port.LendGranted, reply.Reservation, nil
 	case spending.Decision_DECISION_SPENT:
 		return port.LendSpent, 0, nil
+	case spending.Decision_DECISION_AWAY:
+		return port.LendAway, 0, nil
 	}
-	return port.LendAway, 0, nil
+	return port.LendBusy, 0, nil
 }
 
 // Settle implements port.Lenders.
--- a/internal/adapter/budgetrpc/server.go
+++ b/internal/adapter/budgetrpc/server.go
@@ -48,8 +48,10 @@
 		reply.Decision = spending.Decision_DECISION_GRANTED
 	case port.LendSpent:
 		reply.Decision = spending.Decision_DECISION_SPENT
-	default:
+	case port.LendAway:
 		reply.Decision = spending.Decision_DECISION_AWAY
+	default:
+		reply.Decision = spending.Decision_DECISION_BUSY
 	}
 	return reply, nil
 }
--- a/internal/core/budget/slice.go
+++ b/internal/core/budget/slice.go
@@ -6,14 +6,20 @@
 const turnsAhead = 2
 
 // shareAhead bounds what is asked for ahead to this part of what is left of
-// the budget, so that one host does not take what others need.
-const shareAhead = 8
+// the budget, so that one host does not take what others need. With a slow log
+// a claim costs more than the room it takes.
+const (
+	shareAhead     = 8
+	slowShareAhead = 3
+)
 
 // Slice is what one host holds of a program's budget. It is not safe for
 // concurrent use.
 type Slice struct {
-	// Confirmed is the host's total in the log.
+	// Confirmed is the host's total in the log, as far as it may be relied on.
 	Confirmed int64
+	// Sequence is that of the host's latest claim.
+	Sequence uint64
 	// Lent may be spent beyond what is confirmed, while the log is away.
 	Lent int64
 	// Spent was handed to callers; Open is the most that running turns may
@@ -21,6 +27,15 @@
 	Spent, Open int64
 }
 
+// Confirm takes what the log holds for the host after one of its claims.
+// Only the latest claim counts: while it may still arrive, what an earlier one
+// left in the log can't be relied on.
+func (s *Slice) Confirm(sequence uint64, held int64) {
+	if sequence == s.Sequence {
+		s.Confirmed = held
+	}
+}
+
 // Begin starts a turn of at most most tokens if the slice holds it.
 func (s *Slice) Begin(most int64) bool {
 	if s.Confirmed+s.Lent-s.Spent-s.Open < most {
@@ -41,10 +56,15 @@
 
 // Ahead returns the total to claim for a turn of most tokens and some that
 // may follow, where the claims of all hosts are known to be claimed.
-func (s *Slice) Ahead(most, budget, claimed int64) int64 {
+// isSlow says that claims take long.
+func (s *Slice) Ahead(most, budget, claimed int64, isSlow bool) int64 {
 	needed := s.Needed(most)
 	left := budget - claimed - (needed - s.Confirmed)
-	return needed + max(min(turnsAhead*most, left/shareAhead), 0)
+	share := int64(shareAhead)
+	if isSlow {
+		share = slowShareAhead
+	}
+	return needed + max(min(turnsAhead*most, left/share), 0)
 }
 
 // lendShare bounds what may be lent without a claim to this part of a budget.
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -152,15 +152,15 @@
 
 func (s *servers) answerReady(w http.ResponseWriter, _ *http.Request) {
 	status := http.StatusServiceUnavailable
-	if s.updateReady(time.Now()) {
+	if s.updateReady() {
 		status = http.StatusOK
 	}
 	w.WriteHeader(status)
 }
 
 // updateReady says whether the host can serve callers, and logs changes.
-func (s *servers) updateReady(now time.Time) bool {
-	reason := s.unready(now)
+func (s *servers) updateReady() bool {
+	reason := s.unready()
 	ready := reason == ""
 	if s.ready.Swap(ready) != ready {
 		s.log.Info("Readiness changed.", "ready", ready, "reason", reason)
@@ -171,7 +171,7 @@
 }
 
 // unready returns why the host can't serve callers; empty if it can.
-func (s *servers) unready(now time.Time) string {
+func (s *servers) unready() string {
 	switch {
 	case s.leaving.Load():
 		return "leaving"
@@ -179,7 +179,7 @@
 		return "no configuration"
 	case s.follower.TargetsReadAt().IsZero():
 		return "targets not read"
-	case s.spending.IsIsolated(now):
+	case s.spending.IsIsolated():
 		return "neither store nor hosts reached"
 	}
 	return ""
@@ -228,7 +228,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.options.StopTime-stopReserve)
 	defer cancel()
 	s.leaving.Store(true)
-	s.updateReady(started)
+	s.updateReady()
 	timer := time.NewTimer(rotationTime)
 	defer timer.Stop()
 	select {
--- a/internal/port/lending.go
+++ b/internal/port/lending.go
@@ -25,6 +25,8 @@
 	LendSpent
 	// LendAway says that the asked host does not reach the shared log either.
 	LendAway
+	// LendBusy says that the asked host reaches the log and could not claim.
+	LendBusy
 )
 
 // Lenders are the other hosts, which may reserve tokens for this one.
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -23,8 +23,9 @@
 	askedForClaim = 12
 	// claimTimeout is how long an asked host may take to claim: some times the
 	// 10 ms that it needs.
-	claimTimeout = 100 * time.Millisecond
-	// askTimeout bounds one request to another host.
+	claimTimeout = 150 * time.Millisecond
+	// askTimeout bounds one request to another host: a claim, or a connection
+	// that takes no answer.
 	askTimeout = claimTimeout + 100*time.Millisecond
 	// settleTimeout bounds the report of what a borrowed reservation spent.
 	settleTimeout = time.Second
@@ -38,6 +39,9 @@
 // errNobody says that no host could be asked.
 var errNobody = errors.New("no other host answers")
 
+// errBusy says that other hosts reach the log, but could not claim in time.
+var errBusy = errors.New("other hosts could not claim")
+
 // loans are the reservations that other hosts hold of this one.
 type loans struct {
 	mu      sync.Mutex
@@ -59,48 +63,62 @@
 // borrow asks other hosts for a reservation: first for a claim in the log,
 // which some of them may reach, then for a loan.
 func (s *Service) borrow(ctx context.Context, l *ledger, r port.LendRequest, cause error) (gateway.Reservation, error) {
-	if s.lenders == nil {
+	if s.lenders == nil || !l.isAway() {
 		return nil, cause
 	}
 	order := rendezvous(r.Program, append(s.lenders.Hosts(), s.lenders.Self()))
 	if time.Now().UnixNano() > s.loans.allAway.Load() {
-		reservation, answered, err := s.askForClaim(ctx, order, r)
-		if reservation != nil || err != nil {
-			return reservation, err
+		a := s.askForClaim(ctx, order, r)
+		if a.reservation != nil || a.err != nil {
+			return a.reservation, a.err
 		}
-		s.loans.isolated.Store(answered == 0)
-		if answered == 0 {
+		s.loans.isolated.Store(a.away+a.busy == 0)
+		switch {
+		case a.away+a.busy == 0:
 			// A host that reaches nobody can't tell what the others lend.
 			return nil, unknownBudget(r.Program, errors.Annotate(errNobody, cause.Error()))
+		case a.busy > 0:
+			return nil, unknownBudget(r.Program, errors.Annotate(errBusy, cause.Error()))
 		}
 		s.loans.allAway.Store(time.Now().Add(allAwayFor).UnixNano())
 	}
 	return s.askForLoan(ctx, l, order, r, cause)
 }
 
-// askForClaim asks hosts that may reach the log. answered is how many said
-// that they don't.
-func (s *Service) askForClaim(ctx context.Context, order []string, r port.LendRequest) (_ gateway.Reservation, answered int, _ error) {
-	asked := 0
+// asked is what came of asking other hosts for a claim.
+type asked struct {
+	reservation gateway.Reservation
+	err         error
+	// away and busy count the hosts that do not reach the log, and those that
+	// do and could not claim.
+	away, busy int
+}
+
+// askForClaim asks hosts that may reach the log.
+func (s *Service) askForClaim(ctx context.Context, order []string, r port.LendRequest) asked {
+	var a asked
+	n := 0
 	for _, host := range s.helperFirst(order) {
 		if host == s.lenders.Self() {
 			continue
 		}
-		if asked++; asked > askedForClaim || ctx.Err() != nil {
+		if n++; n > askedForClaim || ctx.Err() != nil {
 			break
 		}
 		decision, reservation, err := s.ask(ctx, host, r)
-		if err != nil {
-			continue
-		}
-		answered++
-		if decision != port.LendAway {
+		switch {
+		case err != nil:
+		case decision == port.LendAway:
+			a.away++
+		case decision == port.LendBusy:
+			a.busy++
+		default:
 			s.loans.helper.Store(&host)
-			g, err := s.decided(r, host, decision, reservation)
-			return g, answered, err
+			a.reservation, a.err = s.decided(r, host, decision, reservation)
+			return a
 		}
 	}
-	return nil, answered, nil
+	return a
 }
 
 // helperFirst puts the host first that has last reserved for this one.
@@ -130,7 +148,7 @@
 		if err != nil {
 			continue
 		}
-		if decision == port.LendAway {
+		if decision == port.LendAway || decision == port.LendBusy {
 			return nil, cause
 		}
 		return s.decided(r, host, decision, reservation)
@@ -187,23 +205,22 @@
 // Lend implements port.Lender.
 func (s *Service) Lend(ctx context.Context, r port.LendRequest) (port.LendDecision, uint64) {
 	l := s.ledger(r.Program)
-	if !r.MayLend {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, claimTimeout)
-		defer cancel()
-	}
-	reservation, err := l.reserve(ctx, r.Program, r.Budget, r.Most)
+	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	reservation, err := l.reserve(claimCtx, r.Program, r.Budget, r.Most)
 	var spent *gateway.BudgetSpentError
 	switch {
 	case err == nil:
 	case errors.As(err, &spent):
 		return port.LendSpent, 0
+	case !l.isAway():
+		return port.LendBusy, 0
 	case !r.MayLend:
 		return port.LendAway, 0
 	default:
 		var ok bool
 		if reservation, ok = l.lend(r); !ok {
-			return port.LendAway, 0
+			return port.LendBusy, 0
 		}
 	}
 	s.metrics.lent.Inc(1)
--- /dev/null
+++ b/internal/spending/reader.go
@@ -0,0 +1,107 @@
+package spending
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"yuccausher/internal/core/budget"
+	"yuccausher/internal/port"
+)
+
+// readTimeout bounds a read of the log: one that is 60 times slower than usual
+// still makes it. It tells whether the log is away.
+const readTimeout = 400 * time.Millisecond
+
+// catchUp reads the log up to an offset, once at least.
+func (l *ledger) catchUp(ctx context.Context, to int64) error {
+	select {
+	case l.reading <- struct{}{}:
+		defer func() { <-l.reading }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if to > 0 && l.position() >= to {
+		return nil
+	}
+	for {
+		end, err := l.readOn(ctx)
+		if err != nil {
+			return err
+		}
+		if l.position() >= min(to, end) {
+			return nil
+		}
+	}
+}
+
+func (l *ledger) position() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.applied
+}
+
+// readOn reads and applies one page and returns the end of the log.
+func (l *ledger) readOn(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	page, err := l.shared.Read(ctx, l.partition, l.position(), 0)
+	var failed *port.SharedLogError
+	if errors.As(err, &failed) && failed.Failure == port.LogTrimmed {
+		l.observe(nil)
+		l.mu.Lock()
+		l.applied = failed.Oldest
+		l.mu.Unlock()
+		return failed.Oldest + 1, nil
+	}
+	l.observe(err)
+	if err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, data := range page.Records {
+		claim, err := decode(data)
+		if err != nil {
+			l.metrics.invalid.Inc(1)
+			l.log.Info("A claim can't be read and is passed over.", "partition", l.partition.Part, "offset", l.applied, "cause", err.Error())
+			l.applied++
+			continue
+		}
+		l.apply(claim)
+	}
+	return page.End, nil
+}
+
+// apply takes the claim at the applied offset.
+func (l *ledger) apply(c budget.Claim) {
+	verdict := l.book.Apply(c, time.Now())
+	if c.Writer == l.writer {
+		if s := l.slices[c.Program]; s != nil {
+			if s.isClaiming && s.Sequence == c.Sequence {
+				l.verdicts[c.Sequence] = verdict
+			}
+			s.Confirm(c.Sequence, l.book.Held(c.Program, l.writer))
+		}
+	}
+	l.applied++
+}
+
+// observe notes whether the log answers reads.
+func (l *ledger) observe(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil && !l.awaySince.IsZero():
+		l.log.Info("Shared log answers again.", "partition", l.partition.Part, "away", time.Since(l.awaySince).String())
+		l.awaySince = time.Time{}
+		l.settleLoans()
+		l.wake()
+	case err != nil && l.awaySince.IsZero():
+		l.log.Info("Shared log is away.", "partition", l.partition.Part, "cause", err.Error())
+		l.awaySince = time.Now()
+		l.onAway()
+		l.wake()
+	}
+}
--- a/internal/spending/reserve.go
+++ b/internal/spending/reserve.go
@@ -17,14 +17,14 @@
 	if l.isStopped(program, time.Now()) {
 		return nil, &gateway.BudgetSpentError{Program: program, Budget: total}
 	}
-	ctx, cancel := context.WithTimeout(ctx, settlePatience)
+	ctx, cancel := context.WithTimeout(ctx, maxPatience)
 	defer cancel()
 	w := &want{program: program, budget: total, most: most, done: make(chan error, 1)}
 	if err := l.enqueue(w); err != nil {
 		return nil, unknownBudget(program, err)
 	}
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
+	ticker := time.NewTicker(awayPoll)
+	defer ticker.Stop()
 	for {
 		select {
 		case err := <-w.done:
@@ -32,10 +32,10 @@
 				return nil, err
 			}
 			return w.reservation, nil
-		case <-timer.C:
-			if !l.isSettling(w) {
+		case <-ticker.C:
+			if l.isAway() {
 				l.abandon(w)
-				return nil, unknownBudget(program, errSlow)
+				return nil, unknownBudget(program, errAway)
 			}
 		case <-ctx.Done():
 			l.abandon(w)
@@ -43,17 +43,3 @@
 		}
 	}
 }
-
-// isSettling says whether a turn waits for other hosts' slices.
-func (l *ledger) isSettling(w *want) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return w.settled
-}
-
-// claimed returns how much of a program's budget is known to be claimed.
-func (l *ledger) claimed(program string) int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.book.Claimed(program)
-}
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -22,16 +22,17 @@
 const (
 	// topic holds the claims.
 	topic = "spending"
-	// partitions is how many partitions of the topic carry the claims. Four of
-	// them take 4,000 appends a second at 1 ms each, as many as the turns of
-	// the size to design for. All hosts must agree on it.
-	partitions = 4
-	// patience is how long a turn waits for a claim before other hosts are
-	// asked. A claim takes two calls of 4 ms each.
-	patience = 300 * time.Millisecond
-	// settlePatience is the same for a turn that waits for other hosts to give
-	// back what they don't use.
-	settlePatience = patience + settleTime
+	// partitions is how many partitions of the topic carry the claims. Eight of
+	// them take 8,000 appends a second at 1 ms each, twice the turns of the size
+	// to design for, and 130 a second when the store is 60 times slower. All
+	// hosts must agree on it.
+	partitions = 8
+	// maxPatience is the longest wait for a claim: two calls to a store that is
+	// 60 times slower than usual, and settleTime.
+	maxPatience = 1200 * time.Millisecond
+	// awayPoll is how often a turn that waits looks whether the log is away, so
+	// that other hosts are asked.
+	awayPoll = 50 * time.Millisecond
 	// unknownRetry is when callers may come back while the store is away.
 	unknownRetry = 100 * time.Millisecond
 	// sweepInterval is how often unused parts of slices are looked for.
@@ -83,11 +84,22 @@
 	m := newMetrics(p.Scope.SubScope("spending"))
 	s.metrics = m
 	for i := range s.ledgers {
-		s.ledgers[i] = newLedger(p.Log, port.Partition{Topic: topic, Part: i}, s.writer, s.log, m)
+		s.ledgers[i] = newLedger(p.Log, port.Partition{Topic: topic, Part: i}, s.writer, s.log, m, func() { s.suspectOthers(i) })
 	}
 	return s
 }
 
+// suspectOthers makes the other partitions probe the log, so that the host
+// knows of an outage before turns meet it.
+func (s *Service) suspectOthers(away int) {
+	for i, l := range s.ledgers {
+		if i != away {
+			// The caller holds the lock of its own ledger.
+			go l.suspect()
+		}
+	}
+}
+
 // Start starts the writers.
 func (s *Service) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -123,12 +135,12 @@
 }
 
 // IsIsolated says whether this host reaches neither the log nor another host.
-func (s *Service) IsIsolated(now time.Time) bool {
+func (s *Service) IsIsolated() bool {
 	if !s.loans.isolated.Load() {
 		return false
 	}
 	for _, l := range s.ledgers {
-		if l.isAway(now) {
+		if l.isAway() {
 			return true
 		}
 	}
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -18,6 +18,9 @@
 	usedAt time.Time
 	// wanted is how many turns wait for a claim.
 	wanted int
+	// isClaiming says that a claim is on its way. One at a time is, so that the
+	// last one written is the last one in the log.
+	isClaiming bool
 }
 
 // reservation is a turn under way. It implements gateway.Reservation.
@@ -78,10 +81,10 @@
 	for program, s := range l.slices {
 		idle := now.Sub(s.usedAt)
 		switch {
-		case s.wanted > 0:
+		case s.wanted > 0 || s.isClaiming:
 		case idle > forgetAfter && s.Open == 0:
 			delete(l.slices, program)
-		case idle > idleAfter && s.Unused() > 0 && l.isTight(s):
+		case idle > idleAfter && s.Unused() > 0 && l.isTight(s) && !l.isSlow():
 			l.releases[program] = s
 		}
 	}
--- /dev/null
+++ b/internal/spending/writer.go
@@ -0,0 +1,223 @@
+package spending
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// maxFlights is how many appends of a host to one partition may be under
+	// way at a time. They bear different programs.
+	maxFlights = 2
+	// firstRetry and maxRetry bound the pause after a call that failed.
+	firstRetry = 30 * time.Millisecond
+	maxRetry   = 400 * time.Millisecond
+	// maxBatch is how many claims are appended at a time.
+	maxBatch = 256
+	// usualGain is the weight of one append in the mean time of appends.
+	usualGain = 0.3
+	// lateTimes is how many times its usual time an append may take before the
+	// log is read for its records, within bounds: a call takes 4 ms.
+	lateTimes = 4
+	minLate   = 25 * time.Millisecond
+	maxLate   = 300 * time.Millisecond
+	// lostAfter is when an append is given up in any case: one to a store that
+	// is 60 times slower than usual, behind others, still makes it.
+	lostAfter = 900 * time.Millisecond
+	// slowAppend is the usual time of appends from which on the log counts as
+	// slow: claims then ask for more at a time, and nothing is given back.
+	slowAppend = 60 * time.Millisecond
+)
+
+// run writes claims until ctx ends, and probes the log while it is away.
+func (l *ledger) run(ctx context.Context) {
+	var flights sync.WaitGroup
+	defer flights.Wait()
+	free := make(chan struct{}, maxFlights)
+	pause := firstRetry
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wakeUp:
+		}
+		if l.isProbeDue() {
+			if err := l.catchUp(ctx, 0); err != nil {
+				sleep(ctx, pause)
+				pause = min(2*pause, maxRetry)
+				l.wake()
+				continue
+			}
+		}
+		pause = firstRetry
+		for batch := l.collect(); len(batch) > 0; batch = l.collect() {
+			select {
+			case free <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			flights.Go(func() {
+				l.fly(ctx, batch)
+				<-free
+				l.wake()
+			})
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// isProbeDue says whether the log is away or suspected to be.
+func (l *ledger) isProbeDue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isSuspect := l.isSuspect
+	l.isSuspect = false
+	return isSuspect || !l.awaySince.IsZero()
+}
+
+// fly writes a batch of claims and answers the turns that wait for them.
+func (l *ledger) fly(ctx context.Context, batch []*pending) {
+	started := time.Now()
+	err := l.write(ctx, batch)
+	l.metrics.claim.RecordDuration(time.Since(started))
+	if err == nil {
+		l.decide(batch)
+		return
+	}
+	l.metrics.failures.Inc(1)
+	l.log.V(1).Info("Claims were not written.", "partition", l.partition.Part, "claims", len(batch), "cause", err.Error())
+	sleep(ctx, firstRetry)
+	l.requeue(batch)
+}
+
+// write appends a batch and brings the book up to its end.
+func (l *ledger) write(ctx context.Context, batch []*pending) error {
+	records := make([][]byte, len(batch))
+	for i, p := range batch {
+		data, err := encode(p.claim)
+		if err != nil {
+			return err
+		}
+		records[i] = data
+	}
+	callCtx, cancel := context.WithTimeout(ctx, lostAfter)
+	defer cancel()
+	started := time.Now()
+	appended := make(chan appendResult, 1)
+	go func() {
+		offset, err := l.shared.Append(callCtx, l.partition, records)
+		appended <- appendResult{offset: offset, err: err, took: time.Since(started)}
+	}()
+	return l.await(ctx, appended, batch)
+}
+
+// lateAfter returns when an append counts as late.
+func (l *ledger) lateAfter() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return min(max(lateTimes*l.usual, minLate), maxLate)
+}
+
+// isSlow says whether the log is slow. The caller holds the lock.
+func (l *ledger) isSlow() bool { return l.usual > slowAppend }
+
+// errLost says that the log answers and does not hold what was appended.
+var errLost = errors.New("append has got lost")
+
+// appendResult is the answer to an append.
+type appendResult struct {
+	offset int64
+	err    error
+	took   time.Duration
+}
+
+// await waits for the answer to an append, or for the claims to be read back
+// without one: answers get lost. An append that takes effect later still is
+// overtaken by the claims that follow.
+func (l *ledger) await(ctx context.Context, appended <-chan appendResult, batch []*pending) error {
+	late := l.lateAfter()
+	timer := time.NewTimer(late)
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-appended:
+			l.observeAppend(r.took)
+			if r.err == nil {
+				return l.settleAt(ctx, r.offset, batch)
+			}
+			if l.readBack(ctx, batch) {
+				return nil
+			}
+			return r.err
+		case <-timer.C:
+			asked := time.Now()
+			if l.readBack(ctx, batch) {
+				return nil
+			}
+			if took := time.Since(asked); took < minLate && !l.isAway() {
+				return errLost
+			}
+		}
+	}
+}
+
+// observeAppend takes the time of an append, also of one that failed, so that
+// a store that has become slow is given more of it.
+func (l *ledger) observeAppend(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.usual == 0 {
+		l.usual = took
+	}
+	l.usual += time.Duration(usualGain * float64(took-l.usual))
+}
+
+// readBack reads the log and says whether it holds the claims of a batch.
+func (l *ledger) readBack(ctx context.Context, batch []*pending) bool {
+	if err := l.catchUp(ctx, 0); err != nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isDecided(batch)
+}
+
+func (l *ledger) isDecided(batch []*pending) bool {
+	return !slices.ContainsFunc(batch, func(p *pending) bool {
+		_, ok := l.verdicts[p.claim.Sequence]
+		return !ok
+	})
+}
+
+// settleAt brings the book up to the end of a batch that starts at offset.
+func (l *ledger) settleAt(ctx context.Context, offset int64, batch []*pending) error {
+	l.mu.Lock()
+	if offset == l.applied {
+		for _, p := range batch {
+			l.apply(p.claim)
+		}
+	}
+	isDone := l.isDecided(batch) || isReleaseOnly(batch)
+	l.mu.Unlock()
+	if isDone {
+		return nil
+	}
+	return l.catchUp(ctx, offset+int64(len(batch)))
+}
+
+// isReleaseOnly says whether no turn waits for the verdicts on a batch.
+func isReleaseOnly(batch []*pending) bool {
+	return !slices.ContainsFunc(batch, func(p *pending) bool { return len(p.wants) > 0 })
+}
