--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -171,6 +171,10 @@
 // Choice is a target for one dispatch. End must be called once.
 type Choice struct {
 	Member
+	// Cost is the target's expected time that decided the choice, and Before
+	// how many requests of this host were there already.
+	Cost   time.Duration
+	Before int
 	fleet  *Fleet
 	target *Target
 	sent   time.Time
@@ -240,9 +244,11 @@
 		return nil
 	}
 	best := f.best(r, open, now)
+	cost := time.Duration(best.cost(now) * float64(time.Second))
+	before := best.inFlight
 	best.inFlight++
 	best.waiting = append(best.waiting, now)
-	return &Choice{Member: best.Member, fleet: f, target: best, sent: now}
+	return &Choice{Member: best.Member, Cost: cost, Before: before, fleet: f, target: best, sent: now}
 }
 
 func (f *Fleet) best(r Request, open []*Target, now time.Time) *Target {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -179,14 +179,15 @@
 	return p
 }
 
-func newGateway(o Options, tables *route.Holder, targets *fleet.Fleet, pool *upstream.Pool, s *spending.Service, scope tally.Scope) *gateway.Gateway {
+func newGateway(o Options, f *follow.Follower, tables *route.Holder, targets *fleet.Fleet, pool *upstream.Pool, s *spending.Service, scope tally.Scope) *gateway.Gateway {
 	return gateway.New(gateway.Params{
-		Protocol: o.Platform.Protocol,
-		Tables:   tables,
-		Fleet:    targets,
-		Pool:     pool,
-		Budgets:  s,
-		Log:      o.Logger,
-		Scope:    scope,
+		Protocol:      o.Platform.Protocol,
+		Tables:        tables,
+		Fleet:         targets,
+		Pool:          pool,
+		Budgets:       s,
+		TargetsReadAt: f.TargetsReadAt,
+		Log:           o.Logger,
+		Scope:         scope,
 	})
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -51,24 +51,24 @@
 			}
 			continue
 		}
-		j.target = choice.ID
+		j.target, j.choice = choice.ID, choice
 		switch j.dispatch(ctx, choice) {
 		case finished:
 			return
 		case notRun:
-			j.refusedBy = append(j.refusedBy, choice.ID)
+			j.passOver(choice, "not run")
 		case unknown:
 			if !j.mayRunAgain(ctx) {
 				j.endUnanswered(ctx)
 				return
 			}
-			j.refusedBy = append(j.refusedBy, choice.ID)
+			j.passOver(choice, "no answer")
 		case cut:
 			if !j.mayRunAgain(ctx) {
 				j.outcome = "cut"
 				breakOff()
 			}
-			j.refusedBy = append(j.refusedBy, choice.ID)
+			j.passOver(choice, "cut")
 		}
 		if ctx.Err() != nil {
 			j.endUnanswered(ctx)
@@ -77,6 +77,13 @@
 	}
 }
 
+// passOver notes that the request goes to another target.
+func (j *job) passOver(choice *fleet.Choice, reason string) {
+	j.refusedBy = append(j.refusedBy, choice.ID)
+	j.g.log.Info("Request goes to another target.", "request", j.call.RequestID, "target", choice.ID, "reason", reason,
+		"runs", j.runs, "last_event", j.lastEvent, "ms", time.Since(j.started).Milliseconds(), "cause", errorText(j.cause))
+}
+
 // prefixKey is the affinity of requests with prompts.
 func (j *job) prefixKey() string {
 	if j.route.Kind != route.Stream {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -69,13 +69,14 @@
 	s := &site{t: t, tables: &route.Holder{}, fleet: fleet.New("here", 1), budgets: &budgets{}, replicas: make(map[string]*replica.Replica)}
 	pool := upstream.NewPool(tally.NoopScope)
 	s.gateway = gateway.New(gateway.Params{
-		Protocol: platform.Headers{},
-		Tables:   s.tables,
-		Fleet:    s.fleet,
-		Pool:     pool,
-		Budgets:  s.budgets,
-		Log:      logr.Discard(),
-		Scope:    tally.NoopScope,
+		Protocol:      platform.Headers{},
+		Tables:        s.tables,
+		Fleet:         s.fleet,
+		Pool:          pool,
+		Budgets:       s.budgets,
+		TargetsReadAt: time.Now,
+		Log:           logr.Discard(),
+		Scope:         tally.NoopScope,
 	})
 	s.tables.Offer(route.NewTable(document()))
 	s.server = httptest.NewServer(s.gateway)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,8 +61,10 @@
 	Fleet    *fleet.Fleet
 	Pool     *upstream.Pool
 	Budgets  Budgets
-	Log      logr.Logger
-	Scope    tally.Scope
+	// TargetsReadAt returns when the fleet was last brought up to date.
+	TargetsReadAt func() time.Time
+	Log           logr.Logger
+	Scope         tally.Scope
 }
 
 // Gateway answers callers' requests. It implements http.Handler.
@@ -72,6 +74,7 @@
 	fleet    *fleet.Fleet
 	pool     *upstream.Pool
 	budgets  Budgets
+	readAt   func() time.Time
 	log      logr.Logger
 	metrics  *metrics
 	inFlight atomic.Int64
@@ -88,11 +91,22 @@
 		fleet:    p.Fleet,
 		pool:     p.Pool,
 		budgets:  p.Budgets,
+		readAt:   p.TargetsReadAt,
 		log:      p.Log.WithName("gateway"),
 		metrics:  newMetrics(p.Scope.SubScope("gateway")),
 	}
 }
 
+// targetsAge is how old the host's view of the targets is; negative if it has
+// none.
+func (g *Gateway) targetsAge() time.Duration {
+	at := g.readAt()
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at)
+}
+
 // InFlight returns how many requests are being answered.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
 )
 
@@ -37,6 +38,7 @@
 
 	// What the log line of the request says.
 	target  string
+	choice  *fleet.Choice
 	status  int
 	outcome string
 	cause   error
@@ -98,8 +100,14 @@
 	if j.route != nil {
 		name = j.route.Name
 	}
+	var cost time.Duration
+	before := 0
+	if j.choice != nil {
+		cost, before = j.choice.Cost, j.choice.Before
+	}
 	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "route", name,
-		"config", j.version, "target", j.target, "status", j.status, "outcome", j.outcome,
+		"config", j.version, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target,
+		"expected_ms", cost.Milliseconds(), "in_flight", before, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
 		"runs", j.runs, "refused_by", len(j.refusedBy), "events", j.events,
 		"first_ms", j.first.Milliseconds(), "ms", total.Milliseconds(), "cause", errorText(j.cause))
 }
