--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -14,11 +14,18 @@
 
 // TestOperatorsPageIsComplete: each setting and each refusal is on the page.
 func TestOperatorsPageIsComplete(t *testing.T) {
-	data, err := os.ReadFile("../../docs/OPERATING.md")
+	data, err := os.ReadFile("../../docs/OPERATIONS.md")
 	is.New(t).NoErr(err)
 	page := string(data)
 	flags := flag.NewFlagSet("serve", flag.ContinueOnError)
 	settings.NewServe(flags)
+	front := flag.NewFlagSet("front", flag.ContinueOnError)
+	settings.NewFront(front)
+	front.VisitAll(func(f *flag.Flag) {
+		if !strings.Contains(page, "| `-"+f.Name+"` |") {
+			t.Errorf("setting -%s of front is not on the page", f.Name)
+		}
+	})
 	flags.VisitAll(func(f *flag.Flag) {
 		if !strings.Contains(page, "`-"+f.Name+"`") {
 			t.Errorf("setting -%s is not on the page", f.Name)
