--- /dev/null
+++ b/internal/soak/callers_test.go
@@ -0,0 +1,173 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	turnMost      = 140
+	smallBudget   = 2 * turnMost
+	largeBudget   = 20 * turnMost
+	callerTimeout = 4 * time.Second
+	maxBackoff    = 300 * time.Millisecond
+)
+
+// attempt is one request of a caller and what came of it.
+type attempt struct {
+	id      string
+	path    string
+	host    string
+	status  int
+	body    string
+	stamp   string
+	isWhole bool
+	at      time.Time
+	err     error
+}
+
+// callers send programs to random hosts and keep what they saw.
+type callers struct {
+	world *world
+
+	mu       sync.Mutex
+	attempts []attempt
+	// tokens were handed out to each program.
+	tokens  map[string]int
+	budgets map[string]int
+}
+
+func newCallers(w *world) *callers {
+	return &callers{world: w, tokens: make(map[string]int), budgets: make(map[string]int)}
+}
+
+// run sends programs until ctx ends.
+func (c *callers) run(ctx context.Context, random *rand.Rand) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2}
+	defer transport.CloseIdleConnections()
+	for ctx.Err() == nil {
+		program := strconv.FormatUint(random.Uint64(), 36)
+		budget, turns := largeBudget, 2+random.IntN(5)
+		if random.IntN(5) == 0 {
+			// A program that does not stop by itself.
+			budget, turns = smallBudget, 12
+		}
+		c.mu.Lock()
+		c.budgets[program] = budget
+		c.mu.Unlock()
+		for range turns {
+			if ctx.Err() != nil {
+				return
+			}
+			if status := c.request(ctx, transport, random, "/turns/x", program, budget); status == http.StatusPaymentRequired {
+				break
+			}
+			path := "/lookup/x"
+			if random.IntN(2) == 0 {
+				path = "/posting/x"
+			}
+			c.request(ctx, transport, random, path, program, budget)
+			time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+		}
+	}
+}
+
+// request sends a request and, after a refusal that allows it, once more.
+func (c *callers) request(ctx context.Context, transport *http.Transport, random *rand.Rand, path, program string, budget int) int {
+	status := 0
+	last := ""
+	for range 2 {
+		h := c.world.hosts[random.IntN(len(c.world.hosts))]
+		a := c.send(ctx, transport, h, path, program, budget, strconv.FormatUint(random.Uint64(), 36), last)
+		status = a.status
+		if path == "/turns/x" {
+			if n := strings.Count(a.body, "\n\n"); n > 0 && !a.isWhole {
+				last = strconv.Itoa(n + atoi(last))
+				continue
+			}
+		}
+		if status != http.StatusServiceUnavailable && status != 0 {
+			return status
+		}
+		if status == 0 && path == "/posting/x" {
+			return status
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(maxBackoff))))
+	}
+	return status
+}
+
+func atoi(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func (c *callers) send(ctx context.Context, transport *http.Transport, h *host, path, program string, budget int, id, last string) attempt {
+	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
+	defer cancel()
+	a := attempt{id: id, path: path, host: h.name, at: time.Now()}
+	// An attempt that the end of the soak cuts short still counts.
+	defer func() { c.note(a, program, last) }()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.address+path, strings.NewReader("body of "+id))
+	if err != nil {
+		a.err = err
+		return a
+	}
+	r.Host = "soak.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline", "3000")
+	r.Header.Set("Program", program)
+	r.Header.Set("Finish-Ms", "2000")
+	if path == "/turns/x" {
+		r.Header.Set("Accept", "text/event-stream")
+		r.Header.Set("Token-Budget", strconv.Itoa(budget))
+		r.Header.Set("Tokens", "500,"+strconv.Itoa(turnMost))
+		if last != "" {
+			r.Header.Set("Last-Event-Id", last)
+		}
+	}
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	a.status, a.body, a.err = response.StatusCode, string(body), err
+	a.stamp = response.Header.Get("Server-Stamp")
+	a.isWhole = err == nil
+	return a
+}
+
+func (c *callers) note(a attempt, program, last string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts = append(c.attempts, a)
+	if a.path == "/turns/x" && a.status == http.StatusOK {
+		c.tokens[program] += eventTokens * strings.Count(a.body, "\n\n")
+		if want := events(atoi(last)+1, atoi(last)+strings.Count(a.body, "\n\n")); !strings.HasPrefix(a.body, want) {
+			c.world.t.Errorf("attempt %s: events %q, from %q on", a.id, a.body, last)
+		}
+		if a.isWhole && a.body != events(atoi(last)+1, streamEvents) {
+			c.world.t.Errorf("attempt %s: stream looks whole with %q, from %q on", a.id, a.body, last)
+		}
+	}
+}
+
+func events(first, last int) string {
+	var b strings.Builder
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: part %d\n\n", i, i)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/soak/faults_test.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"yuccausher/internal/standin/metastore"
+	"yuccausher/internal/standin/replica"
+)
+
+const (
+	// faultGap and faultLength bound the time between faults and how long each
+	// lasts; faults overlap.
+	faultGap    = 500 * time.Millisecond
+	faultLength = 1800 * time.Millisecond
+)
+
+// injector harms a world at random, from outside its processes.
+type injector struct {
+	world   *world
+	random  *rand.Rand
+	running sync.WaitGroup
+}
+
+// run injects faults until ctx ends, and returns when all have passed.
+func (j *injector) run(ctx context.Context) {
+	kinds := []func(time.Duration){j.storeFails, j.pathToStore, j.pathToTarget, j.targetFails, j.targetCrashes, j.kill, j.pause, j.stop, j.change}
+	for ctx.Err() == nil {
+		kind := kinds[j.random.IntN(len(kinds))]
+		kind(time.Duration(j.random.Int64N(int64(faultLength))))
+		time.Sleep(time.Duration(j.random.Int64N(int64(faultGap))))
+	}
+	j.running.Wait()
+}
+
+// during starts a fault and ends it after d.
+func (j *injector) during(d time.Duration, start, end func()) {
+	start()
+	j.running.Go(func() {
+		time.Sleep(d)
+		end()
+	})
+}
+
+func (j *injector) host() *host { return j.world.hosts[j.random.IntN(len(j.world.hosts))] }
+
+func (j *injector) target() *target { return j.world.targets[j.random.IntN(len(j.world.targets))] }
+
+func (j *injector) storeFails(d time.Duration) {
+	faults := []metastore.Faults{
+		{Refuse: true},
+		{Silent: true},
+		{Delay: 150 * time.Millisecond},
+	}
+	f := faults[j.random.IntN(len(faults))]
+	j.during(d, func() { j.world.store.SetFaults(metastore.EveryHost, f) }, func() {
+		j.world.store.SetFaults(metastore.EveryHost, metastore.Faults{})
+	})
+}
+
+func (j *injector) pathToStore(d time.Duration) { j.harm(j.host().store, d) }
+
+func (j *injector) pathToTarget(d time.Duration) { j.harm(j.target().proxy, d) }
+
+func (j *injector) harm(p *proxy, d time.Duration) {
+	modes := []mode{slow, silent, oneWay, open}
+	m := modes[j.random.IntN(len(modes))]
+	j.during(d, func() { p.set(m) }, func() {
+		p.reset()
+		p.set(open)
+	})
+}
+
+func (j *injector) targetFails(d time.Duration) {
+	faults := []replica.Fault{replica.Full, replica.Lost, replica.Reset, replica.Cut, replica.Garbled, replica.Extra,
+		replica.Stray, replica.Unframed, replica.Closing, replica.HalfClosed, replica.Failing}
+	f := faults[j.random.IntN(len(faults))]
+	t := j.target()
+	j.world.mu.Lock()
+	r := t.replica
+	j.world.mu.Unlock()
+	if r != nil {
+		j.during(d, func() { r.FailAlways(f) }, func() { r.FailAlways(replica.None) })
+	}
+}
+
+func (j *injector) targetCrashes(d time.Duration) {
+	t := j.target()
+	j.world.mu.Lock()
+	isUp := t.replica != nil
+	j.world.mu.Unlock()
+	if isUp {
+		j.world.restart(t, d/4)
+	}
+}
+
+func (j *injector) kill(d time.Duration) {
+	h := j.host()
+	h.signal(syscall.SIGKILL)
+	j.restart(h, d/4)
+}
+
+func (j *injector) pause(d time.Duration) {
+	h := j.host()
+	j.during(d, func() { h.signal(syscall.SIGSTOP) }, func() { h.signal(syscall.SIGCONT) })
+}
+
+func (j *injector) stop(d time.Duration) {
+	h := j.host()
+	h.signal(syscall.SIGCONT)
+	h.signal(syscall.SIGTERM)
+	j.restart(h, d/4)
+}
+
+// restart starts a host's process again some time after it has ended.
+func (j *injector) restart(h *host, after time.Duration) {
+	j.running.Go(func() {
+		h.awaitEnd(stopSeconds * time.Second)
+		time.Sleep(after)
+		h.mu.Lock()
+		isNew := !hasEnded(h.ended)
+		h.mu.Unlock()
+		if !isNew {
+			h.start(j.world.t)
+		}
+	})
+}
+
+func hasEnded(ended <-chan struct{}) bool {
+	select {
+	case <-ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func (j *injector) change(time.Duration) {
+	j.world.configure()
+	j.host().signal(syscall.SIGHUP)
+}
--- /dev/null
+++ b/internal/soak/world_test.go
@@ -0,0 +1,288 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"yuccausher/internal/standin/metastore"
+	"yuccausher/internal/standin/replica"
+)
+
+const (
+	hosts         = 4
+	modelTargets  = 3
+	appTargets    = 3
+	streamEvents  = 5
+	eventTokens   = 14
+	beatInterval  = 400 * time.Millisecond
+	storeLatency  = 3 * time.Millisecond
+	stopSeconds   = 5
+	drainMillis   = 1500
+	startPatience = 10 * time.Second
+)
+
+// world is a store, targets and hosts.
+type world struct {
+	t       *testing.T
+	binary  string
+	dir     string
+	store   *metastore.Store
+	server  *httptest.Server
+	hosts   []*host
+	stop    chan struct{}
+	beating sync.WaitGroup
+
+	mu      sync.Mutex
+	targets []*target
+	// retired holds the replicas that have ended, whose runs still count.
+	retired []*replica.Replica
+	version int
+	started int
+}
+
+// target is a place where a replica runs, one after the other.
+type target struct {
+	service string
+	proxy   *proxy
+	replica *replica.Replica
+}
+
+// host is one process of the system, with its path to the store.
+type host struct {
+	name    string
+	address string
+	store   *proxy
+	command []string
+	log     *os.File
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+}
+
+func newWorld(t *testing.T, binary string) *world {
+	t.Helper()
+	w := &world{t: t, binary: binary, dir: t.TempDir(), store: metastore.New(), stop: make(chan struct{})}
+	w.store.Latency = storeLatency
+	w.server = httptest.NewServer(w.store.Handler())
+	for i := range modelTargets + appTargets {
+		service := "models"
+		if i >= modelTargets {
+			service = "app"
+		}
+		w.addTarget(service)
+	}
+	w.configure()
+	w.beating.Go(w.beat)
+	for i := range hosts {
+		w.hosts = append(w.hosts, w.newHost(i))
+	}
+	for _, h := range w.hosts {
+		h.start(t)
+	}
+	for _, h := range w.hosts {
+		h.awaitReady(t)
+	}
+	t.Cleanup(w.close)
+	return w
+}
+
+func (w *world) close() {
+	close(w.stop)
+	w.beating.Wait()
+	for _, h := range w.hosts {
+		h.signal(syscall.SIGCONT)
+		h.signal(syscall.SIGKILL)
+		h.store.close()
+	}
+	for _, target := range w.targets {
+		target.proxy.close()
+		target.replica.Close()
+	}
+	w.server.CloseClientConnections()
+	w.server.Close()
+}
+
+func (w *world) must(err error) {
+	w.t.Helper()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w *world) newReplica(service string) *replica.Replica {
+	w.started++
+	r, err := replica.Listen("127.0.0.1:0", replica.Options{
+		ID:     fmt.Sprintf("%s-%d", service, w.started),
+		Slots:  8,
+		Work:   15 * time.Millisecond,
+		Events: streamEvents,
+		Pause:  5 * time.Millisecond,
+	})
+	w.must(err)
+	return r
+}
+
+func (w *world) addTarget(service string) {
+	r := w.newReplica(service)
+	p, err := newProxy(r.Address())
+	w.must(err)
+	w.targets = append(w.targets, &target{service: service, proxy: p, replica: r})
+}
+
+// restart crashes a target's replica and starts another after a while.
+func (w *world) restart(t *target, after time.Duration) {
+	w.mu.Lock()
+	old := t.replica
+	w.retired = append(w.retired, old)
+	w.store.Put("keyed.servers", old.ID(), nil)
+	t.replica = nil
+	w.mu.Unlock()
+	old.Close()
+	time.Sleep(after)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.replica = w.newReplica(t.service)
+	address := t.replica.Address()
+	t.proxy.server.Store(&address)
+	w.register(t)
+}
+
+func (w *world) register(t *target) {
+	record := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"here","slots":8,"state":"ready","seq":1,"born":1}`, t.service, t.proxy.address())
+	w.store.Put("keyed.servers", t.replica.ID(), []byte(record))
+}
+
+// beat renews the targets' records.
+func (w *world) beat() {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		w.mu.Lock()
+		for _, t := range w.targets {
+			if t.replica != nil {
+				w.register(t)
+			}
+		}
+		w.mu.Unlock()
+		select {
+		case <-w.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// configure publishes the next version.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 3
+	route := func(path, kind, service, rest string) string {
+		return fmt.Sprintf(`{"name":%q,"host":"soak.example","prefix":"/%s/","kind":%q,"timeout_ms":3000,"goal_ms":400,"prio":0,"service":%q,"attempts":1%s}`,
+			path, path, kind, service, rest)
+	}
+	routes := []string{
+		route("lookup", "safe", "app", ""),
+		route("posting", "unsafe", "app", ""),
+		route("turns", "stream", "models", `,"retention_s":60,"resumable":true,"gap_goal_ms":500`),
+		route("extra-"+strconv.Itoa(w.version), "safe", "app", ""),
+	}
+	w.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[{"name":"app","max_conns":100},{"name":"models","max_conns":100,"engine":{"slots":8,"kv_tokens":90000,"event_tokens":%d}}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
+		w.version, strings.Join(routes, ","), eventTokens))
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func (w *world) newHost(i int) *host {
+	p, err := newProxy(strings.TrimPrefix(w.server.URL, "http://"))
+	w.must(err)
+	h := &host{name: fmt.Sprintf("host-%d", i), address: fmt.Sprintf("127.0.0.1:%d", freePort(w.t)), store: p}
+	inner := freePort(w.t)
+	settings, err := json.Marshal(map[string]any{
+		"node": h.name, "ip": "127.0.0.1", "zone": "here", "zones": map[string]string{"here": "region"},
+		"listen":       map[string]string{"front": h.address, "ready": fmt.Sprintf("127.0.0.1:%d", freePort(w.t))},
+		"port_range":   []int{inner, inner},
+		"limits":       map[string]int{"ram_mb": 144},
+		"heartbeat_ms": beatInterval.Milliseconds(),
+		"bounds":       map[string]int{"drain_ms": drainMillis, "grace_s": stopSeconds},
+		"platform":     map[string]any{"addr": p.address(), "form": "log", "retention_s": 300, "record_bytes": 1 << 18, "call_bytes": 1 << 21},
+	})
+	w.must(err)
+	file := filepath.Join(w.dir, h.name+".json")
+	w.must(os.WriteFile(file, settings, 0o600))
+	h.log, err = os.Create(filepath.Join(w.dir, h.name+".log"))
+	w.must(err)
+	h.command = []string{w.binary, "front", "-config", file, "-metrics-port", "0", "-log-level", "debug", "-log-rate", "5000"}
+	return h
+}
+
+func (h *host) start(t *testing.T) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := exec.Command(h.command[0], h.command[1:]...)
+	c.Stdout, c.Stderr = h.log, h.log
+	if err := c.Start(); err != nil {
+		t.Error(err)
+		return
+	}
+	ended := make(chan struct{})
+	h.process, h.ended = c, ended
+	go func() {
+		defer close(ended)
+		_ = c.Wait()
+	}()
+}
+
+// signal sends a signal to the host's process, by its ID.
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.process.Process.Signal(s)
+}
+
+// awaitEnd returns when the process has ended, killing it after a while.
+func (h *host) awaitEnd(patience time.Duration) {
+	h.mu.Lock()
+	ended := h.ended
+	h.mu.Unlock()
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		h.signal(syscall.SIGKILL)
+		<-ended
+	}
+}
+
+func (h *host) awaitReady(t *testing.T) {
+	t.Helper()
+	deadline := time.Now().Add(startPatience)
+	for time.Now().Before(deadline) {
+		c, err := net.Dial("tcp", h.address)
+		if err == nil {
+			_ = c.Close()
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("%s does not listen", h.name)
+}
