--- a/cmd/yuccausher/fleet_test.go
+++ b/cmd/yuccausher/fleet_test.go
@@ -111,7 +111,7 @@
 
 func (f *fleet) startHost(i int, h *hostProcess) {
 	f.t.Helper()
-	listen, peerListen := freeAddress(f.t), freeAddress(f.t)
+	listen, peerListen := testutil.FreeAddress(f.t), testutil.FreeAddress(f.t)
 	h.base = "http://" + listen
 	h.peers.leadTo(peerListen)
 	h.process = startProcess(f.t, fmt.Sprintf("host %d", i), "serve",
