--- a/internal/spending/service_test.go
+++ b/internal/spending/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,12 +27,12 @@
 	hosts []*Service
 	names []string
 	// cut holds the hosts that reach no other host.
-	cut map[string]bool
+	cut sync.Map
 }
 
 func newFleet(t *testing.T, n int) *fleet {
 	t.Helper()
-	f := &fleet{store: metastore.New(), cut: make(map[string]bool)}
+	f := &fleet{store: metastore.New()}
 	f.store.Latency = latency
 	f.store.Timeout = time.Second
 	for i := range n {
@@ -78,9 +79,14 @@
 	return others
 }
 
+func (f *fleet) isCut(host string) bool {
+	_, ok := f.cut.Load(host)
+	return ok
+}
+
 func (l *lenders) reach(host string) (*Service, error) {
 	time.Sleep(time.Millisecond)
-	if l.fleet.cut[l.self] || l.fleet.cut[host] {
+	if l.fleet.isCut(l.self) || l.fleet.isCut(host) {
 		return nil, errors.New("cut off")
 	}
 	for i, name := range l.fleet.names {
@@ -344,7 +350,7 @@
 				}
 			}
 			time.Sleep(50 * time.Millisecond)
-			f.cut[lender] = true
+			f.cut.Store(lender, true)
 		}
 		is.True(handed <= most)
 	})
@@ -403,7 +409,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 4)
-		f.cut["host-0"] = true
+		f.cut.Store("host-0", true)
 		f.store.SetFaults("host-0", metastore.Faults{Silent: true})
 		started := time.Now()
 		is.True(isUnknown(turn(f.hosts[0], "p", 5000, 280, 70)))
