--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -52,7 +52,10 @@
 	stopped map[string]time.Time
 	queue   []*want
 	// applied is the offset up to which the book holds the log.
-	applied  int64
+	applied int64
+	// hasRead says that the book has ever been brought up to date. A process
+	// that started in an outage knows of no claims and must not lend.
+	hasRead  bool
 	sequence uint64
 	verdicts map[uint64]budget.Verdict
 	// usual is the mean time of an append.
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -141,7 +141,7 @@
 			break
 		}
 		if host == s.lenders.Self() {
-			if s.loans.isLeaving.Load() {
+			if !s.mayLend(l) {
 				continue
 			}
 			if g, ok := s.lend(l, r); ok {
@@ -155,7 +155,7 @@
 		}
 		switch decision {
 		case port.LendAway:
-			// The host is leaving.
+			// The host is leaving or has only started.
 			continue
 		case port.LendBusy:
 			return nil, cause
@@ -224,7 +224,7 @@
 		return port.LendSpent, 0
 	case !l.isAway():
 		return port.LendBusy, 0
-	case !r.MayLend || s.loans.isLeaving.Load():
+	case !r.MayLend || !s.mayLend(l):
 		return port.LendAway, 0
 	default:
 		var ok bool
@@ -296,6 +296,14 @@
 	return g, true
 }
 
+// mayLend says whether this host knows what was claimed before the outage and
+// will be there after it.
+func (s *Service) mayLend(l *ledger) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hasRead && !s.loans.isLeaving.Load()
+}
+
 // NoteLoan implements port.Lender.
 func (s *Service) NoteLoan(program string, lent int64) {
 	l := s.ledger(program)
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -106,6 +106,8 @@
 	s.stop = cancel
 	s.log.Info("Spending is up.", "writer", s.writer)
 	for _, l := range s.ledgers {
+		// The first read lets the host lend, should the log become away.
+		l.suspect()
 		s.done.Go(func() { l.run(ctx) })
 	}
 	s.done.Go(func() { s.sweep(ctx) })
--- a/internal/spending/service_test.go
+++ b/internal/spending/service_test.go
@@ -330,6 +330,23 @@
 	}
 }
 
+// A host that starts while the store is away knows of no claims.
+func TestHostThatStartsInAnOutageLendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4)
+		is.NoErr(turn(f.hosts[0], "p", 3000, 280, 280))
+		f.store.SetFaults(metastore.EveryHost, metastore.Faults{Refuse: true})
+		time.Sleep(time.Second)
+		for i := range f.hosts {
+			f.hosts[i] = f.start(t, i)
+		}
+		for _, h := range f.hosts {
+			is.True(isUnknown(turn(h, "p", 3000, 280, 280)))
+		}
+	})
+}
+
 // Hosts leave and are killed one after the other while the store is away. Seen
 // on a hunted day: three hosts in turn lent the same program 420 tokens of 840.
 func TestLendersThatEndDoNotMultiplyLoans(t *testing.T) {
