--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -15,6 +15,7 @@
 	"yuccausher/internal/adapter/metrics"
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
+	"yuccausher/internal/fault"
 	"yuccausher/internal/follow"
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/socket"
@@ -239,12 +240,5 @@
 	// Shutdown takes no more connections, closes those that carry no request
 	// and waits for the others.
 	err := s.callers.Shutdown(ctx)
-	s.log.Info("Drained.", "took", time.Since(started).String(), "in_flight", s.gateway.InFlight(), "cause", errorText(err))
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
+	s.log.Info("Drained.", "took", time.Since(started).String(), "in_flight", s.gateway.InFlight(), "cause", fault.Text(err))
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -10,6 +10,7 @@
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/core/urgency"
+	"yuccausher/internal/fault"
 	"yuccausher/internal/upstream"
 )
 
@@ -81,7 +82,7 @@
 func (j *job) passOver(choice *fleet.Choice, reason string) {
 	j.refusedBy = append(j.refusedBy, choice.ID)
 	j.g.log.Info("Request goes to another target.", "request", j.call.RequestID, "target", choice.ID, "reason", reason,
-		"runs", j.runs, "last_event", j.lastEvent, "ms", time.Since(j.started).Milliseconds(), "cause", errorText(j.cause))
+		"runs", j.runs, "last_event", j.lastEvent, "ms", time.Since(j.started).Milliseconds(), "cause", fault.Text(j.cause))
 }
 
 // prefixKey is the affinity of requests with prompts.
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -9,6 +9,7 @@
 
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
+	"yuccausher/internal/fault"
 )
 
 // job is one request on its way to its answer.
@@ -109,14 +110,7 @@
 		"config", j.version, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target,
 		"expected_ms", cost.Milliseconds(), "in_flight", before, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
 		"runs", j.runs, "refused_by", len(j.refusedBy), "events", j.events,
-		"first_ms", j.first.Milliseconds(), "ms", total.Milliseconds(), "cause", errorText(j.cause))
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
+		"first_ms", j.first.Milliseconds(), "ms", total.Milliseconds(), "cause", fault.Text(j.cause))
 }
 
 // reserve takes the most that the turn may spend out of its program's budget.
