--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -102,6 +102,11 @@
 	stopCallers()
 	calling.Wait()
 	check(t, w, c, healedAt.Add(healed-judged), healedAt.Add(healed-judged/3))
+	if t.Failed() {
+		for _, h := range w.hosts {
+			t.Logf("%s: %s", h.name, h.state())
+		}
+	}
 	if t.Failed() && *logsFlag != "" {
 		keepLogs(t, w, seed)
 	}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -251,6 +251,25 @@
 	_ = h.process.Process.Signal(s)
 }
 
+// state tells whether the host's process runs, as the system sees it.
+func (h *host) state() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if hasEnded(h.ended) {
+		return "ended: " + h.process.ProcessState.String()
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.process.Process.Pid))
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(string(status)) {
+		if strings.HasPrefix(line, "State:") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return "state is not known"
+}
+
 // awaitEnd returns when the process has ended, killing it after a while.
 func (h *host) awaitEnd(patience time.Duration) {
 	h.mu.Lock()
