spending: asking other hosts is bounded in all, and help ends isolation

Read again: twelve hosts asked one after the other could hold a turn for 1.8 s before it was refused, and a host that had once reached nobody stayed isolated after another had helped it.

--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -27,6 +27,9 @@
 	// askTimeout bounds one request to another host: a claim, or a connection
 	// that takes no answer.
 	askTimeout = claimTimeout + 100*time.Millisecond
+	// askAllTimeout bounds the requests to all of them, so that a turn that can't
+	// be served is refused soon.
+	askAllTimeout = 600 * time.Millisecond
 	// settleTimeout bounds the report of what a borrowed reservation spent.
 	settleTimeout = time.Second
 	// allAwayFor is how long the finding that no host reaches the log is used
@@ -100,11 +103,18 @@
 func (s *Service) askForClaim(ctx context.Context, order []string, r port.LendRequest) asked {
 	var a asked
 	n := 0
+	ctx, cancel := context.WithTimeout(ctx, askAllTimeout)
+	defer cancel()
 	for _, host := range s.helperFirst(order) {
 		if host == s.lenders.Self() {
 			continue
 		}
-		if n++; n > askedForClaim || ctx.Err() != nil {
+		if n++; n > askedForClaim {
+			break
+		}
+		if ctx.Err() != nil {
+			// Some that were not asked may reach the log.
+			a.busy++
 			break
 		}
 		decision, reservation, err := s.ask(ctx, host, r)
@@ -178,6 +188,7 @@
 
 // decided turns another host's answer into a reservation.
 func (s *Service) decided(r port.LendRequest, host string, decision port.LendDecision, reservation uint64) (gateway.Reservation, error) {
+	s.loans.isolated.Store(false)
 	s.log.Info("Another host has decided.", "program", r.Program, "host", host, "granted", decision == port.LendGranted, "lent", r.MayLend)
 	if decision == port.LendSpent {
 		return nil, &gateway.BudgetSpentError{Program: r.Program, Budget: r.Budget}
