rendezvous, spending, follow: one copy of ordering by hash and of waiting

Found by reading the change once more: core/routing, core/fleet and spending each ordered things by their hash with a key, spending hashed anew in each comparison, and spending and follow had a copy of tail.Sleep. The orders are the same as before. A comment of Stop promised what it does not do.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"yuccausher/internal/core/rendezvous"
 )
 
 // Fleet holds the targets of all services. It is safe for concurrent use.
@@ -258,7 +260,7 @@
 	}
 	var best *Target
 	least := 0.0
-	for rank, t := range rendezvous(r.Affinity, open)[:min(homes, len(open))] {
+	for rank, t := range rendezvous.Order(r.Affinity, open, targetID)[:min(homes, len(open))] {
 		c := t.cost(now)
 		if rank > 0 {
 			c += missCost
@@ -270,6 +272,8 @@
 	return best
 }
 
+func targetID(t *Target) string { return t.ID }
+
 // least returns the target with the fewest of this host's requests, and of
 // those the first in an order of the host's own. Each host so keeps to few
 // targets while its load is low, which spares connections, and hosts differ in
@@ -308,29 +312,6 @@
 	return costs[len(costs)/2]
 }
 
-// rendezvous orders targets by their hash with a key, which is the same at all
-// hosts that see the same targets.
-func rendezvous(key string, targets []*Target) []*Target {
-	type ranked struct {
-		target *Target
-		hash   uint64
-	}
-	list := make([]ranked, len(targets))
-	for i, t := range targets {
-		var d xxhash.Digest
-		d.Reset()
-		_, _ = d.WriteString(key)
-		_, _ = d.WriteString(t.ID)
-		list[i] = ranked{target: t, hash: d.Sum64()}
-	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
-	ordered := make([]*Target, len(list))
-	for i, r := range list {
-		ordered[i] = r.target
-	}
-	return ordered
-}
-
 // Count returns how many targets of a service may be chosen.
 func (f *Fleet) Count(service string) int {
 	f.mu.Lock()
--- a/internal/core/routing/subset.go
+++ b/internal/core/routing/subset.go
@@ -2,9 +2,8 @@
 
 import (
 	"slices"
-	"strings"
 
-	"github.com/cespare/xxhash/v2"
+	"yuccausher/internal/core/rendezvous"
 )
 
 // SubsetSize is how many targets of a group one host uses, besides those that
@@ -22,7 +21,7 @@
 	if len(usable) <= SubsetSize {
 		return usable
 	}
-	ranked := rank(host, usable)
+	ranked := rendezvous.Order(host+"/", usable, func(t *Target) string { return t.Name })
 	subset := make([]*Target, 0, SubsetSize)
 	for _, t := range ranked {
 		if t.Local && len(subset) < SubsetSize/2 {
@@ -40,20 +39,3 @@
 	}
 	return subset
 }
-
-func rank(host string, targets []*Target) []*Target {
-	scores := make(map[*Target]uint64, len(targets))
-	for _, t := range targets {
-		scores[t] = xxhash.Sum64String(host + "/" + t.Name)
-	}
-	slices.SortFunc(targets, func(a, b *Target) int {
-		if scores[a] != scores[b] {
-			if scores[a] > scores[b] {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.Name, b.Name)
-	})
-	return targets
-}
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"yuccausher/internal/port"
+	logtail "yuccausher/internal/tail"
 )
 
 const (
@@ -144,10 +145,5 @@
 	if d <= 0 {
 		return
 	}
-	timer := time.NewTimer(time.Duration((0.9 + 0.2*rand.Float64()) * float64(d)))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	logtail.Sleep(ctx, time.Duration((0.9+0.2*rand.Float64())*float64(d)))
 }
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -1,16 +1,15 @@
 package spending
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"yuccausher/internal/core/rendezvous"
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/port"
 )
@@ -71,7 +70,7 @@
 	if s.lenders == nil || !l.isAway() {
 		return nil, cause
 	}
-	order := rendezvous(r.Program, append(s.lenders.Hosts(), s.lenders.Self()))
+	order := lendersOf(r.Program, append(s.lenders.Hosts(), s.lenders.Self()))
 	if time.Now().UnixNano() > s.loans.allAway.Load() {
 		a := s.askForClaim(ctx, order, r)
 		if a.reservation != nil || a.err != nil {
@@ -293,7 +292,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
 		defer cancel()
 		told := 0
-		for _, host := range rendezvous(r.Program, s.lenders.Hosts()) {
+		for _, host := range lendersOf(r.Program, s.lenders.Hosts()) {
 			if told == notedAt || ctx.Err() != nil {
 				return
 			}
@@ -357,16 +356,8 @@
 	}
 }
 
-// rendezvous orders hosts by their hash with a key, the same at all hosts that
-// know the same ones.
-func rendezvous(key string, hosts []string) []string {
-	rank := func(host string) uint64 {
-		var d xxhash.Digest
-		d.Reset()
-		_, _ = d.WriteString(key)
-		_, _ = d.WriteString(host)
-		return d.Sum64()
-	}
-	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
-	return hosts
+// lendersOf orders hosts as lenders of a program, the same at all hosts that know
+// the same ones.
+func lendersOf(program string, hosts []string) []string {
+	return rendezvous.Order(program, hosts, func(host string) string { return host })
 }
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -116,7 +116,7 @@
 	return nil
 }
 
-// Stop ends the writers after they have given unused slices back.
+// Stop ends the writers. What the host holds stays claimed.
 func (s *Service) Stop(context.Context) error {
 	s.stop()
 	s.done.Wait()
--- a/internal/spending/service_test.go
+++ b/internal/spending/service_test.go
@@ -363,7 +363,7 @@
 		time.Sleep(500 * time.Millisecond)
 		const budget, most = 840, 280
 		var handed int64
-		for _, lender := range rendezvous("runaway", append([]string(nil), f.names...))[:4] {
+		for _, lender := range lendersOf("runaway", f.names)[:4] {
 			for _, h := range f.hosts {
 				if turn(h, "runaway", budget, most, most) == nil {
 					handed += most
--- a/internal/spending/writer.go
+++ b/internal/spending/writer.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"yuccausher/internal/tail"
 )
 
 const (
@@ -48,7 +50,7 @@
 		}
 		if l.isProbeDue() {
 			if err := l.catchUp(ctx, 0); err != nil {
-				sleep(ctx, pause)
+				tail.Sleep(ctx, pause)
 				pause = min(2*pause, maxRetry)
 				l.wake()
 				continue
@@ -70,15 +72,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // readAll reads the whole log for the first time. Hosts that have started
 // together do so for a few partitions at a time.
 func (l *ledger) readAll(ctx context.Context) {
@@ -92,7 +85,7 @@
 		if err := l.catchUp(ctx, math.MaxInt64); err == nil {
 			return
 		}
-		sleep(ctx, maxRetry)
+		tail.Sleep(ctx, maxRetry)
 	}
 }
 
@@ -116,7 +109,7 @@
 	}
 	l.metrics.failures.Inc(1)
 	l.log.V(1).Info("Claims were not written.", "partition", l.partition.Part, "claims", len(batch), "cause", err.Error())
-	sleep(ctx, firstRetry)
+	tail.Sleep(ctx, firstRetry)
 	l.requeue(batch)
 }
 
