gateway: a request that left on a stale connection is not said not to have run

Found by reading the change once more: where a kept connection failed after an idempotent request had left on it, and the target then took no new connection or refused, the first sending was forgotten, and the caller could be told with 503 that the request did not run. Targets that may have run it are listed now, once each, and what follows counts with them. TestRequestThatLeftOnAStaleConnectionIsNotSaidNotToHaveRun failed before (503 targets_full after one run), 502 after.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -82,7 +83,7 @@
 func (j *job) passOver(choice *fleet.Choice, reason string) {
 	j.refusedBy = append(j.refusedBy, choice.ID)
 	j.g.log.Info("Request goes to another target.", "request", j.call.RequestID, "target", choice.ID, "reason", reason,
-		"runs", j.runs, "last_event", j.lastEvent, "ms", time.Since(j.started).Milliseconds(), "cause", fault.Text(j.cause))
+		"runs", len(j.ranAt), "last_event", j.lastEvent, "ms", time.Since(j.started).Milliseconds(), "cause", fault.Text(j.cause))
 }
 
 // prefixKey is the affinity of requests with prompts.
@@ -101,7 +102,7 @@
 	if j.route.Kind == route.Stream && j.events > 0 && j.lastEvent == "" {
 		return false
 	}
-	return j.runs < j.route.Attempts
+	return len(j.ranAt) < j.route.Attempts
 }
 
 // wait lets some time pass after all targets refused the request. It returns
@@ -111,7 +112,7 @@
 		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no_target", retryAfter: noTargetRetry})
 		return false
 	}
-	if j.runs > 0 {
+	if len(j.ranAt) > 0 {
 		j.endUnanswered(ctx)
 		return false
 	}
@@ -139,7 +140,7 @@
 	case j.headerSent:
 		j.outcome = "cut"
 		breakOff()
-	case j.runs == 0:
+	case len(j.ranAt) == 0:
 		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "timeout_not_run", cause: j.cause})
 	case ctx.Err() != nil:
 		j.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout", cause: j.cause})
@@ -150,6 +151,7 @@
 
 // dispatch sends the request to one target and passes its answer on.
 func (j *job) dispatch(ctx context.Context, choice *fleet.Choice) result {
+	defer func() { j.unwatch() }()
 	sent := time.Now()
 	conn, err := j.connect(ctx, choice, false)
 	if err != nil {
@@ -157,25 +159,61 @@
 		choice.End(time.Now(), outcomeOf(ctx, fleet.Unreachable), 0)
 		return notRun
 	}
-	stop := conn.Watch(ctx)
-	defer func() { stop() }()
-	response, err := conn.Exchange(ctx, j.request(choice, sent), j.isOwn)
-	if err != nil && conn.Kept && ctx.Err() == nil && j.mayRepeat(err) {
-		// The target may have closed the kept connection as the request left.
-		j.g.metrics.staleConnections.Inc(1)
-		stop()
-		if conn, err = j.connect(ctx, choice, true); err != nil {
-			j.cause = err
-			choice.End(time.Now(), outcomeOf(ctx, fleet.Unreachable), 0)
-			return notRun
-		}
-		stop = conn.Watch(ctx)
-		response, err = conn.Exchange(ctx, j.request(choice, sent), j.isOwn)
+	response, err := j.exchange(ctx, choice, conn, sent)
+	if err == nil {
+		return j.relay(ctx, choice, conn, response, sent)
+	}
+	if conn.Kept && ctx.Err() == nil && j.mayRepeat(err) {
+		return j.dispatchAgain(ctx, choice, err, sent)
+	}
+	return j.unanswered(ctx, choice, err)
+}
+
+// dispatchAgain sends a request on a new connection after a kept one has
+// failed, since the target may have closed that one as the request left. What
+// left the first time may have run, whatever comes of the second.
+func (j *job) dispatchAgain(ctx context.Context, choice *fleet.Choice, first error, sent time.Time) result {
+	j.g.metrics.staleConnections.Inc(1)
+	hasLeft := hasLeft(first)
+	if hasLeft {
+		j.ran(choice.ID)
 	}
+	r := notRun
+	conn, err := j.connect(ctx, choice, true)
 	if err != nil {
-		return j.unanswered(ctx, choice, err)
+		j.cause = err
+		choice.End(time.Now(), outcomeOf(ctx, fleet.Unreachable), 0)
+	} else if response, err := j.exchange(ctx, choice, conn, sent); err != nil {
+		r = j.unanswered(ctx, choice, err)
+	} else {
+		r = j.relay(ctx, choice, conn, response, sent)
+	}
+	if r == notRun && hasLeft {
+		return unknown
+	}
+	return r
+}
+
+// exchange sends the request on a connection, which fails when ctx ends while
+// its answer is read.
+func (j *job) exchange(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, sent time.Time) (*http.Response, error) {
+	j.unwatch()
+	j.unwatch = conn.Watch(ctx)
+	return conn.Exchange(ctx, j.request(choice, sent), j.isOwn)
+}
+
+// hasLeft says whether a request that brought no answer may have reached its
+// target.
+func hasLeft(err error) bool {
+	var exchange *upstream.ExchangeError
+	return !errors.As(err, &exchange) || exchange.Sent
+}
+
+// ran notes that a target may have begun to run the request.
+func (j *job) ran(target string) {
+	if !slices.Contains(j.ranAt, target) {
+		j.ranAt = append(j.ranAt, target)
 	}
-	return j.relay(ctx, choice, conn, response, sent)
 }
 
 // connect returns a connection to the chosen target.
@@ -203,12 +241,11 @@
 
 func (j *job) unanswered(ctx context.Context, choice *fleet.Choice, err error) result {
 	j.cause = err
-	var exchange *upstream.ExchangeError
 	choice.End(time.Now(), outcomeOf(ctx, fleet.Broken), 0)
-	if errors.As(err, &exchange) && !exchange.Sent {
+	if !hasLeft(err) {
 		return notRun
 	}
-	j.runs++
+	j.ran(choice.ID)
 	return unknown
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,7 +135,7 @@
 	if g.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{g: g, w: w, r: r, started: time.Now(), call: g.protocol.Call(r.Header)}
+	j := &job{g: g, w: w, r: r, started: time.Now(), call: g.protocol.Call(r.Header), unwatch: func() {}}
 	defer j.finish()
 	table := g.tables.Current()
 	if table == nil {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -29,8 +29,10 @@
 
 	// refusedBy lists the targets that took no connection or refused.
 	refusedBy []string
-	// runs is how many targets may have begun to run the request.
-	runs int
+	// ranAt lists the targets that may have begun to run the request.
+	ranAt []string
+	// unwatch ends the watch over the connection in use.
+	unwatch func()
 	// lastEvent is the last event that was handed to the caller.
 	lastEvent string
 	events    int
@@ -109,7 +111,7 @@
 	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "route", name,
 		"config", j.version, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target,
 		"expected_ms", cost.Milliseconds(), "in_flight", before, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
-		"runs", j.runs, "refused_by", len(j.refusedBy), "events", j.events,
+		"runs", len(j.ranAt), "refused_by", len(j.refusedBy), "events", j.events,
 		"first_ms", j.first.Milliseconds(), "ms", total.Milliseconds(), "cause", fault.Text(j.cause))
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,8 +35,8 @@
 	if j.first > 0 {
 		m.first.RecordDuration(j.first)
 	}
-	if j.runs > 1 {
-		m.scope.Counter("runs_repeated").Inc(int64(j.runs - 1))
+	if len(j.ranAt) > 1 {
+		m.scope.Counter("runs_repeated").Inc(int64(len(j.ranAt) - 1))
 	}
 }
 
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -217,6 +217,24 @@
 	is.Equal(r.Opened(), 1)
 }
 
+// A request that left on a kept connection may have run, also where the target
+// can't be reached again: the refusal must not say that it did not.
+func TestRequestThatLeftOnAStaleConnectionIsNotSaidNotToHaveRun(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	r := s.add(app, replica.Options{ID: "r1", Work: 300 * time.Millisecond})
+	is.Equal(s.do(request{path: lookup, id: "warm"}).status, http.StatusOK)
+	go func() {
+		for s.runsOf("a") == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		r.Close()
+	}()
+	a := s.do(request{path: lookup, id: "a"})
+	is.Equal(s.runsOf("a"), 1)
+	is.Equal(a.status, http.StatusBadGateway)
+}
+
 func TestTimeoutIsTheFinalAnswer(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -28,7 +28,7 @@
 	if answer.IsNotRun {
 		return j.refused(choice, conn, response, answer)
 	}
-	j.runs++
+	j.ran(choice.ID)
 	if answer.IsEncoded || answer.RequestID == "" && response.StatusCode < http.StatusMultipleChoices {
 		j.cause = errEncoded
 		conn.Abort()
