spending: one home a partition, over all partitions of the store

Cause: each claim was read back, since the partitions' order came from many hosts; eight partitions bounded what a slow store takes (130 appends a second); each of them probed the log for itself while it was away.

The home is that of a partition, so that its appends are the partition's order and need no reading back. One state for the host says whether the log answers, and one loop probes it.

The fleet of the spending tests waits until hosts have read what they are to read.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -134,6 +134,7 @@
 		DrainTime:      told.DrainTime,
 		StopTime:       told.StopTime,
 		Retention:      told.Store.Retention,
+		Partitions:     told.Store.Partitions,
 		Seed:           rand.Uint64(),
 		Logger:         logger,
 		Platform: front.Platform{
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -54,6 +54,9 @@
 	DrainTime time.Duration
 	// StopTime is the time between SIGTERM and SIGKILL.
 	StopTime time.Duration
+	// Partitions is how many partitions of the shared log carry the claims on
+	// budgets.
+	Partitions int
 	// Retention is how long the shared log keeps records without a key.
 	Retention time.Duration
 	// Seed decides between targets that look alike.
@@ -168,7 +171,14 @@
 }
 
 func newSpending(lc fx.Lifecycle, o Options, lenders port.Lenders, scope tally.Scope) *spending.Service {
-	s := spending.New(spending.Params{Log: o.Platform.Log, Lenders: lenders, Retention: o.Retention, Logger: o.Logger, Scope: scope})
+	s := spending.New(spending.Params{
+		Log:        o.Platform.Log,
+		Partitions: o.Partitions,
+		Lenders:    lenders,
+		Retention:  o.Retention,
+		Logger:     o.Logger,
+		Scope:      scope,
+	})
 	lc.Append(fx.Hook{OnStart: s.Start, OnStop: s.Stop})
 	return s
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -37,6 +37,7 @@
 		DrainTime:      2 * time.Second,
 		StopTime:       8 * time.Second,
 		Retention:      time.Minute,
+		Partitions:     8,
 		Logger:         logr.Discard(),
 		Platform: Platform{
 			Log:                 client,
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -216,7 +216,7 @@
 		"limits":       map[string]int{"ram_mb": 144},
 		"heartbeat_ms": beatInterval.Milliseconds(),
 		"bounds":       map[string]int{"drain_ms": drainMillis, "grace_s": stopSeconds},
-		"platform":     map[string]any{"addr": p.address(), "form": "log", "retention_s": 300, "record_bytes": 1 << 18, "call_bytes": 1 << 21},
+		"platform":     map[string]any{"addr": p.address(), "form": "log", "parts": 24, "retention_s": 300, "record_bytes": 1 << 18, "call_bytes": 1 << 21},
 	})
 	w.must(err)
 	file := filepath.Join(w.dir, h.name+".json")
--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -21,10 +21,15 @@
 	byProgram := make(map[string]*pending)
 	var batch []*pending
 	var rest []*want
+	now := time.Now()
 	for _, w := range l.queue {
 		if w.abandoned {
 			continue
 		}
+		if now.Before(l.stopped[w.program]) {
+			l.refuse(w)
+			continue
+		}
 		p := byProgram[w.program]
 		s := l.sliceOf(w.program, w.budget)
 		isApart := p != nil && (w.alone || p.wants[0].alone)
@@ -75,7 +80,7 @@
 		// or not the claim arrives.
 		s.Confirmed = total
 	case !p.wants[0].alone:
-		total = s.Ahead(most, s.budget, l.book.Claimed(s.program), l.isSlow() || l.isHome(s.program))
+		total = s.Ahead(most, s.budget, l.book.Claimed(s.program), l.isSlow() || l.isHome())
 	}
 	total = max(total, s.Confirmed)
 	s.wanted += len(p.wants)
@@ -167,11 +172,16 @@
 // stop refuses a turn for good, and those of its program that follow.
 func (l *ledger) stop(w *want) {
 	l.stopped[w.program] = time.Now().Add(stoppedFor)
-	w.done <- &gateway.BudgetSpentError{Program: w.program, Budget: w.budget, Spent: l.book.Claimed(w.program)}
+	l.refuse(w)
 	l.log.Info("Program stopped, its budget is spent.", "program", w.program, "budget", w.budget,
 		"claimed", l.book.Claimed(w.program), "offset", l.applied)
 }
 
+// refuse answers a turn of a program that was stopped.
+func (l *ledger) refuse(w *want) {
+	w.done <- &gateway.BudgetSpentError{Program: w.program, Budget: w.budget, Spent: l.book.Claimed(w.program)}
+}
+
 // remember notes that another host has refused the program for good.
 func (l *ledger) remember(program string) {
 	l.mu.Lock()
--- a/internal/spending/home.go
+++ b/internal/spending/home.go
@@ -11,15 +11,19 @@
 	"yuccausher/internal/port"
 )
 
-// A program's home is the first host of its order. Other hosts ask it for
-// tokens before they claim some themselves: its claims then serve the turns of
-// the program at all hosts, and one claim lasts for several turns. Nothing
-// depends on it. Hosts that see different homes, or none, claim in the log.
+// A partition's home is the first host of its order. Other hosts ask it for
+// tokens before they claim some themselves. Its claims then serve the turns of a
+// program at all hosts, and as it alone appends to the partition, it knows what
+// the partition holds without reading it. Nothing depends on the home: hosts
+// that see different homes, or none, claim in the log.
 
 const (
 	// homeTimeout is how long an answer may take before the home is asked
 	// whether it is there: some times the 10 ms of a claim through it.
 	homeTimeout = 40 * time.Millisecond
+	// suspectChecks is after how many such questions the log is probed: after
+	// 200 ms, when a slow append should have been done.
+	suspectChecks = 3
 	// firstShun and maxShun bound for how long a home that did not answer is
 	// left alone. A host that is gone is asked for about 25 s, until its record
 	// is.
@@ -67,24 +71,14 @@
 	delete(s.byHost, host)
 }
 
-// homeOf returns the program's home, and whether it is another host.
-func (s *Service) homeOf(program string) (string, bool) {
-	if s.lenders == nil {
-		return "", false
-	}
-	self := s.lenders.Self()
-	home := lendersOf(program, append(s.lenders.Hosts(), self))[0]
-	return home, home != self
-}
-
 // reserveAtHome asks the program's home. It returns false if the home can't
 // tell, so that this host has to claim.
 func (s *Service) reserveAtHome(ctx context.Context, l *ledger, r port.LendRequest) (gateway.Reservation, error, bool) {
-	home, isOther := s.homeOf(r.Program)
+	home, isOther := s.homeOf(l.partition.Part)
 	if !isOther || s.shuns.isShunned(home, time.Now()) {
 		return nil, nil, false
 	}
-	answer, err := s.askHome(ctx, l, home, r)
+	answer, err := s.askHome(ctx, home, r)
 	if ctx.Err() != nil {
 		return nil, unknownBudget(r.Program, ctx.Err()), true
 	}
@@ -115,7 +109,7 @@
 
 // askHome asks a home and waits for as long as it is there: it may have to claim
 // in a log that is slow.
-func (s *Service) askHome(ctx context.Context, l *ledger, home string, r port.LendRequest) (port.LendAnswer, error) {
+func (s *Service) askHome(ctx context.Context, home string, r port.LendRequest) (port.LendAnswer, error) {
 	askCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.Patience = maxPatience
@@ -126,7 +120,7 @@
 	})
 	timer := time.NewTimer(homeTimeout)
 	defer timer.Stop()
-	for {
+	for checks := 1; ; checks++ {
 		select {
 		case a := <-answered:
 			return a.answer, a.err
@@ -135,8 +129,10 @@
 			return port.LendAnswer{}, ctx.Err()
 		case <-timer.C:
 		}
-		// The log may be away; this host finds out while the home does.
-		l.suspect()
+		if checks == suspectChecks {
+			// The log may be away; this host finds out while the home does.
+			s.reach.suspect()
+		}
 		if err := s.isThere(ctx, home); err != nil {
 			s.dropAnswer(home, answered)
 			return port.LendAnswer{}, err
--- a/internal/spending/home_test.go
+++ b/internal/spending/home_test.go
@@ -32,7 +32,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 4)
-		order := lendersOf("p", f.names)
+		order := f.order("p")
 		f.freeze(order[0])
 		asker := f.host(order[1])
 		started := time.Now()
@@ -51,7 +51,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 4)
-		order := lendersOf("p", f.names)
+		order := f.order("p")
 		f.store.SetFaults(order[0], metastore.Faults{Refuse: true})
 		for range 3 {
 			_ = turn(f.host(order[0]), "p", 20000, 280, 280)
@@ -70,7 +70,7 @@
 		f := newFleet(t, 4)
 		f.store.SetFaults(metastore.EveryHost, metastore.Faults{Delay: 59 * latency})
 		calls := f.store.Calls()
-		order := lendersOf("p", f.names)
+		order := f.order("p")
 		for _, name := range order[1:] {
 			is.NoErr(turn(f.host(name), "p", 20000, 280, 70))
 		}
@@ -84,7 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 2)
-		order := lendersOf("p", f.names)
+		order := f.order("p")
 		home := f.host(order[0])
 		_, err := f.host(order[1]).Reserve(t.Context(), "p", 20000, 280)
 		is.NoErr(err)
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -36,18 +37,21 @@
 	log       logr.Logger
 	metrics   *metrics
 	wakeUp    chan struct{}
+	reach     *reach
+	// starts begins the ledger's work when it is first used.
+	starts sync.Once
+	isUsed atomic.Bool
 	// reading lets one read at a time move the book on.
 	reading chan struct{}
 	// loansDue says that loans of other hosts may have to be claimed.
 	loansDue chan struct{}
 	// starting bounds the partitions that are read for the first time at once.
 	starting chan struct{}
-	// onAway is called when the log has become away, onTight when claims leave
-	// less of a budget than may be lent of it.
-	onAway  func()
+	// onTight is called when claims leave less of a budget than may be lent of
+	// it.
 	onTight func(port.BudgetNote)
-	// isHome says whether this host is a program's home.
-	isHome func(program string) bool
+	// isHome says whether this host is the partition's home.
+	isHome func() bool
 
 	mu       sync.Mutex
 	book     *budget.Book
@@ -70,14 +74,9 @@
 	verdicts map[uint64]budget.Verdict
 	// usual is the mean time of an append.
 	usual time.Duration
-	// awaySince is when a read has first failed after all before it succeeded;
-	// zero while the log answers.
-	awaySince time.Time
-	// isSuspect says that the log is to be probed.
-	isSuspect bool
 }
 
-func newLedger(shared port.SharedLog, p port.Partition, writer uint64, log logr.Logger, m *metrics, starting chan struct{}) *ledger {
+func newLedger(shared port.SharedLog, p port.Partition, writer uint64, log logr.Logger, m *metrics, reach *reach, starting chan struct{}) *ledger {
 	return &ledger{
 		shared:    shared,
 		partition: p,
@@ -85,11 +84,11 @@
 		log:       log,
 		metrics:   m,
 		wakeUp:    make(chan struct{}, 1),
+		reach:     reach,
 		reading:   make(chan struct{}, 1),
 		starting:  starting,
-		onAway:    func() {},
 		onTight:   func(port.BudgetNote) {},
-		isHome:    func(string) bool { return true },
+		isHome:    func() bool { return true },
 		book:      budget.NewBook(),
 		slices:    make(map[string]*slice),
 		releases:  make(map[string]*slice),
@@ -112,7 +111,7 @@
 func (l *ledger) enqueue(w *want) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.awaySince.IsZero() {
+	if l.isAway() {
 		return errAway
 	}
 	l.queue = append(l.queue, w)
@@ -131,19 +130,7 @@
 }
 
 // isAway says whether the log does not even answer reads.
-func (l *ledger) isAway() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.awaySince.IsZero()
-}
-
-// suspect makes the ledger probe the log, because another partition is away.
-func (l *ledger) suspect() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.isSuspect = true
-	l.wake()
-}
+func (l *ledger) isAway() bool { return l.reach.isAway() }
 
 // claimed returns how much of a program's budget is known to be claimed.
 func (l *ledger) claimed(program string) int64 {
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -10,7 +10,6 @@
 	"github.com/juju/errors"
 
 	"yuccausher/internal/core/budget"
-	"yuccausher/internal/core/rendezvous"
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/port"
 )
@@ -72,7 +71,7 @@
 	if s.lenders == nil || !l.isAway() {
 		return nil, cause
 	}
-	order := lendersOf(r.Program, append(s.lenders.Hosts(), s.lenders.Self()))
+	order := s.order(l.partition.Part)
 	if time.Now().UnixNano() > s.loans.allAway.Load() {
 		a := s.askForClaim(ctx, order, r)
 		if a.reservation != nil || a.err != nil {
@@ -164,7 +163,7 @@
 		if err != nil {
 			continue
 		}
-		l.learn(r.Program, answer.Loans)
+		s.use(l.partition.Part).learn(r.Program, answer.Loans)
 		switch answer.Decision {
 		case port.LendAway:
 			// The host is leaving or has only started.
@@ -226,7 +225,7 @@
 
 // Lend implements port.Lender.
 func (s *Service) Lend(ctx context.Context, r port.LendRequest) port.LendAnswer {
-	l := s.ledger(r.Program)
+	l := s.use(s.part(r.Program))
 	l.learn(r.Program, r.Loans)
 	if r.Patience > 0 && s.loans.isLeaving.Load() {
 		// What it grants now could not be settled.
@@ -347,9 +346,3 @@
 	}
 	l.claimLoans()
 }
-
-// lendersOf orders hosts as lenders of a program, the same at all hosts that know
-// the same ones.
-func lendersOf(program string, hosts []string) []string {
-	return rendezvous.Order(program, hosts, func(host string) string { return host })
-}
--- a/internal/spending/loans_test.go
+++ b/internal/spending/loans_test.go
@@ -52,7 +52,7 @@
 		const budget, most = 840, 280
 		handed := f.runaway(budget, most)
 		is.Equal(handed, int64(most))
-		f.end(lendersOf("runaway", f.names)[0])
+		f.end(f.order("runaway")[0])
 		f.store.SetFaults(metastore.EveryHost, metastore.Faults{})
 		time.Sleep(3 * time.Second)
 		for range 4 {
@@ -70,7 +70,7 @@
 		f.outage()
 		const budget, most = 840, 280
 		handed := f.runaway(budget, most)
-		for _, host := range lendersOf("runaway", f.names)[:4] {
+		for _, host := range f.order("runaway")[:4] {
 			f.end(host)
 		}
 		time.Sleep(time.Second)
@@ -86,7 +86,7 @@
 		is := is.New(t)
 		f := newFleet(t, 12)
 		const budget, most = 5600, 280
-		spender := lendersOf("runaway", f.names)[11]
+		spender := f.order("runaway")[11]
 		var handed int64
 		for i, name := range f.names {
 			if name != spender {
--- a/internal/spending/notes.go
+++ b/internal/spending/notes.go
@@ -89,14 +89,18 @@
 			l.loans.Add(c, now)
 		}
 	}
-	if l.awaySince.IsZero() {
+	if !l.isAway() {
 		l.claimLoans()
 	}
 }
 
 // Note implements port.Lender.
 func (s *Service) Note(n port.BudgetNote) {
-	l := s.ledger(n.Program)
+	if n.Program == "" {
+		// The other host only asks whether this one is there.
+		return
+	}
+	l := s.use(s.part(n.Program))
 	l.learn(n.Program, n.Loans)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -114,7 +118,8 @@
 	s.done.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
 		defer cancel()
-		hosts := lendersOf(n.Program, s.lenders.Hosts())
+		self := s.lenders.Self()
+		hosts := slices.DeleteFunc(slices.Clone(s.order(s.part(n.Program))), func(host string) bool { return host == self })
 		for missing := count; missing > 0 && len(hosts) > 0 && ctx.Err() == nil; {
 			next := hosts[:min(missing, len(hosts))]
 			hosts = hosts[len(next):]
--- /dev/null
+++ b/internal/spending/order.go
@@ -0,0 +1,93 @@
+package spending
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"yuccausher/internal/core/rendezvous"
+)
+
+const (
+	// readers is how many hosts of a partition's order read it before they
+	// claim in it: the home, and those that lend when it is gone.
+	readers = 3
+	// readersInterval is how often a host looks whether it is among them. Hosts
+	// that start together know each other by then.
+	readersInterval = 5 * time.Second
+)
+
+// orders holds each partition's order of the hosts: its home first, then those
+// that take its place. Hosts that know the same hosts order them alike.
+type orders struct {
+	mu     sync.Mutex
+	hosts  []string
+	byPart map[int][]string
+}
+
+// of returns a partition's order of the hosts.
+func (o *orders) of(part int, hosts []string) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !slices.Equal(hosts, o.hosts) {
+		o.hosts, o.byPart = hosts, make(map[int][]string)
+	}
+	order, ok := o.byPart[part]
+	if !ok {
+		order = rendezvous.Order(strconv.Itoa(part), hosts, func(host string) string { return host })
+		o.byPart[part] = order
+	}
+	return order
+}
+
+// part returns the partition that holds the claims of a program. All hosts must
+// agree on the number of partitions.
+func (s *Service) part(program string) int {
+	return int(xxhash.Sum64String(program) % uint64(len(s.ledgers)))
+}
+
+// order returns the hosts in the order in which they claim and lend for the
+// programs of a partition.
+func (s *Service) order(part int) []string {
+	if s.lenders == nil {
+		return nil
+	}
+	return s.orders.of(part, append(s.lenders.Hosts(), s.lenders.Self()))
+}
+
+// homeOf returns a partition's home, and whether it is another host.
+func (s *Service) homeOf(part int) (string, bool) {
+	order := s.order(part)
+	if len(order) == 0 {
+		return "", false
+	}
+	return order[0], order[0] != s.lenders.Self()
+}
+
+// isReader says whether this host reads a partition from the start.
+func (s *Service) isReader(part int) bool {
+	order := s.order(part)
+	return s.lenders == nil || slices.Contains(order[:min(readers, len(order))], s.lenders.Self())
+}
+
+// readParts reads the partitions for which this host may lend.
+func (s *Service) readParts(ctx context.Context) {
+	ticker := time.NewTicker(readersInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for part := range s.ledgers {
+			if s.isReader(part) {
+				s.use(part)
+			}
+		}
+	}
+}
--- a/internal/spending/reader.go
+++ b/internal/spending/reader.go
@@ -54,13 +54,13 @@
 	page, err := l.shared.Read(ctx, l.partition, port.Range{From: l.position(), MaxBytes: pageBytes})
 	var failed *port.SharedLogError
 	if errors.As(err, &failed) && failed.Failure == port.LogTrimmed {
-		l.observe(nil)
+		l.reach.observe(l.partition.Part, nil)
 		l.mu.Lock()
 		l.applied = failed.Oldest
 		l.mu.Unlock()
 		return failed.Oldest + 1, nil
 	}
-	l.observe(err)
+	l.reach.observe(l.partition.Part, err)
 	if err != nil {
 		return 0, err
 	}
@@ -93,21 +93,3 @@
 	}
 	l.applied++
 }
-
-// observe notes whether the log answers reads.
-func (l *ledger) observe(err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch {
-	case err == nil && !l.awaySince.IsZero():
-		l.log.Info("Shared log answers again.", "partition", l.partition.Part, "away", time.Since(l.awaySince).String())
-		l.awaySince = time.Time{}
-		l.settleLoans()
-		l.wake()
-	case err != nil && l.awaySince.IsZero():
-		l.log.Info("Shared log is away.", "partition", l.partition.Part, "cause", err.Error())
-		l.awaySince = time.Now()
-		l.onAway()
-		l.wake()
-	}
-}
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
@@ -22,12 +21,7 @@
 const (
 	// topic holds the claims.
 	topic = "spending"
-	// partitions is how many partitions of the topic carry the claims. Eight of
-	// them take 8,000 appends a second at 1 ms each, twice the turns of the size
-	// to design for, and 130 a second when the store is 60 times slower. All
-	// hosts must agree on it.
-	partitions = 8
-	// startReads is how many partitions a host that has started reads at once.
+	// startReads is how many partitions a host reads for the first time at once.
 	startReads = 2
 	// maxPatience is the longest wait for a claim: two calls to a store that is
 	// 60 times slower than usual, and settleTime.
@@ -58,6 +52,9 @@
 // Params are what a service is built from.
 type Params struct {
 	Log port.SharedLog
+	// Partitions is how many partitions of the log carry the claims. All hosts
+	// must agree on it.
+	Partitions int
 	// Lenders are the other hosts, asked while this one does not reach the log.
 	Lenders   port.Lenders
 	Retention time.Duration
@@ -68,15 +65,19 @@
 // Service reserves tokens of programs' budgets. It implements gateway.Budgets.
 type Service struct {
 	writer    uint64
-	ledgers   [partitions]*ledger
+	ledgers   []*ledger
+	orders    orders
+	reach     *reach
 	retention time.Duration
 	log       logr.Logger
 	metrics   *metrics
 	lenders   port.Lenders
 	loans     loans
 	shuns     shuns
-	stop      context.CancelFunc
-	done      sync.WaitGroup
+	// ctx ends with the service.
+	ctx  context.Context
+	stop context.CancelFunc
+	done sync.WaitGroup
 }
 
 var _ gateway.Budgets = (*Service)(nil)
@@ -84,43 +85,62 @@
 // New returns a service that writes under a new name.
 func New(p Params) *Service {
 	s := &Service{writer: rand.Uint64(), retention: p.Retention, log: p.Logger.WithName("spending"), lenders: p.Lenders}
-	m := newMetrics(p.Scope.SubScope("spending"))
-	s.metrics = m
+	s.metrics = newMetrics(p.Scope.SubScope("spending"))
+	s.reach = newReach(s.log, s.returned)
 	starting := make(chan struct{}, startReads)
-	for i := range s.ledgers {
-		s.ledgers[i] = newLedger(p.Log, port.Partition{Topic: topic, Part: i}, s.writer, s.log, m, starting)
-		s.ledgers[i].onAway = func() { s.suspectOthers(i) }
-		s.ledgers[i].isHome = func(program string) bool {
-			_, isOther := s.homeOf(program)
+	for part := range p.Partitions {
+		l := newLedger(p.Log, port.Partition{Topic: topic, Part: part}, s.writer, s.log, s.metrics, s.reach, starting)
+		l.isHome = func() bool {
+			_, isOther := s.homeOf(part)
 			return !isOther
 		}
-		s.ledgers[i].onTight = func(n port.BudgetNote) { s.tell(n, announcedAt) }
+		l.onTight = func(n port.BudgetNote) { s.tell(n, announcedAt) }
+		s.ledgers = append(s.ledgers, l)
 	}
 	return s
 }
 
-// suspectOthers makes the other partitions probe the log, so that the host
-// knows of an outage before turns meet it.
-func (s *Service) suspectOthers(away int) {
-	for i, l := range s.ledgers {
-		if i != away {
-			// The caller holds the lock of its own ledger.
-			go l.suspect()
+// returned settles what was lent while the log was away.
+func (s *Service) returned() {
+	for _, l := range s.ledgers {
+		l.mu.Lock()
+		l.settleLoans()
+		l.wake()
+		l.mu.Unlock()
+	}
+}
+
+// probe reads a page of a partition that is in use.
+func (s *Service) probe(ctx context.Context) error {
+	l := s.ledgers[0]
+	for _, other := range s.ledgers {
+		if other.isUsed.Load() {
+			l = other
+			break
 		}
 	}
+	return l.catchUp(ctx, 0)
+}
+
+// use returns the ledger of a partition, which works from its first use on.
+func (s *Service) use(part int) *ledger {
+	l := s.ledgers[part]
+	l.starts.Do(func() {
+		l.isUsed.Store(true)
+		s.done.Go(func() { l.readAll(s.ctx) })
+		s.done.Go(func() { l.run(s.ctx) })
+		s.done.Go(func() { l.keepLoans(s.ctx) })
+	})
+	return l
 }
 
-// Start starts the writers.
+// Start starts to follow the log.
 func (s *Service) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.stop = cancel
-	s.log.Info("Spending is up.", "writer", s.writer)
-	for _, l := range s.ledgers {
-		s.done.Go(func() { l.readAll(ctx) })
-		s.done.Go(func() { l.run(ctx) })
-		s.done.Go(func() { l.keepLoans(ctx) })
-	}
-	s.done.Go(func() { s.sweep(ctx) })
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.log.Info("Spending is up.", "writer", s.writer, "partitions", len(s.ledgers))
+	s.done.Go(func() { s.reach.watch(s.ctx, s.probe) })
+	s.done.Go(func() { s.readParts(s.ctx) })
+	s.done.Go(func() { s.sweep(s.ctx) })
 	return nil
 }
 
@@ -151,10 +171,8 @@
 	if !s.loans.isolated.Load() {
 		return false
 	}
-	for _, l := range s.ledgers {
-		if l.isAway() {
-			return true
-		}
+	if s.reach.isAway() {
+		return true
 	}
 	s.loans.isolated.Store(false)
 	return false
@@ -173,7 +191,7 @@
 	defer cancel()
 	g, err, ok := s.reserveAtHome(claimCtx, l, request())
 	if !ok {
-		g, err = l.reserve(claimCtx, program, total, most)
+		g, err = s.use(s.part(program)).reserve(claimCtx, program, total, most)
 	}
 	var unknown *gateway.BudgetUnknownError
 	if err == nil || !errors.As(err, &unknown) || ctx.Err() != nil {
@@ -182,9 +200,9 @@
 	return s.borrow(ctx, l, request(), err)
 }
 
-func (s *Service) ledger(program string) *ledger {
-	return s.ledgers[xxhash.Sum64String(program)%partitions]
-}
+// ledger returns the ledger that holds a program's claims. It need not have
+// been used before.
+func (s *Service) ledger(program string) *ledger { return s.ledgers[s.part(program)] }
 
 func unknownBudget(program string, cause error) error {
 	return &gateway.BudgetUnknownError{Program: program, RetryAfter: unknownRetry, Cause: errors.Trace(cause)}
--- a/internal/spending/service_test.go
+++ b/internal/spending/service_test.go
@@ -19,8 +19,12 @@
 	"yuccausher/internal/standin/metastore"
 )
 
-// latency is the time of a call to the store.
-const latency = 4 * time.Millisecond
+const (
+	// latency is the time of a call to the store.
+	latency = 4 * time.Millisecond
+	// partitions is how many partitions carry the claims.
+	partitions = 8
+)
 
 // fleet is a number of hosts over one store.
 type fleet struct {
@@ -46,7 +50,7 @@
 		f.hosts = append(f.hosts, f.start(t, i))
 	}
 	// All have read the log.
-	time.Sleep(time.Second)
+	time.Sleep(readersInterval + time.Second)
 	return f
 }
 
@@ -64,11 +68,12 @@
 func (f *fleet) start(t *testing.T, i int) *Service {
 	t.Helper()
 	s := New(Params{
-		Log:       f.store.Client(f.names[i]),
-		Lenders:   &lenders{fleet: f, self: f.names[i]},
-		Retention: 5 * time.Minute,
-		Logger:    logr.Discard(),
-		Scope:     tally.NoopScope,
+		Log:        f.store.Client(f.names[i]),
+		Partitions: partitions,
+		Lenders:    &lenders{fleet: f, self: f.names[i]},
+		Retention:  5 * time.Minute,
+		Logger:     logr.Discard(),
+		Scope:      tally.NoopScope,
 	})
 	if err := s.Start(context.Background()); err != nil {
 		t.Fatal(err)
@@ -127,6 +132,12 @@
 	return nil
 }
 
+// order returns the names of the hosts in the order of a program's partition.
+func (f *fleet) order(program string) []string {
+	s := f.hosts[0]
+	return s.order(s.part(program))
+}
+
 // freeze lets a host take requests without an answer.
 func (f *fleet) freeze(host string) { f.frozen.Store(host, true) }
 
@@ -389,7 +400,7 @@
 		time.Sleep(500 * time.Millisecond)
 		const budget, most = 840, 280
 		var handed int64
-		for _, lender := range lendersOf("runaway", f.names)[:4] {
+		for _, lender := range f.order("runaway")[:4] {
 			for _, h := range f.hosts {
 				if turn(h, "runaway", budget, most, most) == nil {
 					handed += most
--- a/internal/spending/writer.go
+++ b/internal/spending/writer.go
@@ -37,27 +37,21 @@
 	slowAppend = 60 * time.Millisecond
 )
 
-// run writes claims until ctx ends, and probes the log while it is away.
+// run writes claims until ctx ends.
 func (l *ledger) run(ctx context.Context) {
 	var flights sync.WaitGroup
 	defer flights.Wait()
 	free := make(chan struct{}, maxFlights)
-	pause := firstRetry
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.wakeUp:
 		}
-		if l.isProbeDue() {
-			if err := l.catchUp(ctx, 0); err != nil {
-				tail.Sleep(ctx, pause)
-				pause = min(2*pause, maxRetry)
-				l.wake()
-				continue
-			}
+		if l.isAway() {
+			// The ledger is woken when the log answers again.
+			continue
 		}
-		pause = firstRetry
 		for batch := l.collect(); len(batch) > 0; batch = l.collect() {
 			select {
 			case free <- struct{}{}:
@@ -90,15 +84,6 @@
 	}
 }
 
-// isProbeDue says whether the log is away or suspected to be.
-func (l *ledger) isProbeDue() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	isSuspect := l.isSuspect
-	l.isSuspect = false
-	return isSuspect || !l.awaySince.IsZero()
-}
-
 // fly writes a batch of claims and answers the turns that wait for them.
 func (l *ledger) fly(ctx context.Context, batch []*pending) {
 	started := time.Now()
