spending: whether the log answers is known for each partition

Each partition in use again has a state of its own. A host probes those that it reads for lending or has loans in; the others are probed as turns come. A partition that is used first while all others are away counts as away. A home that does not reach one partition is left alone for that one only.

--- a/internal/spending/home.go
+++ b/internal/spending/home.go
@@ -34,63 +34,78 @@
 // errHomeAway says that the home does not reach the log, or is leaving.
 var errHomeAway = errors.New("home does not reach the log")
 
-// shuns are the hosts that are not asked for some time.
+// shuns are the homes that are not asked for some time.
 type shuns struct {
 	mu     sync.Mutex
-	byHost map[string]shun
+	byHost map[shunned]shun
 }
 
+// shunned is a host, or one partition at it.
+type shunned struct {
+	host string
+	part int
+}
+
+// wholeHost stands for all partitions of a host.
+const wholeHost = -1
+
 type shun struct {
 	until time.Time
 	pause time.Duration
 }
 
-// isShunned says whether a host is not to be asked now.
-func (s *shuns) isShunned(host string, now time.Time) bool {
+// isShunned says whether a host is not to be asked for a partition now.
+func (s *shuns) isShunned(host string, part int, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Before(s.byHost[host].until)
+	return now.Before(s.byHost[shunned{host, wholeHost}].until) || now.Before(s.byHost[shunned{host, part}].until)
 }
 
-// add leaves a host alone, twice as long as the time before.
-func (s *shuns) add(host string, now time.Time) time.Duration {
+// add leaves a host or a partition at it alone. most bounds for how long; each
+// time is twice the one before.
+func (s *shuns) add(host string, part int, most time.Duration, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.byHost == nil {
-		s.byHost = make(map[string]shun)
+		s.byHost = make(map[shunned]shun)
 	}
-	pause := min(max(2*s.byHost[host].pause, firstShun), maxShun)
-	s.byHost[host] = shun{until: now.Add(pause), pause: pause}
+	key := shunned{host, part}
+	pause := min(max(2*s.byHost[key].pause, firstShun), most)
+	s.byHost[key] = shun{until: now.Add(pause), pause: pause}
 	return pause
 }
 
-// remove notes that a host has answered.
-func (s *shuns) remove(host string) {
+// remove notes that a host has answered for a partition.
+func (s *shuns) remove(host string, part int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.byHost, host)
+	delete(s.byHost, shunned{host, wholeHost})
+	delete(s.byHost, shunned{host, part})
 }
 
 // reserveAtHome asks the program's home. It returns false if the home can't
 // tell, so that this host has to claim.
 func (s *Service) reserveAtHome(ctx context.Context, l *ledger, r port.LendRequest) (gateway.Reservation, error, bool) {
 	home, isOther := s.homeOf(l.partition.Part)
-	if !isOther || s.shuns.isShunned(home, time.Now()) {
+	if !isOther || s.shuns.isShunned(home, l.partition.Part, time.Now()) {
 		return nil, nil, false
 	}
 	answer, err := s.askHome(ctx, home, r)
 	if ctx.Err() != nil {
 		return nil, unknownBudget(r.Program, ctx.Err()), true
 	}
-	if err == nil && answer.Decision == port.LendAway {
-		err = errHomeAway
-	}
-	if err != nil {
+	part := l.partition.Part
+	if err != nil || answer.Decision == port.LendAway {
+		scope, most := wholeHost, maxShun
+		if err == nil {
+			scope, most, err = part, firstShun, errHomeAway
+		}
+		pause := s.shuns.add(home, scope, most, time.Now())
 		s.metrics.homeFailures.Inc(1)
-		s.log.Info("Home is left alone.", "host", home, "for", s.shuns.add(home, time.Now()).String(), "cause", err.Error())
+		s.log.Info("Home is left alone.", "host", home, "partition", part, "for", pause.String(), "cause", err.Error())
 		return nil, nil, false
 	}
-	s.shuns.remove(home)
+	s.shuns.remove(home, part)
 	switch answer.Decision {
 	case port.LendBusy:
 		return nil, nil, false
@@ -131,7 +146,7 @@
 		}
 		if checks == suspectChecks {
 			// The log may be away; this host finds out while the home does.
-			s.reach.suspect()
+			s.use(s.part(r.Program)).reach.suspect()
 		}
 		if err := s.isThere(ctx, home); err != nil {
 			s.dropAnswer(home, answered)
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -50,8 +50,9 @@
 	// onTight is called when claims leave less of a budget than may be lent of
 	// it.
 	onTight func(port.BudgetNote)
-	// isHome says whether this host is the partition's home.
-	isHome func() bool
+	// isHome says whether this host is the partition's home, isReader whether it
+	// is to know what the partition holds.
+	isHome, isReader func() bool
 
 	mu       sync.Mutex
 	book     *budget.Book
@@ -76,19 +77,18 @@
 	usual time.Duration
 }
 
-func newLedger(shared port.SharedLog, p port.Partition, writer uint64, log logr.Logger, m *metrics, reach *reach, starting chan struct{}) *ledger {
-	return &ledger{
+func newLedger(shared port.SharedLog, p port.Partition, writer uint64, log logr.Logger, m *metrics, starting chan struct{}) *ledger {
+	l := &ledger{
 		shared:    shared,
 		partition: p,
 		writer:    writer,
 		log:       log,
 		metrics:   m,
 		wakeUp:    make(chan struct{}, 1),
-		reach:     reach,
+		reach:     newReach(log, p.Part),
 		reading:   make(chan struct{}, 1),
 		starting:  starting,
 		onTight:   func(port.BudgetNote) {},
-		isHome:    func() bool { return true },
 		book:      budget.NewBook(),
 		slices:    make(map[string]*slice),
 		releases:  make(map[string]*slice),
@@ -98,6 +98,9 @@
 		stopped:   make(map[string]time.Time),
 		verdicts:  make(map[uint64]budget.Verdict),
 	}
+	l.reach.returned = l.settleLoans
+	l.reach.isNeeded = l.isReturnNeeded
+	return l
 }
 
 func (l *ledger) wake() {
@@ -112,6 +115,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.isAway() {
+		l.reach.wake()
 		return errAway
 	}
 	l.queue = append(l.queue, w)
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -332,9 +332,29 @@
 	return &reservation{ledger: l, slice: s, most: r.Most}, true
 }
 
-// settleLoans claims what was lent, now that the log answers again. The caller
-// holds the lock.
+// isReturnNeeded says whether something is to be claimed as soon as the log
+// answers again.
+func (l *ledger) isReturnNeeded() bool {
+	if l.isReader() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.loans.Len() > 0 {
+		return true
+	}
+	for _, s := range l.slices {
+		if s.Lent > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// settleLoans claims what was lent, now that the log answers again.
 func (l *ledger) settleLoans() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for program, s := range l.slices {
 		if s.Lent == 0 {
 			continue
@@ -345,4 +365,5 @@
 		}
 	}
 	l.claimLoans()
+	l.wake()
 }
--- a/internal/spending/reach.go
+++ b/internal/spending/reach.go
@@ -10,11 +10,16 @@
 	"yuccausher/internal/tail"
 )
 
-// reach is whether the shared log answers this host's reads.
+// reach is whether the shared log answers this host's reads of a partition. A
+// log may be away in part.
 type reach struct {
-	log logr.Logger
-	// returned is called when the log answers again.
-	returned func()
+	log  logr.Logger
+	part int
+	// lost and returned are called when reads fail and when they succeed again.
+	lost, returned func()
+	// isNeeded says whether the host has to know of the return by itself. If not,
+	// it probes as turns come.
+	isNeeded func() bool
 	wakeUp   chan struct{}
 
 	mu sync.Mutex
@@ -25,8 +30,8 @@
 	isSuspect bool
 }
 
-func newReach(log logr.Logger, returned func()) *reach {
-	return &reach{log: log, returned: returned, wakeUp: make(chan struct{}, 1)}
+func newReach(log logr.Logger, part int) *reach {
+	return &reach{log: log, part: part, wakeUp: make(chan struct{}, 1)}
 }
 
 // isAway says whether the log does not even answer reads.
@@ -36,6 +41,14 @@
 	return !r.awaySince.IsZero()
 }
 
+// presume takes the log for away until it is read, as its other partitions are.
+func (r *reach) presume() {
+	r.mu.Lock()
+	r.awaySince = time.Now()
+	r.mu.Unlock()
+	r.wake()
+}
+
 // suspect makes the host probe the log, so that it knows of an outage before
 // turns meet it.
 func (r *reach) suspect() {
@@ -53,7 +66,7 @@
 }
 
 // observe takes what came of a read.
-func (r *reach) observe(part int, err error) {
+func (r *reach) observe(err error) {
 	r.mu.Lock()
 	since := r.awaySince
 	switch {
@@ -65,29 +78,36 @@
 	r.mu.Unlock()
 	switch {
 	case err == nil && !since.IsZero():
-		r.log.Info("Shared log answers again.", "partition", part, "away", time.Since(since).String())
+		r.log.Info("Shared log answers again.", "partition", r.part, "away", time.Since(since).String())
 		r.returned()
 	case err != nil && since.IsZero():
-		r.log.Info("Shared log is away.", "partition", part, "cause", err.Error())
+		r.log.Info("Shared log is away.", "partition", r.part, "cause", err.Error())
 		r.wake()
+		r.lost()
 	}
 }
 
 // watch probes the log while it is away or suspected to be.
 func (r *reach) watch(ctx context.Context, probe func(context.Context) error) {
+	pause := firstRetry
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.wakeUp:
 		}
-		pause := firstRetry
-		for ctx.Err() == nil && r.isProbeDue() {
-			if probe(ctx) != nil {
-				// The error was observed with the read.
-				tail.Sleep(ctx, pause)
-				pause = min(2*pause, maxRetry)
-			}
+		if !r.isProbeDue() {
+			continue
+		}
+		// An error is observed with the read.
+		if probe(ctx) == nil {
+			pause = firstRetry
+			continue
+		}
+		tail.Sleep(ctx, pause)
+		pause = min(2*pause, maxRetry)
+		if r.isNeeded() {
+			r.wake()
 		}
 	}
 }
--- a/internal/spending/reader.go
+++ b/internal/spending/reader.go
@@ -41,6 +41,9 @@
 	}
 }
 
+// probe reads a page.
+func (l *ledger) probe(ctx context.Context) error { return l.catchUp(ctx, 0) }
+
 func (l *ledger) position() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -54,13 +57,13 @@
 	page, err := l.shared.Read(ctx, l.partition, port.Range{From: l.position(), MaxBytes: pageBytes})
 	var failed *port.SharedLogError
 	if errors.As(err, &failed) && failed.Failure == port.LogTrimmed {
-		l.reach.observe(l.partition.Part, nil)
+		l.reach.observe(nil)
 		l.mu.Lock()
 		l.applied = failed.Oldest
 		l.mu.Unlock()
 		return failed.Oldest + 1, nil
 	}
-	l.reach.observe(l.partition.Part, err)
+	l.reach.observe(err)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -67,7 +67,6 @@
 	writer    uint64
 	ledgers   []*ledger
 	orders    orders
-	reach     *reach
 	retention time.Duration
 	log       logr.Logger
 	metrics   *metrics
@@ -86,47 +85,55 @@
 func New(p Params) *Service {
 	s := &Service{writer: rand.Uint64(), retention: p.Retention, log: p.Logger.WithName("spending"), lenders: p.Lenders}
 	s.metrics = newMetrics(p.Scope.SubScope("spending"))
-	s.reach = newReach(s.log, s.returned)
 	starting := make(chan struct{}, startReads)
 	for part := range p.Partitions {
-		l := newLedger(p.Log, port.Partition{Topic: topic, Part: part}, s.writer, s.log, s.metrics, s.reach, starting)
+		l := newLedger(p.Log, port.Partition{Topic: topic, Part: part}, s.writer, s.log, s.metrics, starting)
 		l.isHome = func() bool {
 			_, isOther := s.homeOf(part)
 			return !isOther
 		}
+		l.isReader = func() bool { return s.isReader(part) }
+		l.reach.lost = func() { s.suspectOthers(part) }
 		l.onTight = func(n port.BudgetNote) { s.tell(n, announcedAt) }
 		s.ledgers = append(s.ledgers, l)
 	}
 	return s
 }
 
-// returned settles what was lent while the log was away.
-func (s *Service) returned() {
-	for _, l := range s.ledgers {
-		l.mu.Lock()
-		l.settleLoans()
-		l.wake()
-		l.mu.Unlock()
+// suspectOthers makes the other partitions probe the log, so that the host
+// knows of an outage before turns meet it.
+func (s *Service) suspectOthers(away int) {
+	for part, l := range s.ledgers {
+		if part != away && l.isUsed.Load() {
+			l.reach.suspect()
+		}
 	}
 }
 
-// probe reads a page of a partition that is in use.
-func (s *Service) probe(ctx context.Context) error {
-	l := s.ledgers[0]
-	for _, other := range s.ledgers {
-		if other.isUsed.Load() {
-			l = other
-			break
+// isAway says whether all partitions in use are away.
+func (s *Service) isAway() bool {
+	isAway := false
+	for _, l := range s.ledgers {
+		if !l.isUsed.Load() {
+			continue
+		}
+		if !l.isAway() {
+			return false
 		}
+		isAway = true
 	}
-	return l.catchUp(ctx, 0)
+	return isAway
 }
 
 // use returns the ledger of a partition, which works from its first use on.
 func (s *Service) use(part int) *ledger {
 	l := s.ledgers[part]
 	l.starts.Do(func() {
+		if s.isAway() {
+			l.reach.presume()
+		}
 		l.isUsed.Store(true)
+		s.done.Go(func() { l.reach.watch(s.ctx, l.probe) })
 		s.done.Go(func() { l.readAll(s.ctx) })
 		s.done.Go(func() { l.run(s.ctx) })
 		s.done.Go(func() { l.keepLoans(s.ctx) })
@@ -138,7 +145,6 @@
 func (s *Service) Start(context.Context) error {
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.log.Info("Spending is up.", "writer", s.writer, "partitions", len(s.ledgers))
-	s.done.Go(func() { s.reach.watch(s.ctx, s.probe) })
 	s.done.Go(func() { s.readParts(s.ctx) })
 	s.done.Go(func() { s.sweep(s.ctx) })
 	return nil
@@ -171,8 +177,10 @@
 	if !s.loans.isolated.Load() {
 		return false
 	}
-	if s.reach.isAway() {
-		return true
+	for _, l := range s.ledgers {
+		if l.isAway() {
+			return true
+		}
 	}
 	s.loans.isolated.Store(false)
 	return false
