fleet: a program's first target is in the host's data centre

The first home is the first of the program's order in the host's own data centre; it is compared with the first two of all, where a program whose near target is slow is met by its turns from other data centres.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -260,7 +260,7 @@
 	}
 	var best *Target
 	least := 0.0
-	for rank, t := range rendezvous.Order(r.Affinity, open, targetID)[:min(homes, len(open))] {
+	for rank, t := range f.homesOf(r.Affinity, open) {
 		c := t.cost(now)
 		if rank > 0 {
 			c += missCost
@@ -272,6 +272,20 @@
 	return best
 }
 
+// homesOf returns the targets that are compared for a program: the first one in
+// the host's own data centre, and the first ones of all, which hosts of all data
+// centres compare.
+func (f *Fleet) homesOf(affinity string, open []*Target) []*Target {
+	order := rendezvous.Order(affinity, open, targetID)
+	homes := order[:min(homes, len(order))]
+	near := slices.IndexFunc(order, func(t *Target) bool { return t.DataCentre == f.dataCentre })
+	if near <= 0 {
+		return homes
+	}
+	rest := slices.DeleteFunc(slices.Clone(homes), func(t *Target) bool { return t == order[near] })
+	return append([]*Target{order[near]}, rest...)
+}
+
 func targetID(t *Target) string { return t.ID }
 
 // least returns the target with the fewest of this host's requests, and of
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -197,3 +198,58 @@
 		c.End(start, Answered, 0)
 	}
 }
+
+// Programs mostly come through hosts of one data centre. Each host that kept
+// connections to all targets of four data centres opened 112 of them on quiet-1
+// of the grown rounds site, where they are dear.
+func TestProgramsStayInTheDataCentreWhileItIsIdle(t *testing.T) {
+	is := is.New(t)
+	f := New("here", 1)
+	for i := range 12 {
+		m := member(fmt.Sprintf("t%d", i))
+		if i >= 3 {
+			m.DataCentre = "there"
+		}
+		f.Put(m)
+	}
+	for i := range 60 {
+		c := f.Choose(Request{Service: "s", Affinity: fmt.Sprint("program", i)}, start)
+		is.Equal(c.DataCentre, "here")
+		c.Began()
+		c.End(start.Add(40*time.Millisecond), Answered, 40*time.Millisecond)
+	}
+}
+
+// A program whose near target is slow goes where hosts of other data centres
+// send it as well, so that its prompt is found again.
+func TestProgramsMeetAtTheSameTargetWhenTheirNearOnesAreSlow(t *testing.T) {
+	is := is.New(t)
+	hosts := []*Fleet{New("here", 1), New("there", 2)}
+	for _, f := range hosts {
+		for i := range 12 {
+			m := member(fmt.Sprintf("t%d", i))
+			m.DataCentre = []string{"here", "there", "beyond"}[i%3]
+			f.Put(m)
+		}
+		for _, m := range f.Members() {
+			first := 40 * time.Millisecond
+			if m.DataCentre == f.dataCentre {
+				first = time.Second
+			}
+			others := f.IDs()
+			others = slices.DeleteFunc(others, func(id string) bool { return id == m.ID })
+			for range 40 {
+				f.Choose(Request{Service: "s", Exclude: others}, start).End(start, Answered, first)
+			}
+		}
+	}
+	same := 0
+	for i := range 60 {
+		r := Request{Service: "s", Affinity: fmt.Sprint("program", i)}
+		if hosts[0].Choose(r, start).ID == hosts[1].Choose(r, start).ID {
+			same++
+		}
+	}
+	// Two homes of twelve are in a data centre's four each: a third is slow.
+	is.True(same >= 20)
+}
