--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -199,6 +199,16 @@
 	}
 }
 
+// observeAll lets each target answer some requests in its time.
+func (f *Fleet) observeAll(first func(Member) time.Duration) {
+	for _, m := range f.Members() {
+		others := slices.DeleteFunc(f.IDs(), func(id string) bool { return id == m.ID })
+		for range 40 {
+			f.Choose(Request{Service: "s", Exclude: others}, start).End(start, Answered, first(m))
+		}
+	}
+}
+
 // Programs mostly come through hosts of one data centre. Each host that kept
 // connections to all targets of four data centres opened 112 of them on quiet-1
 // of the grown rounds site, where they are dear.
@@ -212,6 +222,7 @@
 		}
 		f.Put(m)
 	}
+	f.observeAll(func(Member) time.Duration { return 40 * time.Millisecond })
 	for i := range 60 {
 		c := f.Choose(Request{Service: "s", Affinity: fmt.Sprint("program", i)}, start)
 		is.Equal(c.DataCentre, "here")
@@ -231,17 +242,12 @@
 			m.DataCentre = []string{"here", "there", "beyond"}[i%3]
 			f.Put(m)
 		}
-		for _, m := range f.Members() {
-			first := 40 * time.Millisecond
+		f.observeAll(func(m Member) time.Duration {
 			if m.DataCentre == f.dataCentre {
-				first = time.Second
-			}
-			others := f.IDs()
-			others = slices.DeleteFunc(others, func(id string) bool { return id == m.ID })
-			for range 40 {
-				f.Choose(Request{Service: "s", Exclude: others}, start).End(start, Answered, first)
+				return time.Second
 			}
-		}
+			return 40 * time.Millisecond
+		})
 	}
 	same := 0
 	for i := range 60 {
