--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -219,6 +219,10 @@
 	// missCost is what reading a prompt again costs at any but the first home,
 	// in seconds: some 3,000 tokens.
 	missCost = 0.015
+	// farCost is what a target in another data centre costs on top, in seconds: a
+	// few milliseconds on the way, and a connection that is seldom used again. It
+	// is small against the waits at a busy target.
+	farCost = 0.02
 	// slowFactor is how much slower than the median a plain target may be
 	// before others go first. The times of single requests differ by as much.
 	slowFactor = 4.0
@@ -265,6 +269,9 @@
 		if rank > 0 {
 			c += missCost
 		}
+		if t.DataCentre != f.dataCentre {
+			c += farCost
+		}
 		if best == nil || c < least {
 			best, least = t, c
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -106,22 +106,24 @@
 func (p *Pool) take(target Target, maxIdle time.Duration) *Conn {
 	now := time.Now()
 	for {
-		c := p.pop(target)
+		c := p.pop(target, now.Add(-maxIdle))
 		if c == nil {
 			return nil
 		}
-		if now.Sub(c.idleSince) <= min(maxIdle, c.keep) && isQuiet(c.Conn) {
+		if now.Sub(c.idleSince) <= c.keep && isQuiet(c.Conn) {
 			return c
 		}
 		p.drop(c)
 	}
 }
 
-func (p *Pool) pop(target Target) *Conn {
+// pop takes the connection that was used last, if that was not before a time.
+// Requests that may wait longer can still use one that this one can't.
+func (p *Pool) pop(target Target, since time.Time) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[target]
-	if len(list) == 0 {
+	if len(list) == 0 || list[len(list)-1].idleSince.Before(since) {
 		return nil
 	}
 	c := list[len(list)-1]
