spending: that a partition is away for all is noted for that partition

Found by reading: the finding that no asked host reaches the log was kept for a second for all partitions, so that a host that reaches none could lend of a budget that others go on claiming, after one partition was away for all. The new test of it passes on the code before as well: hosts that reach the log claim such a loan at once. The stand-in of the store fails in part.

--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -41,6 +41,8 @@
 	// starts begins the ledger's work when it is first used.
 	starts sync.Once
 	isUsed atomic.Bool
+	// allAway is until when the partition counts as away for all hosts.
+	allAway atomic.Int64
 	// reading lets one read at a time move the book on.
 	reading chan struct{}
 	// loansDue says that loans of other hosts may have to be claimed.
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -53,8 +53,6 @@
 	mu      sync.Mutex
 	last    uint64
 	granted map[uint64]loan
-	// allAway is until when the log counts as away for all hosts.
-	allAway atomic.Int64
 	// helper is the host that has last reserved for this one.
 	helper atomic.Pointer[string]
 	// isolated says that no other host answered the last time.
@@ -76,7 +74,7 @@
 		return nil, cause
 	}
 	order := s.order(l.partition.Part)
-	if time.Now().UnixNano() > s.loans.allAway.Load() {
+	if time.Now().UnixNano() > l.allAway.Load() {
 		a := s.askForClaim(ctx, order, r)
 		if a.reservation != nil || a.err != nil {
 			return a.reservation, a.err
@@ -89,7 +87,7 @@
 		case a.busy > 0:
 			return nil, unknownBudget(r.Program, errors.Annotate(errBusy, cause.Error()))
 		}
-		s.loans.allAway.Store(time.Now().Add(allAwayFor).UnixNano())
+		l.allAway.Store(time.Now().Add(allAwayFor).UnixNano())
 	}
 	return s.askForLoan(ctx, l, order, r, cause)
 }
--- a/internal/spending/loans_test.go
+++ b/internal/spending/loans_test.go
@@ -11,36 +11,6 @@
 	"yuccausher/internal/standin/metastore"
 )
 
-// outage makes the store refuse all hosts and waits until they have noticed.
-func (f *fleet) outage() {
-	f.store.SetFaults(metastore.EveryHost, metastore.Faults{Refuse: true})
-	for i := range f.hosts {
-		_ = turn(f.hosts[i], fmt.Sprint("probe", i), 20000, 280, 70)
-	}
-	time.Sleep(500 * time.Millisecond)
-}
-
-// end makes the others lose a host, and the host lose the store.
-func (f *fleet) end(host string) {
-	f.cut.Store(host, true)
-	f.store.SetFaults(host, metastore.Faults{Refuse: true})
-}
-
-// runaway asks for turns at all hosts but those that have ended, and returns
-// how many tokens were handed out.
-func (f *fleet) runaway(budget, most int64) int64 {
-	var handed int64
-	for i, name := range f.names {
-		if f.isCut(name) {
-			continue
-		}
-		if turn(f.hosts[i], "runaway", budget, most, most) == nil {
-			handed += most
-		}
-	}
-	return handed
-}
-
 // A host lends while the store is away and ends before it could claim the loan.
 // Seen on a hunted day: 42 of 75 hosts lost power in an outage, and a program
 // got 874 tokens of 570 + 285.
@@ -154,3 +124,38 @@
 		}
 	})
 }
+
+// One partition is away for all hosts, and one host reaches none. What it learns
+// of the first says nothing about the others, where budgets are claimed.
+func TestPartitionThatIsAwaySaysNothingAboutOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4)
+		// A program whose lender is the host that is cut off, and one elsewhere.
+		const budget, most = 840, 280
+		cut, away := f.host(f.order("runaway")[0]), ""
+		for i := 0; away == "" || cut.part(away) == cut.part("runaway"); i++ {
+			away = fmt.Sprint("away", i)
+		}
+		f.store.SetFaults(f.order("runaway")[0], metastore.Faults{Refuse: true})
+		f.store.SetFaults(metastore.EveryHost, metastore.Faults{Refuse: true, Only: []int{cut.part(away)}})
+		var handed int64
+		for _, h := range f.hosts {
+			// All hosts know what they reach.
+			_ = turn(h, away, 20000, most, 70)
+		}
+		time.Sleep(500 * time.Millisecond)
+		run := func(h *Service, turns int) {
+			for range turns {
+				if turn(h, "runaway", budget, most, most) == nil {
+					handed += most
+				}
+			}
+		}
+		run(f.host(f.order("runaway")[1]), 2)
+		is.NoErr(turn(cut, away, 20000, most, 70))
+		run(cut, 1)
+		run(f.host(f.order("runaway")[2]), 2)
+		is.Equal(handed, int64(budget))
+	})
+}
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -25,6 +25,9 @@
 	Silent bool
 	// Delay is added to each call.
 	Delay time.Duration
+	// Only names the partitions of each topic that the three above befall; all
+	// if there are none.
+	Only []int
 	// LoseAnswers makes that many appends take effect without an answer.
 	LoseAnswers int
 	// Late makes that many appends hang and take effect when Flush is called.
@@ -207,6 +210,12 @@
 	c.store.calls++
 	every, own := c.store.faults[EveryHost], c.store.faults[c.host]
 	c.store.mu.Unlock()
+	if !every.befall(p) {
+		every = Faults{}
+	}
+	if !own.befall(p) {
+		own = Faults{}
+	}
 	switch {
 	case every.Refuse || own.Refuse:
 		return &port.SharedLogError{Op: op, Partition: p, Failure: port.LogRefused}
@@ -217,6 +226,10 @@
 	return c.pause(ctx, op, p, c.store.Latency/2+every.Delay+own.Delay)
 }
 
+func (f Faults) befall(p port.Partition) bool {
+	return len(f.Only) == 0 || slices.Contains(f.Only, p.Part)
+}
+
 func (c *Client) pause(ctx context.Context, op string, p port.Partition, d time.Duration) error {
 	if d <= 0 {
 		return nil
