--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -1,13 +1,13 @@
 // Package spending keeps programs within their budgets across all hosts. A
-// host claims a slice of a program's budget in the shared log before its first
-// turn and spends it without further calls; internal/core/budget decides which
-// claims hold.
+// slice of a program's budget is claimed in the shared log before its first turn,
+// by the home of the program's partition if that can be asked, and spent without
+// further calls; internal/core/budget decides which claims hold. While the log is
+// away, hosts lend to each other.
 package spending
 
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,8 +23,6 @@
 const (
 	// topic holds the claims.
 	topic = "spending"
-	// suspectPause is the least time between probes because reads are late.
-	suspectPause = 2 * time.Second
 	// startReads is how many partitions a host reads for the first time at once.
 	startReads = 2
 	// maxPatience is the longest wait for a claim: two calls to a store that is
@@ -115,52 +113,6 @@
 	return s
 }
 
-// suspectOthers makes the other partitions probe the log, so that the host
-// knows of an outage before turns meet it.
-func (s *Service) suspectOthers(away int) {
-	for part, l := range s.ledgers {
-		if part != away && l.isUsed.Load() {
-			l.reach.suspect()
-		}
-	}
-}
-
-// suspectLate makes the other partitions probe the log because a read takes long.
-// A log that is slow does not make the host probe again and again.
-func (s *Service) suspectLate(late int) {
-	now := time.Now().UnixNano()
-	last := s.suspectedAt.Load()
-	if now-last > int64(suspectPause) && s.suspectedAt.CompareAndSwap(last, now) {
-		s.suspectOthers(late)
-	}
-}
-
-// hastenOthers makes the host probe the partitions that are away, since one has
-// returned.
-func (s *Service) hastenOthers(returned int) {
-	for part, l := range s.ledgers {
-		if part != returned {
-			l.reach.hasten()
-		}
-	}
-}
-
-// isFollower says whether all partitions are away, as far as is known, and this
-// one is not the first of those in use.
-func (s *Service) isFollower(part int) bool {
-	first := slices.IndexFunc(s.ledgers, func(l *ledger) bool { return l.isUsed.Load() })
-	return part != first && s.isAway()
-}
-
-// isAway says whether a partition is away and none has answered since.
-func (s *Service) isAway() bool {
-	answered := s.answeredAt.Load()
-	return slices.ContainsFunc(s.ledgers, func(l *ledger) bool {
-		since := l.reach.since()
-		return !since.IsZero() && since.UnixNano() > answered
-	})
-}
-
 // use returns the ledger of a partition, which works from its first use on.
 func (s *Service) use(part int) *ledger {
 	l := s.ledgers[part]
