--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -48,11 +48,11 @@
 // errBusy says that other hosts reach the log, but could not claim in time.
 var errBusy = errors.New("other hosts could not claim")
 
-// loans are the reservations that other hosts hold of this one.
-type loans struct {
+// lending is what this host knows of reservations between hosts.
+type lending struct {
 	mu      sync.Mutex
 	last    uint64
-	granted map[uint64]loan
+	granted map[uint64]lentOut
 	// helper is the host that has last reserved for this one.
 	helper atomic.Pointer[string]
 	// isolated says that no other host answered the last time.
@@ -61,7 +61,8 @@
 	isLeaving atomic.Bool
 }
 
-type loan struct {
+// lentOut is a reservation that another host holds of this one.
+type lentOut struct {
 	reservation gateway.Reservation
 	most        int64
 	at          time.Time
@@ -79,7 +80,7 @@
 		if a.reservation != nil || a.err != nil {
 			return a.reservation, a.err
 		}
-		s.loans.isolated.Store(a.away+a.busy == 0)
+		s.lending.isolated.Store(a.away+a.busy == 0)
 		switch {
 		case a.away+a.busy == 0:
 			// A host that reaches nobody can't tell what the others lend.
@@ -127,7 +128,7 @@
 		case answer.Decision == port.LendBusy:
 			a.busy++
 		default:
-			s.loans.helper.Store(&host)
+			s.lending.helper.Store(&host)
 			a.reservation, a.err = s.decided(r, host, answer)
 			return a
 		}
@@ -137,7 +138,7 @@
 
 // helperFirst puts the host first that has last reserved for this one.
 func (s *Service) helperFirst(order []string) []string {
-	helper := s.loans.helper.Load()
+	helper := s.lending.helper.Load()
 	if helper == nil || !slices.Contains(order, *helper) {
 		return order
 	}
@@ -195,7 +196,7 @@
 
 // decided turns another host's answer into a reservation.
 func (s *Service) decided(r port.LendRequest, host string, answer port.LendAnswer) (gateway.Reservation, error) {
-	s.loans.isolated.Store(false)
+	s.lending.isolated.Store(false)
 	s.log.Info("Another host has decided.", "program", r.Program, "host", host, "granted", answer.Decision == port.LendGranted, "lent", r.MayLend)
 	if answer.Decision == port.LendSpent {
 		return nil, &gateway.BudgetSpentError{Program: r.Program, Budget: r.Budget}
@@ -233,7 +234,7 @@
 func (s *Service) Lend(ctx context.Context, r port.LendRequest) port.LendAnswer {
 	l := s.use(s.part(r.Program))
 	l.learn(r.Program, r.Loans)
-	if r.Patience > 0 && s.loans.isLeaving.Load() {
+	if r.Patience > 0 && s.lending.isLeaving.Load() {
 		// What it grants now could not be settled.
 		return port.LendAnswer{Decision: port.LendAway, Loans: l.loansOf(r.Program)}
 	}
@@ -261,17 +262,17 @@
 	s.metrics.lent.Inc(1)
 	return port.LendAnswer{
 		Decision:    port.LendGranted,
-		Reservation: s.loans.add(reservation, r.Most, time.Now()),
+		Reservation: s.lending.add(reservation, r.Most, time.Now()),
 		Loans:       l.loansOf(r.Program),
 	}
 }
 
 // add keeps a reservation of at most most tokens until it is settled.
-func (l *loans) add(r gateway.Reservation, most int64, now time.Time) uint64 {
+func (l *lending) add(r gateway.Reservation, most int64, now time.Time) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.granted == nil {
-		l.granted = make(map[uint64]loan)
+		l.granted = make(map[uint64]lentOut)
 	}
 	for id, old := range l.granted {
 		if now.Sub(old.at) > loanExpiry {
@@ -281,16 +282,16 @@
 		}
 	}
 	l.last++
-	l.granted[l.last] = loan{reservation: r, most: most, at: now}
+	l.granted[l.last] = lentOut{reservation: r, most: most, at: now}
 	return l.last
 }
 
 // SettleLoan implements port.Lender.
 func (s *Service) SettleLoan(reservation uint64, spent int64) {
-	s.loans.mu.Lock()
-	g, ok := s.loans.granted[reservation]
-	delete(s.loans.granted, reservation)
-	s.loans.mu.Unlock()
+	s.lending.mu.Lock()
+	g, ok := s.lending.granted[reservation]
+	delete(s.lending.granted, reservation)
+	s.lending.mu.Unlock()
 	if !ok {
 		return
 	}
@@ -328,12 +329,12 @@
 func (s *Service) mayLend(l *ledger) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.hasRead && !s.loans.isLeaving.Load()
+	return l.hasRead && !s.lending.isLeaving.Load()
 }
 
 // Leave makes the host lend nothing any more, since it will not be there to
 // claim what it lends.
-func (s *Service) Leave() { s.loans.isLeaving.Store(true) }
+func (s *Service) Leave() { s.lending.isLeaving.Store(true) }
 
 // loanOutcome is what came of asking for a loan.
 type loanOutcome int
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -73,7 +73,7 @@
 	log       logr.Logger
 	metrics   *metrics
 	lenders   port.Lenders
-	loans     loans
+	lending   lending
 	shuns     shuns
 	// answeredAt is when the log has last answered.
 	answeredAt atomic.Int64
@@ -162,7 +162,7 @@
 
 // IsIsolated says whether this host reaches neither the log nor another host.
 func (s *Service) IsIsolated() bool {
-	if !s.loans.isolated.Load() {
+	if !s.lending.isolated.Load() {
 		return false
 	}
 	for _, l := range s.ledgers {
@@ -170,7 +170,7 @@
 			return true
 		}
 	}
-	s.loans.isolated.Store(false)
+	s.lending.isolated.Store(false)
 	return false
 }
 
--- a/internal/spending/service_test.go
+++ b/internal/spending/service_test.go
@@ -257,7 +257,7 @@
 			is.True(!f.hosts[i%4].ledger("runaway").isAway())
 		}
 		is.True(handed <= 840)
-		is.Equal(len(f.hosts[0].loans.granted)+len(f.hosts[1].loans.granted), 0)
+		is.Equal(len(f.hosts[0].lending.granted)+len(f.hosts[1].lending.granted), 0)
 	})
 }
 
