--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,9 +19,8 @@
 const configurationWait = 2 * time.Second
 
 // targetPolls is how many times targets are read within the time in which
-// a leaving target must get no more requests. A read that fails is repeated
-// well within it.
-const targetPolls = 2
+// a leaving target must get no more requests.
+const targetPolls = 3
 
 // Params are what a follower is built from.
 type Params struct {
