--- a/internal/core/route/holder.go
+++ b/internal/core/route/holder.go
@@ -1,23 +1,9 @@
 package route
 
-import "sync/atomic"
+import "yuccausher/internal/core/versioned"
 
-// Holder keeps the table in force. Reads are lock-free; a version never goes
-// down.
-type Holder struct{ current atomic.Pointer[Table] }
+// Holder keeps the table in force.
+type Holder = versioned.Holder[Table, *Table]
 
-// Current returns the table in force, or nil before the first.
-func (h *Holder) Current() *Table { return h.current.Load() }
-
-// Offer puts a table in force if it is newer, and says whether it did.
-func (h *Holder) Offer(t *Table) bool {
-	for {
-		old := h.current.Load()
-		if old != nil && old.Version >= t.Version {
-			return false
-		}
-		if h.current.CompareAndSwap(old, t) {
-			return true
-		}
-	}
-}
+// Number returns the table's version.
+func (t *Table) Number() int64 { return t.Version }
