--- a/internal/spending/order.go
+++ b/internal/spending/order.go
@@ -7,8 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"yuccausher/internal/core/partition"
 	"yuccausher/internal/core/rendezvous"
 )
 
@@ -47,7 +46,7 @@
 // part returns the partition that holds the claims of a program. All hosts must
 // agree on the number of partitions.
 func (s *Service) part(program string) int {
-	return int(xxhash.Sum64String(program) % uint64(len(s.ledgers)))
+	return int(partition.OfKey(program, uint32(len(s.ledgers))))
 }
 
 // order returns the hosts in the order in which they claim and lend for the
