spending, budgetrpc: first reads stand with the reader, names say what they hold

readAll moved from writer.go to reader.go, unchanged. askPatiently asks lenders as well as homes, so that its parameter is a host. No behaviour changes.

--- a/internal/adapter/budgetrpc/client.go
+++ b/internal/adapter/budgetrpc/client.go
@@ -92,13 +92,12 @@
 	}
 	defer conn.Close()
 	reply, err := spending.NewDRPCBudgetsClient(conn).Reserve(ctx, &spending.ReserveRequest{
-		Program: []byte(r.Program),
-		Budget:  r.Budget,
-		Most:    r.Most,
-		Claimed: r.Claimed,
-		MayLend: r.MayLend,
-		Loans:   encodeLoans(r.Loans),
-
+		Program:    []byte(r.Program),
+		Budget:     r.Budget,
+		Most:       r.Most,
+		Claimed:    r.Claimed,
+		MayLend:    r.MayLend,
+		Loans:      encodeLoans(r.Loans),
 		PatienceMs: r.Patience.Milliseconds(),
 	})
 	if err != nil {
--- a/internal/spending/home.go
+++ b/internal/spending/home.go
@@ -116,22 +116,22 @@
 	return g, err, true
 }
 
-// homeAnswer is what came of a question to a home.
-type homeAnswer struct {
+// lateAnswer is an answer that may come after its asker has gone on.
+type lateAnswer struct {
 	answer port.LendAnswer
 	err    error
 }
 
 // askPatiently asks a host and waits for as long as it is there: it may have to
 // claim in a log that is slow.
-func (s *Service) askPatiently(ctx context.Context, home string, r port.LendRequest) (port.LendAnswer, error) {
+func (s *Service) askPatiently(ctx context.Context, host string, r port.LendRequest) (port.LendAnswer, error) {
 	askCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.Patience = maxPatience
-	answered := make(chan homeAnswer, 1)
+	answered := make(chan lateAnswer, 1)
 	s.done.Go(func() {
-		answer, err := s.lenders.Reserve(askCtx, home, r)
-		answered <- homeAnswer{answer: answer, err: err}
+		answer, err := s.lenders.Reserve(askCtx, host, r)
+		answered <- lateAnswer{answer: answer, err: err}
 	})
 	timer := time.NewTimer(homeTimeout)
 	defer timer.Stop()
@@ -140,16 +140,16 @@
 		case a := <-answered:
 			return a.answer, a.err
 		case <-ctx.Done():
-			s.dropAnswer(home, answered)
+			s.dropAnswer(host, answered)
 			return port.LendAnswer{}, ctx.Err()
 		case <-timer.C:
 		}
 		if checks == suspectChecks {
-			// The log may be away; this host finds out while the home does.
+			// The log may be away; this host finds out while the other does.
 			s.use(s.part(r.Program)).reach.suspect()
 		}
-		if err := s.isThere(ctx, home); err != nil {
-			s.dropAnswer(home, answered)
+		if err := s.isThere(ctx, host); err != nil {
+			s.dropAnswer(host, answered)
 			return port.LendAnswer{}, err
 		}
 		timer.Reset(2 * homeTimeout)
@@ -164,11 +164,11 @@
 }
 
 // dropAnswer returns a reservation that comes too late to be used.
-func (s *Service) dropAnswer(home string, answered <-chan homeAnswer) {
+func (s *Service) dropAnswer(host string, answered <-chan lateAnswer) {
 	s.done.Go(func() {
 		a := <-answered
 		if a.err == nil && a.answer.Decision == port.LendGranted {
-			(&borrowed{service: s, host: home, id: a.answer.Reservation}).End()
+			(&borrowed{service: s, host: host, id: a.answer.Reservation}).End()
 		}
 	})
 }
--- a/internal/spending/reader.go
+++ b/internal/spending/reader.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/juju/errors"
 
 	"yuccausher/internal/core/budget"
 	"yuccausher/internal/port"
+	"yuccausher/internal/tail"
 )
 
 // readTimeout bounds a read of the log: one that is 60 times slower than usual
@@ -24,6 +26,28 @@
 // Mbit/s and out of the store's 80 MB/s for all hosts.
 const pageBytes = 32 << 10
 
+// readAll reads the whole partition for the first time. A host does so for a few
+// partitions at a time.
+func (l *ledger) readAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		// While it is away, the partition is probed elsewhere.
+		if !l.isAway() && l.readFirst(ctx) == nil {
+			return
+		}
+		tail.Sleep(ctx, maxRetry)
+	}
+}
+
+func (l *ledger) readFirst(ctx context.Context) error {
+	select {
+	case l.starting <- struct{}{}:
+		defer func() { <-l.starting }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return l.catchUp(ctx, math.MaxInt64)
+}
+
 // catchUp reads the log up to an offset, once at least.
 func (l *ledger) catchUp(ctx context.Context, to int64) error {
 	select {
--- a/internal/spending/writer.go
+++ b/internal/spending/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -67,28 +66,6 @@
 	}
 }
 
-// readAll reads the whole partition for the first time. A host does so for a few
-// partitions at a time.
-func (l *ledger) readAll(ctx context.Context) {
-	for ctx.Err() == nil {
-		// While it is away, the partition is probed elsewhere.
-		if !l.isAway() && l.readFirst(ctx) == nil {
-			return
-		}
-		tail.Sleep(ctx, maxRetry)
-	}
-}
-
-func (l *ledger) readFirst(ctx context.Context) error {
-	select {
-	case l.starting <- struct{}{}:
-		defer func() { <-l.starting }()
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	return l.catchUp(ctx, math.MaxInt64)
-}
-
 // fly writes a batch of claims and answers the turns that wait for them.
 func (l *ledger) fly(ctx context.Context, batch []*pending) {
 	started := time.Now()
