--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // mode is what a proxy does to the bytes that pass it.
@@ -103,7 +106,7 @@
 		}
 		if err != nil {
 			p.hold(isAnswer)
-			if tcp, ok := to.(*net.TCPConn); ok && isEnd(err) {
+			if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
 				_ = tcp.CloseWrite()
 				return
 			}
@@ -113,8 +116,6 @@
 	}
 }
 
-func isEnd(err error) bool { return err.Error() == "EOF" }
-
 // hold waits for as long as the proxy's mode asks.
 func (p *proxy) hold(isAnswer bool) {
 	for {
