fleet: targets that have not answered yet do not make others slow

Cause: the order of plain targets puts those last that are four times slower than the median, and the median was taken over all targets, at the assumed 20 ms for those that had not answered. At low load a host uses a few of them, whose requests take 50 to 200 ms: each that had answered counted as slow, so that the host went on to the next unknown one and opened a connection there.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -300,10 +300,10 @@
 // targets while its load is low, which spares connections, and hosts differ in
 // the targets that they keep to.
 func (f *Fleet) least(open []*Target, now time.Time) *Target {
-	slow := slowFactor * medianCost(open, now)
+	median := medianLatency(open)
 	return slices.MinFunc(open, func(a, b *Target) int {
 		return cmp.Or(
-			compareBool(a.restingCost(now) > slow, b.restingCost(now) > slow),
+			compareBool(a.isSlow(now, median), b.isSlow(now, median)),
 			cmp.Compare(a.inFlight, b.inFlight),
 			compareBool(a.DataCentre != f.dataCentre, b.DataCentre != f.dataCentre),
 			cmp.Compare(f.rank(a), f.rank(b)),
@@ -324,13 +324,21 @@
 	return 1
 }
 
-func medianCost(targets []*Target, now time.Time) float64 {
-	costs := make([]float64, len(targets))
-	for i, t := range targets {
-		costs[i] = t.restingCost(now)
+// medianLatency is the median of the targets' mean latencies, in seconds. Targets
+// that have not answered yet are left out: with their assumed latency, the few that
+// a host uses at low load would all count as slow. Zero if none has answered.
+func medianLatency(targets []*Target) float64 {
+	known := make([]float64, 0, len(targets))
+	for _, t := range targets {
+		if t.latency > 0 {
+			known = append(known, t.latency)
+		}
+	}
+	if len(known) == 0 {
+		return 0
 	}
-	slices.Sort(costs)
-	return costs[len(costs)/2]
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
 }
 
 // Count returns how many targets of a service may be chosen.
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -87,12 +87,27 @@
 		halvings := float64(age) / float64(staleAfter)
 		latency = initialLatency + (latency-initialLatency)/(1+halvings)
 	}
-	if len(t.waiting) > 0 {
-		// A request that waits tells sooner than its answer will that the
-		// target has become slow.
-		latency = max(latency, now.Sub(t.waiting[0]).Seconds())
+	// A request that waits tells sooner than its answer will that the target has
+	// become slow.
+	return max(latency, t.longestWait(now)) * (1 + brokenCost*t.broken)
+}
+
+// longestWait is how long the oldest request waits that has had no answer, in
+// seconds.
+func (t *Target) longestWait(now time.Time) float64 {
+	if len(t.waiting) == 0 {
+		return 0
+	}
+	return now.Sub(t.waiting[0]).Seconds()
+}
+
+// isSlow says whether a plain target is much slower than the median of those that
+// have answered, in seconds. One that is not known yet is not slow.
+func (t *Target) isSlow(now time.Time, median float64) bool {
+	if median == 0 || t.latency == 0 && t.longestWait(now) <= initialLatency {
+		return false
 	}
-	return latency * (1 + brokenCost*t.broken)
+	return t.restingCost(now) > slowFactor*median
 }
 
 // cost is the expected time of a request at the target with what this host has
