quarantine: content that crashes targets is known to all hosts

A content that crashes each target that runs it comes again at any host, and each host sent it on, so that it crashed a target per request; the users' rules allow three repeats after the third crash.

Now a host whose request breaks off looks for the target 50 ms later; if that takes no connection, the content gets a mark, which travels in the host's own record. Three marks over all hosts quarantine the content. core/poison, which serve uses with two marks, counts them. A process that starts reads the records before it writes its own, and goes on showing its predecessor's marks.

Ruled out: a topic of its own (reads), calls to all hosts (75 a mark), two marks (a turn may meet two falling targets by chance).

--- a/internal/core/poison/registry.go
+++ b/internal/core/poison/registry.go
@@ -1,7 +1,8 @@
 // Package poison finds content that crashes the targets that run it. Every
 // request in flight on a target that crashes leaves a mark on its content's
-// fingerprint; content with two marks is quarantined. Content with one mark is
-// suspect and runs on one target at a time, and a whole answer clears it.
+// fingerprint; content with as many marks as the registry allows is quarantined.
+// Content with fewer is suspect and runs on one target at a time, and a whole
+// answer clears it.
 package poison
 
 import (
@@ -10,8 +11,9 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
-// maxCrashes is how many targets a content may crash.
-const maxCrashes = 2
+// DefaultCrashes is how many targets a content may crash: one crash may be the
+// target's own, two in a row seldom are.
+const DefaultCrashes = 2
 
 // capacity is how many fingerprints are remembered, suspects and quarantined
 // ones each. The least recently used are forgotten first.
@@ -41,16 +43,19 @@
 
 // Registry holds the marks. It is not safe for concurrent use.
 type Registry struct {
+	// crashes is how many marks quarantine a content.
+	crashes     int
 	suspects    *lru.Cache[uint64, []Mark]
 	quarantined *lru.Cache[uint64, struct{}]
 	running     flights
 }
 
-// NewRegistry returns an empty registry.
-func NewRegistry() *Registry {
+// NewRegistry returns an empty registry that quarantines content with a number
+// of marks.
+func NewRegistry(crashes int) *Registry {
 	suspects, _ := lru.New[uint64, []Mark](capacity)
 	quarantined, _ := lru.New[uint64, struct{}](capacity)
-	return &Registry{suspects: suspects, quarantined: quarantined, running: make(flights)}
+	return &Registry{crashes: crashes, suspects: suspects, quarantined: quarantined, running: make(flights)}
 }
 
 // Verdict returns how content may run.
@@ -76,7 +81,7 @@
 			return false
 		}
 	case Clean:
-		if r.running.others(fingerprint, target) >= maxCrashes {
+		if r.running.others(fingerprint, target) >= r.crashes {
 			return false
 		}
 	}
@@ -104,7 +109,7 @@
 		return false
 	}
 	marks = append(slices.Clip(marks), m)
-	if len(marks) < maxCrashes {
+	if len(marks) < r.crashes {
 		r.suspects.Add(m.Fingerprint, marks)
 		return false
 	}
@@ -122,6 +127,11 @@
 	return true
 }
 
+// Len returns how many contents are suspect and in quarantine.
+func (r *Registry) Len() (suspects, quarantined int) {
+	return r.suspects.Len(), r.quarantined.Len()
+}
+
 // Quarantined returns the fingerprints in quarantine, oldest first.
 func (r *Registry) Quarantined() []uint64 { return r.quarantined.Keys() }
 
--- a/internal/core/poison/registry_test.go
+++ b/internal/core/poison/registry_test.go
@@ -12,7 +12,7 @@
 
 func TestTwoCrashesQuarantine(t *testing.T) {
 	is := is.New(t)
-	r := NewRegistry()
+	r := NewRegistry(DefaultCrashes)
 	is.True(r.Begin(7, "a"))
 	is.True(!r.Crash(Mark{7, "a", 1}))
 	is.Equal(r.Verdict(7), Suspect)
@@ -28,7 +28,7 @@
 
 func TestWholeAnswerClears(t *testing.T) {
 	is := is.New(t)
-	r := NewRegistry()
+	r := NewRegistry(DefaultCrashes)
 	r.Crash(Mark{7, "a", 1})
 	is.True(r.Begin(7, "b"))
 	r.End(7, "b", true)
@@ -37,7 +37,7 @@
 
 func TestMarkThatComesBackCountsOnce(t *testing.T) {
 	is := is.New(t)
-	r := NewRegistry()
+	r := NewRegistry(DefaultCrashes)
 	m := Mark{7, "a", 1}
 	is.True(!r.Crash(m))
 	is.True(!r.Crash(m))
@@ -50,7 +50,7 @@
 // the hosts share their marks.
 func TestPoisonNeverTakesAThirdTarget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := NewRegistry()
+		r := NewRegistry(DefaultCrashes)
 		crashed := map[string]bool{}
 		flying := map[string]int{}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -15,7 +15,9 @@
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/port"
+	"yuccausher/internal/quarantine"
 	"yuccausher/internal/standin/metastore"
+	"yuccausher/internal/upstream"
 )
 
 const (
@@ -219,6 +221,10 @@
 }
 
 func newHosts(t *testing.T, store *metastore.Store, name string) *Hosts {
+	return newHostsWith(t, store, name, newCrashes())
+}
+
+func newHostsWith(t *testing.T, store *metastore.Store, name string, crashes *quarantine.Service) *Hosts {
 	t.Helper()
 	h := NewHosts(HostsParams{
 		Name:       name,
@@ -230,7 +236,8 @@
 			_, err := store.Client(name).Append(ctx, port.Partition{Topic: hostsTopic}, [][]byte{append(record, value...)})
 			return err
 		},
-		Logger: logr.Discard(),
+		Crashes: crashes,
+		Logger:  logr.Discard(),
 	})
 	if err := h.Start(context.Background()); err != nil {
 		t.Fatal(err)
@@ -266,3 +273,57 @@
 		is.NoErr(b.Stop(context.Background()))
 	})
 }
+
+// newCrashes returns a quarantine that finds each target crashed at which a
+// request breaks off.
+func newCrashes() *quarantine.Service {
+	return quarantine.New(quarantine.Params{
+		Probe:  func(context.Context, upstream.Target) error { return errors.New("connection refused") },
+		Logger: logr.Discard(),
+		Scope:  tally.NoopScope,
+	})
+}
+
+// Content that has crashed a target at each of three hosts is in quarantine at all
+// hosts before the time in which the users' rules allow repeats has passed twice,
+// and stays so at hosts that start again.
+func TestHostsShowEachOtherCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const content = uint64(7)
+		fingerprint := func() uint64 { return content }
+		store := metastore.New()
+		names := []string{"a", "b", "c", "d"}
+		crashes := make(map[string]*quarantine.Service)
+		hosts := make(map[string]*Hosts)
+		start := func(name string) {
+			crashes[name] = newCrashes()
+			hosts[name] = newHostsWith(t, store, name, crashes[name])
+		}
+		for _, name := range names {
+			start(name)
+		}
+		time.Sleep(2 * hostsPause)
+		for _, name := range names[:3] {
+			is.True(!crashes[name].Holds(fingerprint))
+			crashes[name].Broke(content, upstream.Target{ID: "t-" + name})
+			time.Sleep(time.Second)
+		}
+		time.Sleep(hostsPause + time.Second)
+		for _, name := range names {
+			is.True(crashes[name].Holds(fingerprint))
+		}
+		// All processes end without a word and start again.
+		for _, name := range names {
+			hosts[name].stop()
+			hosts[name].done.Wait()
+			start(name)
+		}
+		time.Sleep(2 * hostsPause)
+		for _, name := range names {
+			is.True(crashes[name].Holds(fingerprint))
+			is.NoErr(hosts[name].Stop(context.Background()))
+			is.NoErr(crashes[name].Stop(context.Background()))
+		}
+	})
+}
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
+	"yuccausher/internal/core/poison"
 	"yuccausher/internal/gen/spending"
 	"yuccausher/internal/port"
 )
@@ -38,8 +39,21 @@
 	DataCentre string
 	Stream     port.KeyedStream
 	// Put writes a record of the stream; an empty value removes the key.
-	Put    func(ctx context.Context, key string, value []byte) error
-	Logger logr.Logger
+	Put func(ctx context.Context, key string, value []byte) error
+	// Crashes are shown to the other hosts in this host's record.
+	Crashes Crashes
+	Logger  logr.Logger
+}
+
+// Crashes are the crashes of targets that hosts show each other.
+type Crashes interface {
+	// Marks returns those that this host shows; Changed tells of new ones.
+	Marks() []poison.Mark
+	Changed() <-chan struct{}
+	// Learn takes those of another host, Adopt those that an earlier process of
+	// this host has shown.
+	Learn(host string, marks []poison.Mark)
+	Adopt(marks []poison.Mark)
 }
 
 // Hosts keeps this host's record in the store and reads those of the others.
@@ -50,6 +64,12 @@
 	stop   context.CancelFunc
 	done   sync.WaitGroup
 
+	// isRead is closed when the hosts' records have been read for the first time.
+	// This host's record is written after that, so that it takes over what an
+	// earlier process has shown.
+	isRead    chan struct{}
+	firstRead sync.Once
+
 	mu   sync.Mutex
 	seen map[string]hostSeen
 }
@@ -63,7 +83,7 @@
 
 // NewHosts returns a directory of the hosts.
 func NewHosts(p HostsParams) *Hosts {
-	h := &Hosts{params: p, log: p.Logger.WithName("hosts"), seen: make(map[string]hostSeen)}
+	h := &Hosts{params: p, log: p.Logger.WithName("hosts"), seen: make(map[string]hostSeen), isRead: make(chan struct{})}
 	h.tail = &tail{stream: p.Stream, handler: h, pause: hostsPause, log: h.log}
 	return h
 }
@@ -89,22 +109,43 @@
 	return nil
 }
 
+// register renews this host's record, at once when it has seen a crash.
 func (h *Hosts) register(ctx context.Context) {
-	value, err := proto.Marshal(&spending.Host{Address: h.params.Address, DataCentre: h.params.DataCentre})
-	if err != nil {
-		h.log.Error(err, "The record can't be encoded.")
+	select {
+	case <-h.isRead:
+	case <-ctx.Done():
 		return
 	}
 	for ctx.Err() == nil {
-		pause := registerInterval
-		if err := h.params.Put(ctx, h.params.Name, value); err != nil {
-			pause = registerRetry
+		if err := h.put(ctx); err != nil {
 			h.log.V(1).Info("The record could not be written.", "cause", err.Error())
+			sleep(ctx, registerRetry)
+			continue
 		}
-		sleep(ctx, pause)
+		renew := time.NewTimer(registerInterval)
+		select {
+		case <-renew.C:
+		case <-h.params.Crashes.Changed():
+			// What follows soon goes into the same record.
+			sleep(ctx, registerRetry)
+		case <-ctx.Done():
+		}
+		renew.Stop()
 	}
 }
 
+func (h *Hosts) put(ctx context.Context) error {
+	m := &spending.Host{Address: h.params.Address, DataCentre: h.params.DataCentre}
+	for _, mark := range h.params.Crashes.Marks() {
+		m.Crashes = append(m.Crashes, &spending.Crash{Fingerprint: mark.Fingerprint, Target: mark.Target, SeenAt: uint64(mark.At)})
+	}
+	value, err := proto.Marshal(m)
+	if err != nil {
+		return errors.Annotate(err, "host record")
+	}
+	return h.params.Put(ctx, h.params.Name, value)
+}
+
 // Self returns this host's address.
 func (h *Hosts) Self() string { return h.params.Address }
 
@@ -135,10 +176,13 @@
 			delete(h.seen, name)
 		}
 	}
+	h.firstRead.Do(func() { close(h.isRead) })
 }
 
 func (h *Hosts) apply(r port.KeyedRecord) {
-	address, err := hostAddress(r.Value)
+	record, err := decodeHost(r.Value)
+	h.learn(r.Key, record.GetCrashes())
+	address := record.GetAddress()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	old, isKnown := h.seen[r.Key]
@@ -160,16 +204,28 @@
 	}
 }
 
-// hostAddress reads a host's record; a removed one gives no address.
-func hostAddress(value []byte) (string, error) {
-	if len(value) == 0 {
-		return "", nil
+// learn takes the crashes that a host shows.
+func (h *Hosts) learn(host string, crashes []*spending.Crash) {
+	marks := make([]poison.Mark, len(crashes))
+	for i, c := range crashes {
+		marks[i] = poison.Mark{Fingerprint: c.GetFingerprint(), Target: c.GetTarget(), At: int64(c.GetSeenAt())}
 	}
+	switch {
+	case len(marks) == 0:
+	case host == h.params.Name:
+		h.params.Crashes.Adopt(marks)
+	default:
+		h.params.Crashes.Learn(host, marks)
+	}
+}
+
+// decodeHost reads a host's record; a removed one is empty.
+func decodeHost(value []byte) (*spending.Host, error) {
 	var m spending.Host
 	if err := proto.Unmarshal(value, &m); err != nil {
-		return "", errors.Annotate(err, "host record")
+		return nil, errors.Annotate(err, "host record")
 	}
-	return m.Address, nil
+	return &m, nil
 }
 
 // read leaves out the hosts that have not renewed their records. While the
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 	"yuccausher/internal/follow"
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/port"
+	"yuccausher/internal/quarantine"
 	"yuccausher/internal/spending"
 	"yuccausher/internal/upstream"
 )
@@ -86,7 +87,7 @@
 	f.fx = fx.New(
 		fx.Supply(o),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newLenders, newSpending, newLending, newPool, newGateway, newServers),
+		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newLenders, newSpending, newLending, newPool, newQuarantine, newGateway, newServers),
 		fx.Provide(func() *route.Holder { return &route.Holder{} }),
 		fx.Populate(&f.servers),
 		fx.StartTimeout(startTimeout),
@@ -147,13 +148,14 @@
 	return f
 }
 
-func newHosts(lc fx.Lifecycle, o Options) *follow.Hosts {
+func newHosts(lc fx.Lifecycle, o Options, crashes *quarantine.Service) *follow.Hosts {
 	h := follow.NewHosts(follow.HostsParams{
 		Name:       o.HostName,
 		Address:    o.PeerAddress,
 		DataCentre: o.DataCentre,
 		Stream:     o.Platform.Hosts,
 		Put:        o.Platform.PutHost,
+		Crashes:    crashes,
 		Logger:     o.Logger,
 	})
 	lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
@@ -189,15 +191,35 @@
 	return p
 }
 
-func newGateway(o Options, f *follow.Follower, tables *route.Holder, targets *fleet.Fleet, pool *upstream.Pool, s *spending.Service, scope tally.Scope) *gateway.Gateway {
+func newQuarantine(lc fx.Lifecycle, o Options, pool *upstream.Pool, scope tally.Scope) *quarantine.Service {
+	q := quarantine.New(quarantine.Params{Probe: pool.Probe, Logger: o.Logger, Scope: scope})
+	lc.Append(fx.Hook{OnStop: q.Stop})
+	return q
+}
+
+type gatewayParams struct {
+	fx.In
+
+	Options    Options
+	Follower   *follow.Follower
+	Tables     *route.Holder
+	Fleet      *fleet.Fleet
+	Pool       *upstream.Pool
+	Spending   *spending.Service
+	Quarantine *quarantine.Service
+	Scope      tally.Scope
+}
+
+func newGateway(p gatewayParams) *gateway.Gateway {
 	return gateway.New(gateway.Params{
-		Protocol:      o.Platform.Protocol,
-		Tables:        tables,
-		Fleet:         targets,
-		Pool:          pool,
-		Budgets:       s,
-		TargetsReadAt: f.TargetsReadAt,
-		Log:           o.Logger,
-		Scope:         scope,
+		Protocol:      p.Options.Platform.Protocol,
+		Tables:        p.Tables,
+		Fleet:         p.Fleet,
+		Pool:          p.Pool,
+		Budgets:       p.Spending,
+		Quarantine:    p.Quarantine,
+		TargetsReadAt: p.Follower.TargetsReadAt,
+		Log:           p.Options.Logger,
+		Scope:         p.Scope,
 	})
 }
--- /dev/null
+++ b/internal/gateway/content.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"yuccausher/internal/core/fleet"
+)
+
+// noRetryAdvice leaves out when the caller may come back.
+const noRetryAdvice = -1
+
+// fingerprint names the content of the request, which is the same when a caller
+// sends it again. Requests without a body are told apart by their program.
+func (j *job) fingerprint() uint64 {
+	caller := j.body
+	if len(caller) == 0 {
+		caller = []byte(j.call.Program)
+	}
+	d := xxhash.New()
+	for _, part := range []string{j.r.Method, j.r.Host, j.r.RequestURI} {
+		// Writes to a digest don't fail.
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(caller)
+	return d.Sum64()
+}
+
+// refuseQuarantined gives the final answer of a request whose content has
+// crashed targets and has not run this time.
+func (j *job) refuseQuarantined() {
+	j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: noRetryAdvice})
+}
+
+// observeContent tells the quarantine what a dispatch says of the content.
+func (j *job) observeContent(ctx context.Context, choice *fleet.Choice, r result) {
+	switch {
+	case r == finished && j.outcome == "answered":
+		j.g.crashes.Answered(j.fingerprint, choice.ID)
+	case (r == unknown || r == cut) && ctx.Err() == nil && !isSilence(j.cause):
+		j.g.crashes.Broke(j.fingerprint(), connectionTarget(choice))
+	}
+}
+
+func isSilence(err error) bool {
+	var silent *SilentTargetError
+	return errors.As(err, &silent)
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -54,7 +54,9 @@
 			continue
 		}
 		j.target, j.choice = choice.ID, choice
-		switch j.dispatch(ctx, choice) {
+		r := j.dispatch(ctx, choice)
+		j.observeContent(ctx, choice, r)
+		switch r {
 		case finished:
 			return
 		case notRun:
@@ -96,7 +98,7 @@
 
 // mayRunAgain says whether another target may run the request.
 func (j *job) mayRunAgain(ctx context.Context) bool {
-	if ctx.Err() != nil || !j.route.IsIdempotent() {
+	if ctx.Err() != nil || !j.route.IsIdempotent() || j.g.crashes.Holds(j.fingerprint) {
 		return false
 	}
 	if j.route.Kind == route.Stream && j.events > 0 && j.lastEvent == "" {
@@ -238,9 +240,14 @@
 	}
 }
 
+// connectionTarget is the run of a target to which connections lead.
+func connectionTarget(c *fleet.Choice) upstream.Target {
+	return upstream.Target{ID: c.ID, Address: c.Address, StartedAt: c.StartedAt}
+}
+
 // connect returns a connection to the chosen target.
 func (j *job) connect(ctx context.Context, choice *fleet.Choice, fresh bool) (*upstream.Conn, error) {
-	target := upstream.Target{ID: choice.ID, Address: choice.Address, StartedAt: choice.StartedAt}
+	target := connectionTarget(choice)
 	if fresh {
 		return j.g.pool.Dial(ctx, target)
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -19,6 +19,7 @@
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/gateway"
+	"yuccausher/internal/quarantine"
 	"yuccausher/internal/standin/replica"
 	"yuccausher/internal/upstream"
 	"yuccausher/platform"
@@ -37,13 +38,15 @@
 
 // site is a gateway before stand-ins of targets.
 type site struct {
-	t        *testing.T
-	tables   *route.Holder
-	fleet    *fleet.Fleet
-	gateway  *gateway.Gateway
-	budgets  *budgets
-	server   *httptest.Server
-	replicas map[string]*replica.Replica
+	t       *testing.T
+	tables  *route.Holder
+	fleet   *fleet.Fleet
+	gateway *gateway.Gateway
+	budgets *budgets
+	// quarantine is the host's own; no other host tells it of crashes.
+	quarantine *quarantine.Service
+	server     *httptest.Server
+	replicas   map[string]*replica.Replica
 }
 
 func document() route.Document {
@@ -70,12 +73,14 @@
 	t.Helper()
 	s := &site{t: t, tables: &route.Holder{}, fleet: fleet.New("here", 1), budgets: &budgets{}, replicas: make(map[string]*replica.Replica)}
 	pool := upstream.NewPool(tally.NoopScope)
+	s.quarantine = quarantine.New(quarantine.Params{Probe: pool.Probe, Logger: logr.Discard(), Scope: tally.NoopScope})
 	s.gateway = gateway.New(gateway.Params{
 		Protocol:      platform.Headers{},
 		Tables:        s.tables,
 		Fleet:         s.fleet,
 		Pool:          pool,
 		Budgets:       s.budgets,
+		Quarantine:    s.quarantine,
 		TargetsReadAt: time.Now,
 		Log:           logr.Discard(),
 		Scope:         tally.NoopScope,
@@ -85,6 +90,7 @@
 	t.Cleanup(func() {
 		s.server.CloseClientConnections()
 		s.server.Close()
+		_ = s.quarantine.Stop(context.Background())
 		pool.Close()
 		for _, r := range s.replicas {
 			r.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,17 @@
 // Unwrap returns the cause.
 func (e *BudgetUnknownError) Unwrap() error { return e.Cause }
 
+// Quarantine knows content that crashes the targets that run it. The
+// fingerprint of a request is only asked for where some content is suspect.
+type Quarantine interface {
+	// Holds says whether content must not run any more.
+	Holds(fingerprint func() uint64) bool
+	// Answered says that a target has answered content whole.
+	Answered(fingerprint func() uint64, target string)
+	// Broke says that an answer broke off, as it does when a target crashes.
+	Broke(fingerprint uint64, target upstream.Target)
+}
+
 // Params are what a gateway is built from.
 type Params struct {
 	Protocol Protocol
@@ -61,6 +72,8 @@
 	Fleet    *fleet.Fleet
 	Pool     *upstream.Pool
 	Budgets  Budgets
+	// Quarantine keeps content away from targets that it would crash.
+	Quarantine Quarantine
 	// TargetsReadAt returns when the fleet was last brought up to date.
 	TargetsReadAt func() time.Time
 	Log           logr.Logger
@@ -74,6 +87,7 @@
 	fleet    *fleet.Fleet
 	pool     *upstream.Pool
 	budgets  Budgets
+	crashes  Quarantine
 	readAt   func() time.Time
 	log      logr.Logger
 	metrics  *metrics
@@ -93,6 +107,7 @@
 		fleet:    p.Fleet,
 		pool:     p.Pool,
 		budgets:  p.Budgets,
+		crashes:  p.Quarantine,
 		readAt:   p.TargetsReadAt,
 		log:      p.Log.WithName("gateway"),
 		metrics:  newMetrics(p.Scope.SubScope("gateway")),
@@ -164,6 +179,10 @@
 	j.setEventTokens(table)
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline())
 	defer cancel()
+	if j.g.crashes.Holds(j.fingerprint) {
+		j.refuseQuarantined()
+		return
+	}
 	if j.route.CarriesPrograms && j.call.Program != "" && j.call.HasBudget {
 		if !j.reserve(ctx) {
 			return
--- /dev/null
+++ b/internal/quarantine/service.go
@@ -0,0 +1,231 @@
+// Package quarantine keeps content that crashes the targets that run it away
+// from further targets, on all hosts together. A crash is a request that broke
+// off at a target that takes no connection shortly after; it leaves a mark on
+// the content of each request that was under way there. Hosts show each other
+// their marks; core/poison counts them.
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/core/poison"
+	"yuccausher/internal/upstream"
+)
+
+const (
+	// maxCrashes is how many targets a content may crash over all hosts. The
+	// users' rules count repeats from the third crash on. Two are not enough
+	// where targets fall in turn: a turn may meet both by chance.
+	maxCrashes = 3
+	// confirmAfter is when a target whose request broke off is looked for: a
+	// process that ends has closed its port by then.
+	confirmAfter = 50 * time.Millisecond
+	// confirmTimeout bounds the look.
+	confirmTimeout = time.Second
+	// markLife is how long a mark is shown to other hosts; each of those remembers
+	// it until it ends.
+	markLife = 10 * time.Minute
+	// maxShown bounds the marks that are shown, the newest ones: some 40 bytes
+	// each in the host's record.
+	maxShown = 64
+	// maxSeen bounds the marks that are known to have been taken: those of all
+	// hosts of a large site in one life of a mark.
+	maxSeen = 8192
+)
+
+// Params are what a service is built from.
+type Params struct {
+	// Probe says whether a target takes connections.
+	Probe  func(context.Context, upstream.Target) error
+	Logger logr.Logger
+	Scope  tally.Scope
+}
+
+// Service finds content that crashes targets. It is safe for concurrent use.
+type Service struct {
+	probe   func(context.Context, upstream.Target) error
+	log     logr.Logger
+	metrics metrics
+	changed chan struct{}
+	// suspects and held are the lengths of the registry, so that requests need
+	// not look while both are zero.
+	suspects, held atomic.Int64
+
+	ctx  context.Context
+	stop context.CancelFunc
+	done sync.WaitGroup
+
+	mu       sync.Mutex
+	registry *poison.Registry
+	// broken holds the contents that broke off at targets that are being looked
+	// for.
+	broken map[upstream.Target][]uint64
+	// seen are marks that were taken before: a whole answer may have cleared their
+	// content since.
+	seen *lru.Cache[poison.Mark, struct{}]
+	// own are the marks that this host shows, the oldest first.
+	own []poison.Mark
+}
+
+type metrics struct{ crashes, quarantined tally.Counter }
+
+// New returns a service.
+func New(p Params) *Service {
+	// The size is a valid one, so that there is no error.
+	seen, _ := lru.New[poison.Mark, struct{}](maxSeen)
+	scope := p.Scope.SubScope("quarantine")
+	ctx, stop := context.WithCancel(context.Background())
+	return &Service{
+		probe:    p.Probe,
+		log:      p.Logger.WithName("quarantine"),
+		metrics:  metrics{crashes: scope.Counter("crashes"), quarantined: scope.Counter("contents")},
+		changed:  make(chan struct{}, 1),
+		ctx:      ctx,
+		stop:     stop,
+		registry: poison.NewRegistry(maxCrashes),
+		seen:     seen,
+		broken:   make(map[upstream.Target][]uint64),
+	}
+}
+
+// Stop ends the looks for targets.
+func (s *Service) Stop(context.Context) error {
+	s.stop()
+	s.done.Wait()
+	return nil
+}
+
+// Holds says whether content is in quarantine. fingerprint is only called while
+// some content is.
+func (s *Service) Holds(fingerprint func() uint64) bool {
+	if s.held.Load() == 0 {
+		return false
+	}
+	f := fingerprint()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Verdict(f) == poison.Quarantined
+}
+
+// Answered clears content of suspicion. fingerprint is only called while some
+// content is suspect.
+func (s *Service) Answered(fingerprint func() uint64, target string) {
+	if s.suspects.Load() == 0 {
+		return
+	}
+	f := fingerprint()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.End(f, target, true)
+	s.count()
+}
+
+// Broke notes that a request broke off at a target. If the target turns out to
+// have crashed, the content is marked.
+func (s *Service) Broke(fingerprint uint64, target upstream.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isLookedFor := len(s.broken[target]) > 0
+	s.broken[target] = append(s.broken[target], fingerprint)
+	if !isLookedFor && s.ctx.Err() == nil {
+		s.done.Go(func() { s.confirm(target) })
+	}
+}
+
+// confirm looks for a target at which requests broke off.
+func (s *Service) confirm(target upstream.Target) {
+	timer := time.NewTimer(confirmAfter)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
+	defer cancel()
+	err := s.probe(ctx, target)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	contents := s.broken[target]
+	delete(s.broken, target)
+	if err == nil || s.ctx.Err() != nil {
+		return
+	}
+	s.metrics.crashes.Inc(1)
+	s.log.Info("Target has crashed.", "target", target.ID, "requests", len(contents), "cause", err.Error())
+	at := time.Now().UnixNano()
+	for _, f := range contents {
+		m := poison.Mark{Fingerprint: f, Target: target.ID, At: at}
+		s.own = append(s.own, m)
+		s.mark(m, "own")
+	}
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// mark takes a mark, once. The caller has the lock.
+func (s *Service) mark(m poison.Mark, host string) {
+	if isKnown, _ := s.seen.ContainsOrAdd(m, struct{}{}); isKnown {
+		return
+	}
+	if s.registry.Crash(m) {
+		s.metrics.quarantined.Inc(1)
+		s.log.Info("Content is quarantined.", "fingerprint", m.Fingerprint, "target", m.Target, "host", host, "crashes", maxCrashes)
+	}
+	s.count()
+}
+
+// count takes the lengths of the registry. The caller has the lock.
+func (s *Service) count() {
+	suspects, held := s.registry.Len()
+	s.suspects.Store(int64(suspects))
+	s.held.Store(int64(held))
+}
+
+// Changed tells that there are new marks to show.
+func (s *Service) Changed() <-chan struct{} { return s.changed }
+
+// Marks returns the marks that this host shows to others.
+func (s *Service) Marks() []poison.Mark {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.own = slices.DeleteFunc(s.own, isOld)
+	s.own = s.own[max(0, len(s.own)-maxShown):]
+	return slices.Clone(s.own)
+}
+
+// Learn takes the marks that another host shows.
+func (s *Service) Learn(host string, marks []poison.Mark) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range marks {
+		if !isOld(m) {
+			s.mark(m, host)
+		}
+	}
+}
+
+// Adopt takes the marks that an earlier process of this host has shown, and goes
+// on to show them.
+func (s *Service) Adopt(marks []poison.Mark) {
+	s.Learn("own", marks)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range marks {
+		if !slices.Contains(s.own, m) {
+			s.own = append(s.own, m)
+		}
+	}
+}
+
+func isOld(m poison.Mark) bool { return time.Since(time.Unix(0, m.At)) > markLife }
--- /dev/null
+++ b/internal/quarantine/service_test.go
@@ -0,0 +1,105 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/core/poison"
+	"yuccausher/internal/upstream"
+)
+
+const content = uint64(7)
+
+func fingerprint() uint64 { return content }
+
+func target(n int) upstream.Target { return upstream.Target{ID: fmt.Sprint("t", n)} }
+
+// newService returns a service before targets of which some are down.
+func newService(t *testing.T, down map[string]bool) *Service {
+	s := New(Params{
+		Probe: func(_ context.Context, t upstream.Target) error {
+			if down[t.ID] {
+				return errors.New("connection refused")
+			}
+			return nil
+		},
+		Logger: logr.Discard(),
+		Scope:  tally.NoopScope,
+	})
+	t.Cleanup(func() { _ = s.Stop(context.Background()) })
+	return s
+}
+
+func TestThirdCrashQuarantines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(t, map[string]bool{"t1": true, "t2": true, "t3": true})
+		for n := 1; n <= 3; n++ {
+			is.True(!s.Holds(fingerprint))
+			s.Broke(content, target(n))
+			time.Sleep(2 * confirmAfter)
+		}
+		is.True(s.Holds(fingerprint))
+		is.True(!s.Holds(func() uint64 { return content + 1 }))
+		is.Equal(len(s.Marks()), 3)
+		time.Sleep(markLife + time.Second)
+		is.Equal(len(s.Marks()), 0)
+	})
+}
+
+// Requests break off at targets that live, when these reset connections.
+func TestTargetsThatLiveLeaveNoMark(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(t, nil)
+		for n := range 9 {
+			s.Broke(content, target(n))
+			time.Sleep(2 * confirmAfter)
+		}
+		is.True(!s.Holds(fingerprint))
+		is.Equal(len(s.Marks()), 0)
+	})
+}
+
+// A whole answer shows that content was only there when targets crashed. What
+// other hosts go on showing does not count again.
+func TestWholeAnswerClears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(t, map[string]bool{"t3": true})
+		now := time.Now().UnixNano()
+		marks := []poison.Mark{{Fingerprint: content, Target: "t1", At: now}, {Fingerprint: content, Target: "t2", At: now}}
+		s.Learn("other", marks)
+		s.Answered(fingerprint, "t4")
+		s.Learn("other", marks)
+		s.Broke(content, target(3))
+		time.Sleep(2 * confirmAfter)
+		is.True(!s.Holds(fingerprint))
+		s.Learn("other", []poison.Mark{
+			{Fingerprint: content, Target: "t1", At: now + 1},
+			{Fingerprint: content, Target: "t2", At: now + 2},
+		})
+		is.True(s.Holds(fingerprint))
+	})
+}
+
+func TestMarksOfAnEarlierProcessAreShownAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(t, nil)
+		now := time.Now()
+		recent := poison.Mark{Fingerprint: content, Target: "t1", At: now.UnixNano()}
+		old := poison.Mark{Fingerprint: content, Target: "t2", At: now.Add(-markLife - time.Second).UnixNano()}
+		s.Adopt([]poison.Mark{recent, old})
+		s.Adopt([]poison.Mark{recent})
+		is.Equal(s.Marks(), []poison.Mark{recent})
+	})
+}
--- a/internal/sched/quarantine.go
+++ b/internal/sched/quarantine.go
@@ -17,7 +17,7 @@
 }
 
 func newQuarantine(onQuarantine func(uint64), onCrash func(poison.Mark)) *quarantine {
-	return &quarantine{onQuarantine: onQuarantine, onCrash: onCrash, registry: poison.NewRegistry()}
+	return &quarantine{onQuarantine: onQuarantine, onCrash: onCrash, registry: poison.NewRegistry(poison.DefaultCrashes)}
 }
 
 func (q *quarantine) verdict(fingerprint uint64) poison.Verdict {
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -51,6 +51,8 @@
 	HalfClosed
 	// Failing answers with a failure of its own.
 	Failing
+	// Crashing begins to run the request and takes the replica down.
+	Crashing
 )
 
 // Options set up a replica. Zero values mean no limits and no time.
@@ -144,7 +146,13 @@
 
 // Close crashes the replica: its connections are reset.
 func (r *Replica) Close() {
+	r.crash()
+	r.serving.Wait()
+}
+
+func (r *Replica) crash() {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if !r.isDown {
 		close(r.down)
 	}
@@ -153,8 +161,6 @@
 	for c := range r.conns {
 		reset(c)
 	}
-	r.mu.Unlock()
-	r.serving.Wait()
 }
 
 func reset(c net.Conn) {
@@ -234,6 +240,10 @@
 	if err != nil || x.fault == Early {
 		return err == nil
 	}
+	if x.fault == Crashing {
+		r.crash()
+		return false
+	}
 	if r.isAbandoned(x, reader) {
 		return false
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -147,9 +147,13 @@
 		c.pool.drop(c)
 		return
 	}
-	c.idleSince = time.Now()
 	c.clean = false
-	p := c.pool
+	c.pool.keep(c)
+}
+
+// keep takes an idle connection if there is room for it.
+func (p *Pool) keep(c *Conn) {
+	c.idleSince = time.Now()
 	p.mu.Lock()
 	list := p.idle[c.target]
 	full := len(list) >= maxIdlePerTarget
@@ -162,6 +166,17 @@
 	}
 }
 
+// Probe opens a connection to a target to see whether it is there, and keeps it
+// for a later request. Its error is a *DialError.
+func (p *Pool) Probe(ctx context.Context, target Target) error {
+	c, err := p.Dial(ctx, target)
+	if err != nil {
+		return err
+	}
+	p.keep(c)
+	return nil
+}
+
 func (c *Conn) isWritten() bool {
 	select {
 	case <-c.writing:
