--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -31,6 +31,8 @@
 	refusedBy []string
 	// ranAt lists the targets that may have begun to run the request.
 	ranAt []string
+	// ended counts those of ranAt that ended as they ran the request.
+	ended int
 	// unwatch ends the watch over the connection in use.
 	unwatch func()
 	// lastEvent is the last event that was handed to the caller.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,8 @@
 	staleConnections tally.Counter
 	// silentTargets counts targets that were left as no answer began.
 	silentTargets tally.Counter
+	// endedTargets counts targets that ended as they ran a request.
+	endedTargets tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -28,6 +30,7 @@
 		total:            scope.Histogram("request", latencyBuckets),
 		staleConnections: scope.Counter("stale_connections"),
 		silentTargets:    scope.Counter("silent_targets"),
+		endedTargets:     scope.Counter("ended_targets"),
 	}
 }
 
