--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -116,8 +116,8 @@
 // isSuspect says whether a plain target has failed a moment ago.
 func (t *Target) isSuspect(now time.Time) bool { return t.brokenShare(now) > suspectShare }
 
-// fails moves the share of failed answers to a value by a weight.
-func (t *Target) fails(now time.Time, to, gain float64) {
+// moveBroken moves the share of failed answers to a value by a weight.
+func (t *Target) moveBroken(now time.Time, to, gain float64) {
 	share := t.brokenShare(now)
 	t.broken, t.brokenAt = share+gain*(to-share), now
 }
@@ -197,14 +197,14 @@
 	switch o {
 	case Answered:
 		t.failures = 0
-		t.fails(now, 0, wholeGain)
+		t.moveBroken(now, 0, wholeGain)
 	case Full:
 		t.fullUntil = now.Add(fullPause)
 	case Failed:
 		t.failures = 0
-		t.fails(now, 1, brokenGain)
+		t.moveBroken(now, 1, brokenGain)
 	case Broken:
-		t.fails(now, 1, brokenGain)
+		t.moveBroken(now, 1, brokenGain)
 	case Unreachable:
 		t.fail(now)
 	case Replaced:
