gateway, quarantine: logs name the content that is held

A refusal of quarantined content had nothing in its line that leads to the crashes; now its cause, the line of the quarantine and those of the crashes name the same content.

--- a/internal/gateway/content.go
+++ b/internal/gateway/content.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -33,7 +34,20 @@
 // refuseQuarantined gives the final answer of a request whose content has
 // crashed targets and has not run this time.
 func (j *job) refuseQuarantined() {
-	j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: noRetryAdvice})
+	j.refuse(refusal{
+		status:     http.StatusServiceUnavailable,
+		reason:     "quarantined",
+		cause:      &QuarantinedError{Fingerprint: j.fingerprint()},
+		retryAfter: noRetryAdvice,
+	})
+}
+
+// QuarantinedError says that content has crashed targets and must not run.
+type QuarantinedError struct{ Fingerprint uint64 }
+
+// Error implements error.
+func (e *QuarantinedError) Error() string {
+	return "content " + strconv.FormatUint(e.Fingerprint, 16) + " has crashed targets"
 }
 
 // observeContent tells the quarantine what a dispatch says of the content.
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,9 @@
 	// maxShown bounds the marks that are shown, the newest ones: some 40 bytes
 	// each in the host's record.
 	maxShown = 64
+	// maxNamed bounds the contents that a line of the log names: more than an engine
+	// of today runs at once.
+	maxNamed = 16
 	// maxSeen bounds the marks that are known to have been taken: those of all
 	// hosts of a large site in one life of a mark.
 	maxSeen = 8192
@@ -160,7 +164,7 @@
 		return
 	}
 	s.metrics.crashes.Inc(1)
-	s.log.Info("Target has crashed.", "target", target.ID, "requests", len(contents), "cause", err.Error())
+	s.log.Info("Target has crashed.", "target", target.ID, "requests", len(contents), "contents", names(contents), "cause", err.Error())
 	at := time.Now().UnixNano()
 	for _, f := range contents {
 		m := poison.Mark{Fingerprint: f, Target: target.ID, At: at}
@@ -173,6 +177,18 @@
 	}
 }
 
+// name is how logs show a fingerprint.
+func name(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
+// names returns the names of the first few contents.
+func names(contents []uint64) []string {
+	list := make([]string, 0, maxNamed)
+	for _, f := range contents[:min(len(contents), maxNamed)] {
+		list = append(list, name(f))
+	}
+	return list
+}
+
 // mark takes a mark, once. The caller has the lock.
 func (s *Service) mark(m poison.Mark, host string) {
 	if isKnown, _ := s.seen.ContainsOrAdd(m, struct{}{}); isKnown {
@@ -180,7 +196,7 @@
 	}
 	if s.registry.Crash(m) {
 		s.metrics.quarantined.Inc(1)
-		s.log.Info("Content is quarantined.", "fingerprint", m.Fingerprint, "target", m.Target, "host", host, "crashes", maxCrashes)
+		s.log.Info("Content is quarantined.", "content", name(m.Fingerprint), "target", m.Target, "host", host, "crashes", maxCrashes)
 	}
 	s.count()
 }
