--- a/internal/core/poison/registry.go
+++ b/internal/core/poison/registry.go
@@ -94,10 +94,17 @@
 func (r *Registry) End(fingerprint uint64, target string, whole bool) {
 	r.running.remove(fingerprint, target)
 	if whole {
-		r.suspects.Remove(fingerprint)
+		r.Clear(fingerprint)
 	}
 }
 
+// Clear drops the marks of suspect content and returns how many there were.
+func (r *Registry) Clear(fingerprint uint64) int {
+	marks, _ := r.suspects.Peek(fingerprint)
+	r.suspects.Remove(fingerprint)
+	return len(marks)
+}
+
 // Crash records a mark, own or another host's, and returns true if it
 // quarantines the content.
 func (r *Registry) Crash(m Mark) bool {
--- a/internal/gateway/content.go
+++ b/internal/gateway/content.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/fault"
 )
 
 // noRetryAdvice leaves out when the caller may come back.
@@ -57,6 +58,11 @@
 		j.g.crashes.Answered(j.fingerprint, choice.ID)
 	case (r == unknown || r == cut) && ctx.Err() == nil && !isSilence(j.cause):
 		j.g.crashes.Broke(j.fingerprint(), connectionTarget(choice))
+	case r == unknown || r == cut:
+		j.g.metrics.unexplainedEnds.Inc(1)
+		j.g.log.Info("Request ended at its target without an answer, and the target is not looked for.",
+			"request", j.call.RequestID, "content", strconv.FormatUint(j.fingerprint(), 16), "target", choice.ID, "started_at", choice.StartedAt,
+			"events", j.events, "caller_gone", j.r.Context().Err() != nil, "time_up", errors.Is(ctx.Err(), context.DeadlineExceeded), "cause", fault.Text(j.cause))
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,9 @@
 	silentTargets tally.Counter
 	// endedTargets counts targets that ended as they ran a request.
 	endedTargets tally.Counter
+	// unexplainedEnds counts requests that ended at a target without an answer and
+	// without a look for the target.
+	unexplainedEnds tally.Counter
 	// leavingTargets counts targets that said in an answer that they are leaving.
 	leavingTargets tally.Counter
 }
@@ -33,6 +36,7 @@
 		staleConnections: scope.Counter("stale_connections"),
 		silentTargets:    scope.Counter("silent_targets"),
 		endedTargets:     scope.Counter("ended_targets"),
+		unexplainedEnds:  scope.Counter("unexplained_ends"),
 		leavingTargets:   scope.Counter("leaving_targets"),
 	}
 }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -79,18 +79,40 @@
 	own []poison.Mark
 }
 
-type metrics struct{ crashes, quarantined tally.Counter }
+type metrics struct {
+	scope                         tally.Scope
+	crashes, quarantined, cleared tally.Counter
+	// learned is how old the marks of other hosts are when they come.
+	learned tally.Histogram
+}
+
+// ageBuckets bound the age of marks that come from other hosts.
+var ageBuckets = tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 14)
+
+func newMetrics(scope tally.Scope) metrics {
+	return metrics{
+		scope:       scope,
+		crashes:     scope.Counter("crashes"),
+		quarantined: scope.Counter("contents"),
+		cleared:     scope.Counter("cleared"),
+		learned:     scope.Histogram("learned_age", ageBuckets),
+	}
+}
+
+// looked counts a look for a target by what it found.
+func (m metrics) looked(finding string) {
+	m.scope.Tagged(map[string]string{"finding": finding}).Counter("looks").Inc(1)
+}
 
 // New returns a service.
 func New(p Params) *Service {
 	// The size is a valid one, so that there is no error.
 	seen, _ := lru.New[poison.Mark, struct{}](maxSeen)
-	scope := p.Scope.SubScope("quarantine")
 	ctx, stop := context.WithCancel(context.Background())
 	return &Service{
 		probe:    p.Probe,
 		log:      p.Logger.WithName("quarantine"),
-		metrics:  metrics{crashes: scope.Counter("crashes"), quarantined: scope.Counter("contents")},
+		metrics:  newMetrics(p.Scope.SubScope("quarantine")),
 		changed:  make(chan struct{}, 1),
 		ctx:      ctx,
 		stop:     stop,
@@ -128,7 +150,10 @@
 	f := fingerprint()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.registry.End(f, target, true)
+	if marks := s.registry.Clear(f); marks > 0 {
+		s.metrics.cleared.Inc(1)
+		s.log.Info("Content is cleared by a whole answer.", "content", name(f), "target", target, "crashes", marks)
+	}
 	s.count()
 }
 
@@ -155,21 +180,30 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
 	defer cancel()
+	begun := time.Now()
 	err := s.probe(ctx, target)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	contents := s.broken[target]
 	delete(s.broken, target)
-	if err == nil || s.ctx.Err() != nil {
+	if s.ctx.Err() != nil {
+		return
+	}
+	log := s.log.WithValues("target", target.ID, "started_at", target.StartedAt, "requests", len(contents),
+		"contents", names(contents), "look_ms", time.Since(begun).Milliseconds())
+	if err == nil {
+		s.metrics.looked("lives")
+		log.Info("Target takes connections after answers broke off.")
 		return
 	}
+	s.metrics.looked("ended")
 	s.metrics.crashes.Inc(1)
-	s.log.Info("Target has crashed.", "target", target.ID, "requests", len(contents), "contents", names(contents), "cause", err.Error())
+	log.Info("Target has crashed.", "cause", err.Error())
 	at := time.Now().UnixNano()
 	for _, f := range contents {
 		m := poison.Mark{Fingerprint: f, Target: target.ID, At: at}
 		s.own = append(s.own, m)
-		s.mark(m, "own")
+		s.mark(m, ownHost)
 	}
 	select {
 	case s.changed <- struct{}{}:
@@ -177,6 +211,9 @@
 	}
 }
 
+// ownHost is how logs name this host.
+const ownHost = "own"
+
 // name is how logs show a fingerprint.
 func name(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
@@ -194,6 +231,10 @@
 	if isKnown, _ := s.seen.ContainsOrAdd(m, struct{}{}); isKnown {
 		return
 	}
+	if age := time.Since(time.Unix(0, m.At)); host != ownHost {
+		s.metrics.learned.RecordDuration(age)
+		s.log.Info("Crash is learned.", "content", name(m.Fingerprint), "target", m.Target, "host", host, "age_ms", age.Milliseconds())
+	}
 	if s.registry.Crash(m) {
 		s.metrics.quarantined.Inc(1)
 		s.log.Info("Content is quarantined.", "content", name(m.Fingerprint), "target", m.Target, "host", host, "crashes", maxCrashes)
@@ -234,7 +275,7 @@
 // Adopt takes the marks that an earlier process of this host has shown, and goes
 // on to show them.
 func (s *Service) Adopt(marks []poison.Mark) {
-	s.Learn("own", marks)
+	s.Learn(ownHost, marks)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range marks {
