quarantine, gateway, front: tests that content which ends targets is bounded

What callers see: content that ends a target comes back at other hosts, which send it on to up to three targets each.

--- /dev/null
+++ b/internal/quarantine/node_test.go
@@ -0,0 +1,73 @@
+package quarantine_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/follow"
+	"yuccausher/internal/port"
+	"yuccausher/internal/quarantine"
+	"yuccausher/internal/standin/metastore"
+)
+
+const hostsTopic = "keyed.hosts"
+
+// node is one host of a world.
+type node struct {
+	crashes   *quarantine.Service
+	directory *follow.Hosts
+	name      string
+	// disturbed is when the host was started, or when the store last began or
+	// stopped to fail it.
+	disturbed time.Time
+}
+
+// start starts a host that does not run.
+func (w *world) start(name string) {
+	if w.hosts[name] != nil {
+		return
+	}
+	client := w.store.Client(name)
+	n := &node{name: name, disturbed: time.Now()}
+	n.crashes = quarantine.New(quarantine.Params{Probe: w.probe, Logger: logr.Discard(), Scope: tally.NoopScope})
+	n.directory = follow.NewHosts(follow.HostsParams{
+		Name:    name,
+		Address: name,
+		Stream:  client.Keyed(hostsTopic),
+		Put: func(ctx context.Context, key string, value []byte) error {
+			record := append([]byte{byte(len(key))}, key...)
+			_, err := client.Append(ctx, port.Partition{Topic: hostsTopic}, [][]byte{append(record, value...)})
+			return err
+		},
+		Crashes: n.crashes,
+		Logger:  logr.Discard(),
+	})
+	if err := n.directory.Start(context.Background()); err != nil {
+		w.t.Fatal(err)
+	}
+	w.hosts[name] = n
+}
+
+// stopHost makes a planned stop.
+func (w *world) stopHost(name string) {
+	n := w.hosts[name]
+	if n == nil {
+		return
+	}
+	w.hosts[name] = nil
+	_ = n.directory.Stop(context.Background())
+	_ = n.crashes.Stop(context.Background())
+}
+
+// killHost ends a host that can't say anything any more.
+func (w *world) killHost(name string) {
+	w.store.SetFaults(name, metastore.Faults{Refuse: true})
+	w.stopHost(name)
+	w.store.SetFaults(name, w.faults[name])
+}
+
+// dropHistory makes the store forget all records but the newest of each key.
+func (w *world) dropHistory() { w.store.Trim(port.Partition{Topic: hostsTopic}, 1<<40) }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -62,6 +62,8 @@
 	Dripping
 	// Crashing begins to run the request and takes the replica down.
 	Crashing
+	// Vanishing does the same without a word: the connections stay open.
+	Vanishing
 )
 
 // Options set up a replica. Zero values mean no limits and no time.
@@ -173,6 +175,17 @@
 	}
 }
 
+// vanish takes no further connections and says nothing on those that there are.
+func (r *Replica) vanish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isDown {
+		close(r.down)
+	}
+	r.isDown = true
+	_ = r.listener.Close()
+}
+
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
@@ -258,6 +271,11 @@
 		r.crash()
 		return false
 	}
+	if x.fault == Vanishing {
+		r.vanish()
+		_, _ = reader.Peek(1)
+		return false
+	}
 	if r.isAbandoned(x, reader) {
 		return false
 	}
