gateway: a failure of a target clears no content

Callers saw content run on after its second crash, as if it were new. Cause: each whole answer cleared the marks, also a 500, which a failing target gives without having run the request; and a mark that was cleared is not taken again. Class: an absence of harm taken for a proof of health. Evidence: TestFailureClearsNoContent failed with 200 instead of 503. Only an answer with success clears now: content that ends its targets gets none.

--- a/internal/gateway/content.go
+++ b/internal/gateway/content.go
@@ -54,7 +54,7 @@
 // observeContent tells the quarantine what a dispatch says of the content.
 func (j *job) observeContent(ctx context.Context, choice *fleet.Choice, r result) {
 	switch {
-	case r == finished && j.outcome == "answered":
+	case r == finished && j.outcome == "answered" && j.status < http.StatusMultipleChoices:
 		j.g.crashes.Answered(j.fingerprint, choice.ID)
 	case (r == unknown || r == cut) && ctx.Err() == nil && !isSilence(j.cause):
 		j.g.crashes.Broke(j.fingerprint(), connectionTarget(choice))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,7 +86,7 @@
 type Quarantine interface {
 	// Holds says whether content must not run any more.
 	Holds(fingerprint func() uint64) bool
-	// Answered says that a target has answered content whole.
+	// Answered says that a target has answered content whole and with success.
 	Answered(fingerprint func() uint64, target string)
 	// Broke says that an answer broke off, as it does when a target crashes.
 	Broke(fingerprint uint64, target upstream.Target)
