gateway: content is checked before each send

Callers saw a request run on whose content had been quarantined since it was admitted. Cause: the check stood at admission and before another run, but a request waits in between: for its budget, for its conversation and, up to its objective, for a target with room. Class: a check that is not where the act is. Evidence: TestWaitingRequestIsNotSentOnceItsContentIsQuarantined failed with an answer of 200. The check is made in the loop that sends, before each send; the one at admission stays, so that nothing is reserved in vain.

--- a/internal/gateway/content.go
+++ b/internal/gateway/content.go
@@ -43,6 +43,15 @@
 	})
 }
 
+// endQuarantined ends a request whose content was quarantined after it was admitted.
+func (j *job) endQuarantined(ctx context.Context) {
+	if len(j.ranAt) == 0 {
+		j.refuseQuarantined()
+		return
+	}
+	j.endUnanswered(ctx)
+}
+
 // QuarantinedError says that content has crashed targets and must not run.
 type QuarantinedError struct{ Fingerprint uint64 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -47,6 +47,10 @@
 // one answers, or until it can't be sent any more.
 func (j *job) dispatchUntilAnswered(ctx context.Context) {
 	for {
+		if j.g.crashes.Holds(j.fingerprint) {
+			j.endQuarantined(ctx)
+			return
+		}
 		choice := j.g.fleet.Choose(fleet.Request{Service: j.service, Affinity: j.prefixKey(), Exclude: j.refusedBy}, time.Now())
 		if choice == nil {
 			if !j.wait(ctx) {
@@ -99,7 +103,7 @@
 
 // mayRunAgain says whether another target may run the request.
 func (j *job) mayRunAgain(ctx context.Context) bool {
-	if ctx.Err() != nil || !j.route.IsIdempotent() || j.g.crashes.Holds(j.fingerprint) {
+	if ctx.Err() != nil || !j.route.IsIdempotent() {
 		return false
 	}
 	if j.route.Kind == route.Stream && j.events > 0 && j.lastEvent == "" {
