gateway, fleet: silent ends of targets are counted

Cause: a crash was looked for only when an answer broke off while its caller waited. A target that ends silently keeps its connections; its callers leave, their time is up or the host leaves it first, and each of these was passed over. Class: a fault is seen only where it is loud. A target that has said nothing to this host for half a second when a request is given up there is looked for now; one that speaks to others is not, so that callers who leave cost no connections.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -225,11 +225,23 @@
 	began  bool
 }
 
-// Began says that the first byte of an answer has arrived.
-func (c *Choice) Began() {
+// Heard says that a part of an answer has arrived.
+func (c *Choice) Heard(now time.Time) {
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
 	c.begin()
+	c.target.heardAt = now
+}
+
+// SilentFor returns for how long nothing has come from the target since it was sent
+// the request, whatever else it was asked by this host.
+func (c *Choice) SilentFor(now time.Time) time.Duration {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	if c.target.heardAt.After(c.sent) {
+		return now.Sub(c.target.heardAt)
+	}
+	return now.Sub(c.sent)
 }
 
 func (c *Choice) begin() {
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -231,7 +231,7 @@
 	for i := range 60 {
 		c := f.Choose(Request{Service: "s", Affinity: fmt.Sprint("program", i)}, start)
 		is.Equal(c.DataCentre, "here")
-		c.Began()
+		c.Heard(start.Add(40 * time.Millisecond))
 		c.End(start.Add(40*time.Millisecond), Answered, 40*time.Millisecond)
 	}
 }
@@ -264,3 +264,19 @@
 	// Two homes of twelve are in a data centre's four each: a third is slow.
 	is.True(same >= 20)
 }
+
+func TestTargetIsSilentSinceItWasLastHeard(t *testing.T) {
+	is := is.New(t)
+	f := New("here", 1)
+	now := time.Now()
+	f.Put(Member{ID: "a", Service: "s", Address: "a:1", DataCentre: "here", Slots: 8})
+	first, second := f.Choose(Request{Service: "s"}, now), f.Choose(Request{Service: "s"}, now.Add(time.Second))
+	is.Equal(first.SilentFor(now.Add(2*time.Second)), 2*time.Second)
+	is.Equal(second.SilentFor(now.Add(2*time.Second)), time.Second)
+	second.Heard(now.Add(3 * time.Second))
+	is.Equal(first.SilentFor(now.Add(4*time.Second)), time.Second)
+	second.End(now.Add(5*time.Second), Abandoned, 0)
+	is.Equal(first.SilentFor(now.Add(6*time.Second)), 3*time.Second)
+	first.End(now.Add(7*time.Second), Full, 0)
+	is.Equal(first.SilentFor(now.Add(8*time.Second)), time.Second)
+}
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -76,6 +76,8 @@
 	// latency is the mean time to the first byte of an answer, in seconds.
 	latency    float64
 	observedAt time.Time
+	// heardAt is when anything last came from the target.
+	heardAt time.Time
 	// broken is the share of answers that broke off, never came or said that the
 	// target failed, as of brokenAt.
 	broken   float64
@@ -186,6 +188,10 @@
 // observe takes the outcome of a dispatch. first is the time to the first
 // byte, zero if there was none.
 func (t *Target) observe(now time.Time, o Outcome, first time.Duration) {
+	switch o {
+	case Answered, Failed, Full, Replaced:
+		t.heardAt = now
+	}
 	if first > 0 {
 		t.observedAt = now
 		if t.latency == 0 {
--- a/internal/gateway/content.go
+++ b/internal/gateway/content.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -65,14 +66,34 @@
 	switch {
 	case r == finished && j.outcome == "answered" && j.status < http.StatusMultipleChoices:
 		j.g.crashes.Answered(j.fingerprint, choice.ID)
-	case (r == unknown || r == cut) && ctx.Err() == nil && !isSilence(j.cause):
-		j.observeBreak(ctx, choice)
 	case r == unknown || r == cut:
-		j.g.metrics.unexplainedEnds.Inc(1)
-		j.g.log.Info("Request ended at its target without an answer, and the target is not looked for.",
-			"request", j.call.RequestID, "content", strconv.FormatUint(j.fingerprint(), 16), "target", choice.ID, "started_at", choice.StartedAt,
-			"events", j.events, "caller_gone", j.r.Context().Err() != nil, "time_up", errors.Is(ctx.Err(), context.DeadlineExceeded), "cause", fault.Text(j.cause))
+		j.observeEnd(ctx, choice)
+	}
+}
+
+// silentTime is for how long a target has said nothing to this host when a request
+// that is given up there makes the host look for it. Targets take far less to begin an
+// answer, unless they are overloaded.
+const silentTime = 500 * time.Millisecond
+
+// observeEnd notes that a request ended at a target without a whole answer. A target that
+// has ended silently keeps its connections open, so that callers leave or run out of
+// time first.
+func (j *job) observeEnd(ctx context.Context, choice *fleet.Choice) {
+	isLeft := isSilence(j.cause)
+	if ctx.Err() == nil && !isLeft {
+		j.observeBreak(ctx, choice)
+		return
+	}
+	silent := choice.SilentFor(time.Now())
+	if isLeft || silent >= silentTime {
+		j.g.crashes.Broke(j.fingerprint(), connectionTarget(choice))
+		return
 	}
+	j.g.metrics.unexplainedEnds.Inc(1)
+	j.g.log.Info("Request ended at its target without an answer, and the target is not looked for.",
+		"request", j.call.RequestID, "content", strconv.FormatUint(j.fingerprint(), 16), "target", choice.ID, "started_at", choice.StartedAt,
+		"events", j.events, "silent_ms", silent.Milliseconds(), "caller_gone", j.r.Context().Err() != nil, "cause", fault.Text(j.cause))
 }
 
 // observeBreak notes that the answer of a target broke off. A request that may be
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -155,9 +155,9 @@
 		}
 		if first == 0 {
 			first = time.Since(sent)
-			choice.Began()
 			j.first = time.Since(j.started)
 		}
+		choice.Heard(time.Now())
 		// An event that may have reached the caller counts as spent.
 		j.spend()
 		if _, err = j.w.Write(e.raw); err == nil {
