quarantine, follow: the next run of a target shows that it has ended

Callers saw content run without any bound at targets that are back at once: six of six requests in the test. Cause: whether a target has ended was asked of its address, and whoever listens there by then said no. Class: an address taken for an identity. Evidence: TestTargetThatIsBackAtOnceIsKnownToHaveEnded failed with 6 runs instead of 3. Answers that broke off stay in mind for ten seconds; a record of another run at the same address, or under the same ID, shows that the run before has ended, and they count then. The test closes each replica before the next listens there, which it needs once the fourth does not crash any more; it asks for the same.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -36,8 +36,10 @@
 
 	Tables *route.Holder
 	Fleet  *fleet.Fleet
-	Logger logr.Logger
-	Scope  tally.Scope
+	// Started is told of each target that is new or has started anew.
+	Started func(fleet.Member)
+	Logger  logr.Logger
+	Scope   tally.Scope
 }
 
 // Follower reads both streams until it is stopped.
@@ -74,6 +76,7 @@
 			handler: &targets{
 				decode:  p.DecodeTarget,
 				fleet:   p.Fleet,
+				started: p.Started,
 				log:     targetsLog,
 				count:   scope.Gauge("targets"),
 				invalid: scope.Counter("invalid_targets"),
--- a/internal/follow/targets.go
+++ b/internal/follow/targets.go
@@ -25,6 +25,7 @@
 type targets struct {
 	decode  func(id string, value []byte) (fleet.Member, error)
 	fleet   *fleet.Fleet
+	started func(fleet.Member)
 	log     logr.Logger
 	count   tally.Gauge
 	invalid tally.Counter
@@ -62,7 +63,11 @@
 		}
 		return
 	}
-	if change := t.fleet.Put(m); change != fleet.Unchanged {
+	change := t.fleet.Put(m)
+	if change == fleet.Joined || change == fleet.Restarted {
+		t.started(m)
+	}
+	if change != fleet.Unchanged {
 		t.log.Info("Target changed.", "target", m.ID, "change", change.String(), "service", m.Service,
 			"address", m.Address, "offset", r.Offset)
 	}
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -27,7 +27,6 @@
 		id := fmt.Sprint("t", n)
 		r, err := replica.Listen(address, replica.Options{ID: id})
 		is.NoErr(err)
-		defer r.Close()
 		r.FailAlways(replica.Crashing)
 		address = r.Address()
 		store.Put("keyed.servers", fmt.Sprint("t", n-1), nil)
@@ -35,6 +34,7 @@
 		time.Sleep(o.DrainTime / 2) // the host has read the record
 		status(t, http.DefaultClient, "http://"+o.CallerAddress+"/posting/x", "a.example")
 		ran += len(r.Runs())
+		r.Close()
 	}
 	is.Equal(ran, 3)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -140,7 +140,7 @@
 
 func newFleet(o Options) *fleet.Fleet { return fleet.New(o.DataCentre, o.Seed) }
 
-func newFollower(lc fx.Lifecycle, o Options, tables *route.Holder, targets *fleet.Fleet, scope tally.Scope) *follow.Follower {
+func newFollower(lc fx.Lifecycle, o Options, tables *route.Holder, targets *fleet.Fleet, crashes *quarantine.Service, scope tally.Scope) *follow.Follower {
 	f := follow.New(follow.Params{
 		Configuration:       o.Platform.Configuration,
 		ConfigurationKey:    o.Platform.ConfigurationKey,
@@ -150,8 +150,11 @@
 		DrainTime:           o.DrainTime,
 		Tables:              tables,
 		Fleet:               targets,
-		Logger:              o.Logger,
-		Scope:               scope,
+		Started: func(m fleet.Member) {
+			crashes.Started(upstream.Target{ID: m.ID, Address: m.Address, StartedAt: m.StartedAt})
+		},
+		Logger: o.Logger,
+		Scope:  scope,
 	})
 	lc.Append(fx.Hook{OnStart: f.Start, OnStop: f.Stop})
 	return f
--- a/internal/gateway/content.go
+++ b/internal/gateway/content.go
@@ -90,6 +90,7 @@
 		j.g.crashes.Broke(j.fingerprint(), connectionTarget(choice))
 		return
 	}
+	j.g.crashes.GaveUp(j.fingerprint(), connectionTarget(choice))
 	j.g.metrics.unexplainedEnds.Inc(1)
 	j.g.log.Info("Request ended at its target without an answer, and the target is not looked for.",
 		"request", j.call.RequestID, "content", strconv.FormatUint(j.fingerprint(), 16), "target", choice.ID, "started_at", choice.StartedAt,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,7 +90,9 @@
 	Answered(fingerprint func() uint64, target string)
 	// Broke says that an answer broke off, as it does when a target crashes.
 	Broke(fingerprint uint64, target upstream.Target)
-	// HasEnded says the same, and whether the target refuses connections now. Content
+	// GaveUp says that a request was given up at a target that had just been heard.
+	GaveUp(fingerprint uint64, target upstream.Target)
+	// HasEnded says the same as Broke, and whether the target refuses connections now. Content
 	// that ended its target counts as having done so when it returns.
 	HasEnded(ctx context.Context, fingerprint uint64, target upstream.Target) bool
 }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -37,6 +37,12 @@
 	// firstTimeout bounds a look that a request waits for. A port that is closed
 	// refuses at once.
 	firstTimeout = 50 * time.Millisecond
+	// breakLife is for how long an answer that broke off may still turn out to have
+	// done so because its target ended: until a target that starts anew has told of
+	// itself, also some seconds late.
+	breakLife = 10 * time.Second
+	// maxBreaks bounds the answers that broke off at one target within that time.
+	maxBreaks = 256
 	// markLife is how long a mark is shown to other hosts; each of those remembers
 	// it until it ends.
 	markLife = 10 * time.Minute
@@ -75,8 +81,10 @@
 
 	mu       sync.Mutex
 	registry *poison.Registry
-	// broken holds the contents that broke off at targets.
-	broken map[upstream.Target][]uint64
+	// breaks holds the answers that broke off at targets lately.
+	breaks map[upstream.Target][]breakOff
+	// breaksPrunedAt is when old ones were last dropped.
+	breaksPrunedAt time.Time
 	// isLookedFor names the targets that are being looked for.
 	isLookedFor map[upstream.Target]bool
 	// seen are marks that were taken before: a whole answer may have cleared their
@@ -125,7 +133,7 @@
 		stop:     stop,
 		registry: poison.NewRegistry(maxCrashes),
 		seen:     seen,
-		broken:   make(map[upstream.Target][]uint64),
+		breaks:   make(map[upstream.Target][]breakOff),
 
 		isLookedFor: make(map[upstream.Target]bool),
 	}
@@ -166,18 +174,34 @@
 	s.count()
 }
 
+// breakOff is a request that got no whole answer at a target.
+type breakOff struct {
+	content uint64
+	at      time.Time
+	// isOutlived says that the target took connections afterwards. It may still have
+	// ended and have come back before it was looked for.
+	isOutlived bool
+}
+
 // Broke notes that a request broke off at a target. If the target turns out to
 // have crashed, the content is marked.
 func (s *Service) Broke(fingerprint uint64, target upstream.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.broken[target] = append(s.broken[target], fingerprint)
+	s.note(target, breakOff{content: fingerprint, at: time.Now()})
 	if !s.isLookedFor[target] && s.ctx.Err() == nil {
 		s.isLookedFor[target] = true
 		s.done.Go(func() { s.confirm(target) })
 	}
 }
 
+// GaveUp notes that a request was given up at a target that need not be looked for.
+func (s *Service) GaveUp(fingerprint uint64, target upstream.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.note(target, breakOff{content: fingerprint, at: time.Now(), isOutlived: true})
+}
+
 // HasEnded notes that a request broke off at a target and says whether the target
 // refuses connections. If so the content is marked when it returns; otherwise the
 // target is looked for as after Broke.
@@ -191,11 +215,65 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.broken[target] = append(s.broken[target], fingerprint)
-	s.crashed(target, err)
+	s.note(target, breakOff{content: fingerprint, at: time.Now()})
+	s.crashed(target, err, func(b breakOff) bool { return !b.isOutlived })
 	return true
 }
 
+// Started notes that a target has begun to run. Others at its address, and earlier
+// runs under its ID, have ended.
+func (s *Service) Started(target upstream.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pruneBreaks()
+	for old := range s.breaks {
+		if isSucceeded(old, target) {
+			s.crashed(old, &SucceededError{By: target.ID}, func(breakOff) bool { return true })
+		}
+	}
+}
+
+// isSucceeded says whether a target that has begun to run shows that another has ended.
+// Records of targets that are gone may come again, late.
+func isSucceeded(old, target upstream.Target) bool {
+	if old == target || old.Address != target.Address && old.ID != target.ID {
+		return false
+	}
+	return old.StartedAt == 0 || target.StartedAt == 0 || old.StartedAt < target.StartedAt
+}
+
+// SucceededError says that another run of a target has begun at its address or under
+// its ID.
+type SucceededError struct{ By string }
+
+// Error implements error.
+func (e *SucceededError) Error() string { return "target " + e.By + " has begun to run in its place" }
+
+// note remembers a break. The caller has the lock.
+func (s *Service) note(target upstream.Target, b breakOff) {
+	s.pruneBreaks()
+	list := append(s.breaks[target], b)
+	s.breaks[target] = list[max(0, len(list)-maxBreaks):]
+}
+
+// pruneBreaks drops breaks that are too old to tell anything, now and then. The caller
+// has the lock.
+func (s *Service) pruneBreaks() {
+	now := time.Now()
+	if now.Sub(s.breaksPrunedAt) < breakLife/10 {
+		return
+	}
+	s.breaksPrunedAt = now
+	for target, list := range s.breaks {
+		list = slices.DeleteFunc(list, func(b breakOff) bool { return now.Sub(b.at) > breakLife })
+		if len(list) == 0 {
+			delete(s.breaks, target)
+			continue
+		}
+		s.breaks[target] = list
+	}
+}
+
 // confirm looks for a target at which requests broke off.
 func (s *Service) confirm(target upstream.Target) {
 	tail.Sleep(s.ctx, confirmAfter)
@@ -209,20 +287,40 @@
 	switch {
 	case s.ctx.Err() != nil:
 	case err != nil:
-		s.crashed(target, err)
+		s.crashed(target, err, func(b breakOff) bool { return !b.isOutlived })
 	default:
-		s.metrics.looked("lives")
-		contents := s.broken[target]
-		delete(s.broken, target)
-		s.log.Info("Target takes connections after answers broke off.", "target", target.ID, "started_at", target.StartedAt,
-			"requests", len(contents), "contents", names(contents), "look_ms", time.Since(begun).Milliseconds())
+		s.outlived(target, time.Since(begun))
 	}
 }
 
-// crashed marks the contents that broke off at a target. The caller has the lock.
-func (s *Service) crashed(target upstream.Target, cause error) {
-	contents := s.broken[target]
-	delete(s.broken, target)
+// outlived notes that a target took a connection after answers broke off. The caller
+// has the lock.
+func (s *Service) outlived(target upstream.Target, look time.Duration) {
+	var contents []uint64
+	for i, b := range s.breaks[target] {
+		if !b.isOutlived {
+			s.breaks[target][i].isOutlived = true
+			contents = append(contents, b.content)
+		}
+	}
+	if len(contents) == 0 {
+		return
+	}
+	s.metrics.looked("lives")
+	s.log.Info("Target takes connections after answers broke off.", "target", target.ID, "started_at", target.StartedAt,
+		"requests", len(contents), "contents", names(contents), "look_ms", look.Milliseconds())
+}
+
+// crashed marks the contents that broke off at a target as it crashed. The caller has
+// the lock.
+func (s *Service) crashed(target upstream.Target, cause error, isMarked func(breakOff) bool) {
+	var contents []uint64
+	for _, b := range s.breaks[target] {
+		if isMarked(b) {
+			contents = append(contents, b.content)
+		}
+	}
+	delete(s.breaks, target)
 	if len(contents) == 0 {
 		return
 	}
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -103,3 +103,29 @@
 		is.Equal(s.Marks(), []poison.Mark{recent})
 	})
 }
+
+// A target that is back before it is looked for is known to have ended by the record of
+// its next run, and only the answers that broke off lately count.
+func TestNextRunShowsThatATargetHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(t, nil)
+		run := func(n int64) upstream.Target { return upstream.Target{ID: "t", Address: "a", StartedAt: n} }
+		s.Broke(content, run(1))
+		time.Sleep(time.Second)
+		s.Started(run(1))                                                      // its own record, again
+		s.Started(upstream.Target{ID: "other", Address: "b", StartedAt: 9})    // elsewhere
+		s.Started(upstream.Target{ID: "earlier", Address: "a", StartedAt: -1}) // late news
+		is.Equal(len(s.Marks()), 0)
+		s.Started(run(2))
+		is.Equal(len(s.Marks()), 1)
+		s.GaveUp(content, run(2))
+		s.Started(upstream.Target{ID: "next", Address: "a", StartedAt: 3})
+		is.Equal(len(s.Marks()), 2)
+		s.Broke(content, run(4))
+		time.Sleep(breakLife + 2*time.Second)
+		s.Started(run(5))
+		is.Equal(len(s.Marks()), 2)
+		is.True(!s.Holds(fingerprint))
+	})
+}
