follow, quarantine: each crash has a record of its own in the shared log

Callers saw content come back at other hosts and run there, three targets a host, from three seconds after the third crash on; and again at each host that started after the ones that had seen it were stopped. Cause: marks stood in the records of hosts, which exist so that hosts find each other. They were written half a second late, read every four seconds, removed with the record at a planned stop and cut to the newest 64. Class: knowledge that lives as long as whoever has it, and travels with what is not urgent. A crash on a content is a keyed record now: written at once, read by a call that waits for it, outlasting the host, removed after ten minutes by one of the hosts. Crashes that two hosts see of one run count once; content that is held already is not shared again.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -120,6 +120,7 @@
 func frontOptions(s *settings.Front, told platform.Settings, logger logr.Logger) front.Options {
 	store := platform.NewStore(told.Store.Address)
 	hosts := platform.Keyed{Store: store, Partition: platform.HostsPartition}
+	crashes := platform.Keyed{Store: store, Partition: platform.CrashesPartition}
 	metricsAddress := ""
 	if s.MetricsPort > 0 {
 		metricsAddress = net.JoinHostPort(told.IP, strconv.FormatInt(s.MetricsPort, 10))
@@ -149,6 +150,8 @@
 			DecodeTarget:        platform.DecodeTarget,
 			Hosts:               hosts,
 			PutHost:             hosts.Put,
+			Crashes:             crashes,
+			PutCrashes:          crashes.PutAll,
 			Protocol:            platform.Headers{},
 			ReadyPath:           platform.ReadyPath,
 		},
--- a/internal/core/poison/registry.go
+++ b/internal/core/poison/registry.go
@@ -36,11 +36,22 @@
 type Mark struct {
 	Fingerprint uint64
 	Target      string
+	// Run tells runs of the target apart; zero if it is not known.
+	Run int64
 	// At is when the crash was seen, in nanoseconds since 1970. A mark that
-	// comes back from another host is known by it.
+	// comes back from another host is known by it where the run is not known.
 	At int64
 }
 
+// Crash returns what all marks of one crash on one content have in common, whichever
+// hosts have seen it.
+func (m Mark) Crash() Mark {
+	if m.Run != 0 {
+		m.At = 0
+	}
+	return m
+}
+
 // Registry holds the marks. It is not safe for concurrent use.
 type Registry struct {
 	// crashes is how many marks quarantine a content.
@@ -112,7 +123,7 @@
 		return false
 	}
 	marks, _ := r.suspects.Get(m.Fingerprint)
-	if slices.Contains(marks, m) {
+	if slices.ContainsFunc(marks, func(known Mark) bool { return known.Crash() == m.Crash() }) {
 		return false
 	}
 	marks = append(slices.Clip(marks), m)
--- a/internal/core/poison/registry_test.go
+++ b/internal/core/poison/registry_test.go
@@ -14,12 +14,12 @@
 	is := is.New(t)
 	r := NewRegistry(DefaultCrashes)
 	is.True(r.Begin(7, "a"))
-	is.True(!r.Crash(Mark{7, "a", 1}))
+	is.True(!r.Crash(Mark{Fingerprint: 7, Target: "a", At: 1}))
 	is.Equal(r.Verdict(7), Suspect)
 	is.True(!r.Begin(7, "b")) // still in flight on a
 	r.End(7, "a", false)
 	is.True(r.Begin(7, "b"))
-	is.True(r.Crash(Mark{7, "b", 2}))
+	is.True(r.Crash(Mark{Fingerprint: 7, Target: "b", At: 2}))
 	r.End(7, "b", false)
 	is.True(!r.Begin(7, "c"))
 	is.Equal(r.Quarantined(), []uint64{7})
@@ -29,7 +29,7 @@
 func TestWholeAnswerClears(t *testing.T) {
 	is := is.New(t)
 	r := NewRegistry(DefaultCrashes)
-	r.Crash(Mark{7, "a", 1})
+	r.Crash(Mark{Fingerprint: 7, Target: "a", At: 1})
 	is.True(r.Begin(7, "b"))
 	r.End(7, "b", true)
 	is.Equal(r.Verdict(7), Clean)
@@ -38,11 +38,20 @@
 func TestMarkThatComesBackCountsOnce(t *testing.T) {
 	is := is.New(t)
 	r := NewRegistry(DefaultCrashes)
-	m := Mark{7, "a", 1}
+	m := Mark{Fingerprint: 7, Target: "a", At: 1}
 	is.True(!r.Crash(m))
 	is.True(!r.Crash(m))
 	is.Equal(r.Marks(), []Mark{m})
-	is.True(r.Crash(Mark{7, "a", 2})) // the same target crashed again
+	is.True(r.Crash(Mark{Fingerprint: 7, Target: "a", At: 2})) // the same target crashed again
+}
+
+// Two hosts that see the same run of a target end count it once.
+func TestCrashSeenByTwoHostsCountsOnce(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(DefaultCrashes)
+	is.True(!r.Crash(Mark{Fingerprint: 7, Target: "a", Run: 3, At: 1}))
+	is.True(!r.Crash(Mark{Fingerprint: 7, Target: "a", Run: 3, At: 2}))
+	is.True(r.Crash(Mark{Fingerprint: 7, Target: "a", Run: 4, At: 2}))
 }
 
 // Content that crashes each target that runs it never crashes a third,
@@ -63,7 +72,7 @@
 			}
 			for n := flying[target]; n > 0; n-- {
 				crashed[target] = true
-				r.Crash(Mark{9, target, int64(step*100 + n)})
+				r.Crash(Mark{Fingerprint: 9, Target: target, At: int64(step*100 + n)})
 				r.End(9, target, false)
 			}
 			flying[target] = 0
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -15,9 +15,7 @@
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/port"
-	"yuccausher/internal/quarantine"
 	"yuccausher/internal/standin/metastore"
-	"yuccausher/internal/upstream"
 )
 
 const (
@@ -222,23 +220,17 @@
 }
 
 func newHosts(t *testing.T, store *metastore.Store, name string) *Hosts {
-	return newHostsWith(t, store, name, newCrashes())
-}
-
-func newHostsWith(t *testing.T, store *metastore.Store, name string, crashes *quarantine.Service) *Hosts {
 	t.Helper()
+	keyed := store.Client(name).Keyed(hostsTopic)
 	h := NewHosts(HostsParams{
 		Name:       name,
 		Address:    name + ":1",
 		DataCentre: "here",
-		Stream:     store.Client(name).Keyed(hostsTopic),
+		Stream:     keyed,
 		Put: func(ctx context.Context, key string, value []byte) error {
-			record := append([]byte{byte(len(key))}, key...)
-			_, err := store.Client(name).Append(ctx, port.Partition{Topic: hostsTopic}, [][]byte{append(record, value...)})
-			return err
+			return keyed.PutAll(ctx, []port.KeyedRecord{{Key: key, Value: value}})
 		},
-		Crashes: crashes,
-		Logger:  logr.Discard(),
+		Logger: logr.Discard(),
 	})
 	if err := h.Start(context.Background()); err != nil {
 		t.Fatal(err)
@@ -274,57 +266,3 @@
 		is.NoErr(b.Stop(context.Background()))
 	})
 }
-
-// newCrashes returns a quarantine that finds each target crashed at which a
-// request breaks off.
-func newCrashes() *quarantine.Service {
-	return quarantine.New(quarantine.Params{
-		Probe:  func(context.Context, upstream.Target) error { return errors.New("connection refused") },
-		Logger: logr.Discard(),
-		Scope:  tally.NoopScope,
-	})
-}
-
-// Content that has crashed a target at each of three hosts is in quarantine at all
-// hosts before the time in which the users' rules allow repeats has passed twice,
-// and stays so at hosts that start again.
-func TestHostsShowEachOtherCrashes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		const content = uint64(7)
-		fingerprint := func() uint64 { return content }
-		store := metastore.New()
-		names := []string{"a", "b", "c", "d"}
-		crashes := make(map[string]*quarantine.Service)
-		hosts := make(map[string]*Hosts)
-		start := func(name string) {
-			crashes[name] = newCrashes()
-			hosts[name] = newHostsWith(t, store, name, crashes[name])
-		}
-		for _, name := range names {
-			start(name)
-		}
-		time.Sleep(2 * hostsPause)
-		for _, name := range names[:3] {
-			is.True(!crashes[name].Holds(fingerprint))
-			crashes[name].Broke(content, upstream.Target{ID: "t-" + name})
-			time.Sleep(time.Second)
-		}
-		time.Sleep(hostsPause + time.Second)
-		for _, name := range names {
-			is.True(crashes[name].Holds(fingerprint))
-		}
-		// All processes end without a word and start again.
-		for _, name := range names {
-			hosts[name].stop()
-			hosts[name].done.Wait()
-			start(name)
-		}
-		time.Sleep(2 * hostsPause)
-		for _, name := range names {
-			is.True(crashes[name].Holds(fingerprint))
-			is.NoErr(hosts[name].Stop(context.Background()))
-			is.NoErr(crashes[name].Stop(context.Background()))
-		}
-	})
-}
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -11,7 +11,6 @@
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
-	"yuccausher/internal/core/poison"
 	"yuccausher/internal/gen/spending"
 	"yuccausher/internal/port"
 )
@@ -39,21 +38,8 @@
 	DataCentre string
 	Stream     port.KeyedStream
 	// Put writes a record of the stream; an empty value removes the key.
-	Put func(ctx context.Context, key string, value []byte) error
-	// Crashes are shown to the other hosts in this host's record.
-	Crashes Crashes
-	Logger  logr.Logger
-}
-
-// Crashes are the crashes of targets that hosts show each other.
-type Crashes interface {
-	// Marks returns those that this host shows; Changed tells of new ones.
-	Marks() []poison.Mark
-	Changed() <-chan struct{}
-	// Learn takes those of another host, Adopt those that an earlier process of
-	// this host has shown.
-	Learn(host string, marks []poison.Mark)
-	Adopt(marks []poison.Mark)
+	Put    func(ctx context.Context, key string, value []byte) error
+	Logger logr.Logger
 }
 
 // Hosts keeps this host's record in the store and reads those of the others.
@@ -65,8 +51,6 @@
 	done   sync.WaitGroup
 
 	// isRead is closed when the hosts' records have been read for the first time.
-	// This host's record is written after that, so that it takes over what an
-	// earlier process has shown.
 	isRead    chan struct{}
 	firstRead sync.Once
 
@@ -109,36 +93,20 @@
 	return nil
 }
 
-// register renews this host's record, at once when it has seen a crash.
+// register renews this host's record.
 func (h *Hosts) register(ctx context.Context) {
-	select {
-	case <-h.isRead:
-	case <-ctx.Done():
-		return
-	}
 	for ctx.Err() == nil {
 		if err := h.put(ctx); err != nil {
 			h.log.V(1).Info("The record could not be written.", "cause", err.Error())
 			sleep(ctx, registerRetry)
 			continue
 		}
-		renew := time.NewTimer(registerInterval)
-		select {
-		case <-renew.C:
-		case <-h.params.Crashes.Changed():
-			// What follows soon goes into the same record.
-			sleep(ctx, registerRetry)
-		case <-ctx.Done():
-		}
-		renew.Stop()
+		sleep(ctx, registerInterval)
 	}
 }
 
 func (h *Hosts) put(ctx context.Context) error {
 	m := &spending.Host{Address: h.params.Address, DataCentre: h.params.DataCentre}
-	for _, mark := range h.params.Crashes.Marks() {
-		m.Crashes = append(m.Crashes, &spending.Crash{Fingerprint: mark.Fingerprint, Target: mark.Target, SeenAt: uint64(mark.At)})
-	}
 	value, err := proto.Marshal(m)
 	if err != nil {
 		return errors.Annotate(err, "host record")
@@ -191,7 +159,6 @@
 
 func (h *Hosts) apply(r port.KeyedRecord) {
 	record, err := decodeHost(r.Value)
-	h.learn(r.Key, record.GetCrashes())
 	address := record.GetAddress()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -214,21 +181,6 @@
 	}
 }
 
-// learn takes the crashes that a host shows.
-func (h *Hosts) learn(host string, crashes []*spending.Crash) {
-	marks := make([]poison.Mark, len(crashes))
-	for i, c := range crashes {
-		marks[i] = poison.Mark{Fingerprint: c.GetFingerprint(), Target: c.GetTarget(), At: int64(c.GetSeenAt())}
-	}
-	switch {
-	case len(marks) == 0:
-	case host == h.params.Name:
-		h.params.Crashes.Adopt(marks)
-	default:
-		h.params.Crashes.Learn(host, marks)
-	}
-}
-
 // decodeHost reads a host's record; a removed one is empty.
 func decodeHost(value []byte) (*spending.Host, error) {
 	var m spending.Host
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,9 +37,12 @@
 	Targets             port.KeyedStream
 	DecodeTarget        func(id string, value []byte) (fleet.Member, error)
 	// Hosts holds the hosts' own records, which PutHost writes.
-	Hosts    port.KeyedStream
-	PutHost  func(ctx context.Context, key string, value []byte) error
-	Protocol gateway.Protocol
+	Hosts   port.KeyedStream
+	PutHost func(ctx context.Context, key string, value []byte) error
+	// Crashes holds the crashes of targets, which PutCrashes writes.
+	Crashes    port.KeyedStream
+	PutCrashes func(ctx context.Context, records []port.KeyedRecord) error
+	Protocol   gateway.Protocol
 	// ReadyPath is where the platform asks whether the host takes callers.
 	ReadyPath string
 }
@@ -96,9 +99,10 @@
 	f.fx = fx.New(
 		fx.Supply(o),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newPeers, newSpending, newConversations, newLending, newPool, newQuarantine, newGateway, newServers),
+		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newCrashLog, newPeers, newSpending, newConversations, newLending, newPool, newQuarantine, newGateway, newServers),
 		fx.Provide(func() *route.Holder { return &route.Holder{} }),
 		fx.Populate(&f.servers),
+		fx.Invoke(func(*follow.CrashLog) {}),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(stopTimeout),
 	)
@@ -160,20 +164,31 @@
 	return f
 }
 
-func newHosts(lc fx.Lifecycle, o Options, crashes *quarantine.Service) *follow.Hosts {
+func newHosts(lc fx.Lifecycle, o Options) *follow.Hosts {
 	h := follow.NewHosts(follow.HostsParams{
 		Name:       o.HostName,
 		Address:    o.PeerAddress,
 		DataCentre: o.DataCentre,
 		Stream:     o.Platform.Hosts,
 		Put:        o.Platform.PutHost,
-		Crashes:    crashes,
 		Logger:     o.Logger,
 	})
 	lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
 	return h
 }
 
+func newCrashLog(lc fx.Lifecycle, o Options, crashes *quarantine.Service) *follow.CrashLog {
+	c := follow.NewCrashLog(follow.CrashLogParams{
+		Host:    o.HostName,
+		Stream:  o.Platform.Crashes,
+		Put:     o.Platform.PutCrashes,
+		Crashes: crashes,
+		Logger:  o.Logger,
+	})
+	lc.Append(fx.Hook{OnStart: c.Start, OnStop: c.Stop})
+	return c
+}
+
 func newPeers(lc fx.Lifecycle, h *follow.Hosts) *budgetrpc.Client {
 	c := budgetrpc.NewClient(h)
 	lc.Append(fx.Hook{OnStop: func(context.Context) error { return c.Close() }})
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -48,6 +48,8 @@
 			DecodeTarget:        platform.DecodeTarget,
 			Hosts:               client.Keyed("keyed.hosts"),
 			PutHost:             func(context.Context, string, []byte) error { return nil },
+			Crashes:             client.Keyed("keyed.crashes"),
+			PutCrashes:          client.Keyed("keyed.crashes").PutAll,
 			Protocol:            platform.Headers{},
 			ReadyPath:           platform.ReadyPath,
 		},
--- a/internal/gateway/content_test.go
+++ b/internal/gateway/content_test.go
@@ -25,7 +25,7 @@
 		r.Fail(replica.Crashing)
 		a := s.do(request{method: http.MethodPost, path: posting, id: fmt.Sprint("crash", n), body: "deadly"})
 		is.Equal(a.status, http.StatusBadGateway)
-		s.eventually("crash is confirmed", func() bool { return len(s.quarantine.Marks()) == n+1 })
+		s.eventually("crash is confirmed", func() bool { return len(s.quarantine.Unshared()) == n+1 })
 		s.fleet.Remove(r.ID())
 	}
 	last := s.add(app, replica.Options{ID: "last"})
@@ -135,7 +135,7 @@
 		r := s.add(app, replica.Options{ID: fmt.Sprint("r", n)})
 		r.Fail(replica.Crashing)
 		s.do(request{method: http.MethodPost, path: posting, id: fmt.Sprint("crash", n), body: "deadly"})
-		s.eventually("crash is confirmed", func() bool { return len(s.quarantine.Marks()) == n })
+		s.eventually("crash is confirmed", func() bool { return len(s.quarantine.Unshared()) == n })
 		s.fleet.Remove(r.ID())
 	}
 	crash(1)
--- a/internal/quarantine/node_test.go
+++ b/internal/quarantine/node_test.go
@@ -13,13 +13,13 @@
 	"yuccausher/internal/standin/metastore"
 )
 
-const hostsTopic = "keyed.hosts"
+const crashesTopic = "keyed.crashes"
 
 // node is one host of a world.
 type node struct {
-	crashes   *quarantine.Service
-	directory *follow.Hosts
-	name      string
+	crashes *quarantine.Service
+	shared  *follow.CrashLog
+	name    string
 	// disturbed is when the host was started, or when the store last began or
 	// stopped to fail it.
 	disturbed time.Time
@@ -33,19 +33,9 @@
 	client := w.store.Client(name)
 	n := &node{name: name, disturbed: time.Now()}
 	n.crashes = quarantine.New(quarantine.Params{Probe: w.probe, Logger: logr.Discard(), Scope: tally.NoopScope})
-	n.directory = follow.NewHosts(follow.HostsParams{
-		Name:    name,
-		Address: name,
-		Stream:  client.Keyed(hostsTopic),
-		Put: func(ctx context.Context, key string, value []byte) error {
-			record := append([]byte{byte(len(key))}, key...)
-			_, err := client.Append(ctx, port.Partition{Topic: hostsTopic}, [][]byte{append(record, value...)})
-			return err
-		},
-		Crashes: n.crashes,
-		Logger:  logr.Discard(),
-	})
-	if err := n.directory.Start(context.Background()); err != nil {
+	keyed := client.Keyed(crashesTopic)
+	n.shared = follow.NewCrashLog(follow.CrashLogParams{Host: name, Stream: keyed, Put: keyed.PutAll, Crashes: n.crashes, Logger: logr.Discard()})
+	if err := n.shared.Start(context.Background()); err != nil {
 		w.t.Fatal(err)
 	}
 	w.hosts[name] = n
@@ -58,7 +48,7 @@
 		return
 	}
 	w.hosts[name] = nil
-	_ = n.directory.Stop(context.Background())
+	_ = n.shared.Stop(context.Background())
 	_ = n.crashes.Stop(context.Background())
 }
 
@@ -70,4 +60,4 @@
 }
 
 // dropHistory makes the store forget all records but the newest of each key.
-func (w *world) dropHistory() { w.store.Trim(port.Partition{Topic: hostsTopic}, 1<<40) }
+func (w *world) dropHistory() { w.store.Trim(port.Partition{Topic: crashesTopic}, 1<<40) }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -43,12 +43,8 @@
 	breakLife = 10 * time.Second
 	// maxBreaks bounds the answers that broke off at one target within that time.
 	maxBreaks = 256
-	// markLife is how long a mark is shown to other hosts; each of those remembers
-	// it until it ends.
-	markLife = 10 * time.Minute
-	// maxShown bounds the marks that are shown, the newest ones: some 40 bytes
-	// each in the host's record.
-	maxShown = 64
+	// maxUnshared bounds the marks that wait to be shared while the log is away.
+	maxUnshared = 4096
 	// maxNamed bounds the contents that a line of the log names: more than an engine
 	// of today runs at once.
 	maxNamed = 16
@@ -90,8 +86,8 @@
 	// seen are marks that were taken before: a whole answer may have cleared their
 	// content since.
 	seen *lru.Cache[poison.Mark, struct{}]
-	// own are the marks that this host shows, the oldest first.
-	own []poison.Mark
+	// unshared are the marks that other hosts have not been told of, the oldest first.
+	unshared []poison.Mark
 }
 
 type metrics struct {
@@ -330,10 +326,16 @@
 		"contents", names(contents), "cause", cause.Error())
 	at := time.Now().UnixNano()
 	for _, f := range contents {
-		m := poison.Mark{Fingerprint: f, Target: target.ID, At: at}
-		s.own = append(s.own, m)
+		m := poison.Mark{Fingerprint: f, Target: target.ID, Run: target.StartedAt, At: at}
+		if s.registry.Verdict(f) != poison.Quarantined {
+			s.unshared = append(s.unshared, m)
+		}
 		s.mark(m, ownHost)
 	}
+	if lost := len(s.unshared) - maxUnshared; lost > 0 {
+		s.log.Info("Crashes can't be shared and are dropped.", "count", lost)
+		s.unshared = s.unshared[lost:]
+	}
 	select {
 	case s.changed <- struct{}{}:
 	default:
@@ -357,7 +359,7 @@
 
 // mark takes a mark, once. The caller has the lock.
 func (s *Service) mark(m poison.Mark, host string) {
-	if isKnown, _ := s.seen.ContainsOrAdd(m, struct{}{}); isKnown {
+	if isKnown, _ := s.seen.ContainsOrAdd(m.Crash(), struct{}{}); isKnown {
 		return
 	}
 	if age := time.Since(time.Unix(0, m.At)); host != ownHost {
@@ -378,40 +380,28 @@
 	s.held.Store(int64(held))
 }
 
-// Changed tells that there are new marks to show.
+// Changed tells that there are new marks to share.
 func (s *Service) Changed() <-chan struct{} { return s.changed }
 
-// Marks returns the marks that this host shows to others.
-func (s *Service) Marks() []poison.Mark {
+// Unshared returns the marks that other hosts have not been told of.
+func (s *Service) Unshared() []poison.Mark {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.own = slices.DeleteFunc(s.own, isOld)
-	s.own = s.own[max(0, len(s.own)-maxShown):]
-	return slices.Clone(s.own)
+	return slices.Clone(s.unshared)
 }
 
-// Learn takes the marks that another host shows.
-func (s *Service) Learn(host string, marks []poison.Mark) {
+// Shared notes that marks last and reach the other hosts.
+func (s *Service) Shared(marks []poison.Mark) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, m := range marks {
-		if !isOld(m) {
-			s.mark(m, host)
-		}
-	}
+	s.unshared = slices.DeleteFunc(s.unshared, func(m poison.Mark) bool { return slices.Contains(marks, m) })
 }
 
-// Adopt takes the marks that an earlier process of this host has shown, and goes
-// on to show them.
-func (s *Service) Adopt(marks []poison.Mark) {
-	s.Learn(ownHost, marks)
+// Learn takes the marks that another host has made.
+func (s *Service) Learn(host string, marks []poison.Mark) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range marks {
-		if !slices.Contains(s.own, m) {
-			s.own = append(s.own, m)
-		}
+		s.mark(m, host)
 	}
 }
-
-func isOld(m poison.Mark) bool { return time.Since(time.Unix(0, m.At)) > markLife }
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -49,9 +49,9 @@
 		}
 		is.True(s.Holds(fingerprint))
 		is.True(!s.Holds(func() uint64 { return content + 1 }))
-		is.Equal(len(s.Marks()), 3)
-		time.Sleep(markLife + time.Second)
-		is.Equal(len(s.Marks()), 0)
+		is.Equal(len(s.Unshared()), 3)
+		s.Shared(s.Unshared()[:2])
+		is.Equal(len(s.Unshared()), 1)
 	})
 }
 
@@ -65,7 +65,7 @@
 			time.Sleep(2 * confirmAfter)
 		}
 		is.True(!s.Holds(fingerprint))
-		is.Equal(len(s.Marks()), 0)
+		is.Equal(len(s.Unshared()), 0)
 	})
 }
 
@@ -91,16 +91,18 @@
 	})
 }
 
-func TestMarksOfAnEarlierProcessAreShownAgain(t *testing.T) {
+// Crashes under content that all hosts hold already are not shared.
+func TestHeldContentIsNotSharedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := newService(t, nil)
-		now := time.Now()
-		recent := poison.Mark{Fingerprint: content, Target: "t1", At: now.UnixNano()}
-		old := poison.Mark{Fingerprint: content, Target: "t2", At: now.Add(-markLife - time.Second).UnixNano()}
-		s.Adopt([]poison.Mark{recent, old})
-		s.Adopt([]poison.Mark{recent})
-		is.Equal(s.Marks(), []poison.Mark{recent})
+		s := newService(t, map[string]bool{"t9": true})
+		for n := range int64(maxCrashes) {
+			s.Learn("other", []poison.Mark{{Fingerprint: content, Target: "t", Run: n + 1}})
+		}
+		is.True(s.Holds(fingerprint))
+		s.Broke(content, target(9))
+		time.Sleep(2 * confirmAfter)
+		is.Equal(len(s.Unshared()), 0)
 	})
 }
 
@@ -116,16 +118,16 @@
 		s.Started(run(1))                                                      // its own record, again
 		s.Started(upstream.Target{ID: "other", Address: "b", StartedAt: 9})    // elsewhere
 		s.Started(upstream.Target{ID: "earlier", Address: "a", StartedAt: -1}) // late news
-		is.Equal(len(s.Marks()), 0)
+		is.Equal(len(s.Unshared()), 0)
 		s.Started(run(2))
-		is.Equal(len(s.Marks()), 1)
+		is.Equal(len(s.Unshared()), 1)
 		s.GaveUp(content, run(2))
 		s.Started(upstream.Target{ID: "next", Address: "a", StartedAt: 3})
-		is.Equal(len(s.Marks()), 2)
+		is.Equal(len(s.Unshared()), 2)
 		s.Broke(content, run(4))
 		time.Sleep(breakLife + 2*time.Second)
 		s.Started(run(5))
-		is.Equal(len(s.Marks()), 2)
+		is.Equal(len(s.Unshared()), 2)
 		is.True(!s.Holds(fingerprint))
 	})
 }
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -423,6 +423,16 @@
 	return records, from + int64(len(page.Records)), 0, nil
 }
 
+// PutAll writes the newest records of keys, all or none; an empty value removes its key.
+func (k *Keyed) PutAll(ctx context.Context, records []port.KeyedRecord) error {
+	list := make([][]byte, len(records))
+	for i, r := range records {
+		list[i] = append(append([]byte{byte(len(r.Key))}, r.Key...), r.Value...)
+	}
+	_, err := k.client.Append(ctx, k.partition, list)
+	return err
+}
+
 // encodePage returns a page as it is sent.
 func encodePage(page port.RawPage) []byte {
 	var b []byte
