follow, crashrpc: hosts that don't reach the store tell others of crashes

Callers saw content that had ended three targets at a host without the store run on at all others, three targets each. Cause: the store was the only way for marks; in an outage for some hosts each counted to three for itself. Class: shared knowledge with one way to go. A host whose write fails tells all others over drpc, once, and asks three to write for it; it goes on writing itself. Only crashes that a host has seen itself are told, so that an outage for all costs one call a host and crash.

--- /dev/null
+++ b/internal/adapter/crashrpc/crashrpc.go
@@ -0,0 +1,77 @@
+// Package crashrpc carries crashes of targets between hosts over drpc.
+package crashrpc
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+	"storj.io/drpc"
+
+	"yuccausher/internal/core/poison"
+	"yuccausher/internal/gen/quarantine"
+)
+
+// Dialer connects to other hosts.
+type Dialer interface {
+	Hosts() []string
+	Connect(ctx context.Context, host string) (drpc.Conn, error)
+}
+
+// Client tells other hosts.
+type Client struct {
+	Dialer
+	// Host is this host's name.
+	Host string
+}
+
+// Tell tells a host of crashes. append asks it to write them to the shared log.
+func (c Client) Tell(ctx context.Context, host string, marks []poison.Mark, append bool) error {
+	conn, err := c.Connect(ctx, host)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	request := &quarantine.TellRequest{Append: append, Crashes: make([]*quarantine.Crash, len(marks))}
+	for i, m := range marks {
+		request.Crashes[i] = Encode(m, c.Host)
+	}
+	_, err = quarantine.NewDRPCCrashesClient(conn).Tell(ctx, request)
+	return errors.Annotatef(err, "tell host %s of crashes", host)
+}
+
+// Encode returns a crash as it is sent and stored.
+func Encode(m poison.Mark, host string) *quarantine.Crash {
+	return &quarantine.Crash{Fingerprint: m.Fingerprint, Target: m.Target, Run: m.Run, SeenAt: uint64(m.At), Host: host}
+}
+
+// Decode reads a crash that was sent or stored.
+func Decode(c *quarantine.Crash) poison.Mark {
+	return poison.Mark{Fingerprint: c.GetFingerprint(), Target: c.GetTarget(), Run: c.GetRun(), At: int64(c.GetSeenAt())}
+}
+
+// Receiver takes crashes that other hosts tell of.
+type Receiver interface {
+	// Learn takes crashes, Relay also those that are to be written to the shared log.
+	Learn(host string, marks []poison.Mark)
+	Relay(host string, marks []poison.Mark)
+}
+
+// Register makes a drpc server take crashes.
+func Register(mux drpc.Mux, r Receiver) error {
+	return errors.Trace(quarantine.DRPCRegisterCrashes(mux, &handler{receiver: r}))
+}
+
+type handler struct{ receiver Receiver }
+
+// Tell implements quarantine.DRPCCrashesServer.
+func (h *handler) Tell(_ context.Context, r *quarantine.TellRequest) (*quarantine.TellReply, error) {
+	for _, c := range r.GetCrashes() {
+		marks := []poison.Mark{Decode(c)}
+		if r.GetAppend() {
+			h.receiver.Relay(c.GetHost(), marks)
+			continue
+		}
+		h.receiver.Learn(c.GetHost(), marks)
+	}
+	return &quarantine.TellReply{}, nil
+}
--- a/internal/follow/crashes.go
+++ b/internal/follow/crashes.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +14,7 @@
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
+	"yuccausher/internal/adapter/crashrpc"
 	"yuccausher/internal/core/poison"
 	"yuccausher/internal/gen/quarantine"
 	"yuccausher/internal/port"
@@ -36,32 +39,51 @@
 	sweepInterval = 2 * time.Minute
 	// maxCrashes bounds the crashes of one write, some 100 bytes each.
 	maxCrashes = 256
+	// tellTimeout bounds a call to another host, tellAtOnce the calls at a time.
+	tellTimeout = 300 * time.Millisecond
+	tellAtOnce  = 16
+	// relays is how many other hosts are asked to write crashes for one that does not
+	// reach the store: the first may not reach it either.
+	relays = 3
 )
 
 // Crashes are those of targets that a host has seen.
 type Crashes interface {
-	// Unshared returns those of which other hosts have not been told; Changed tells of
-	// new ones. Shared takes those that last.
+	// Unshared returns those of this host that are not in the log, Relayed those of
+	// others that are to be written for them; Changed tells of new ones. Shared takes
+	// those that are in the log.
 	Unshared() []poison.Mark
+	Relayed() []poison.Mark
 	Changed() <-chan struct{}
 	Shared([]poison.Mark)
 	// Learn takes those that another host has seen.
 	Learn(host string, marks []poison.Mark)
 }
 
+// Peers are the other hosts.
+type Peers interface {
+	// Hosts returns their addresses.
+	Hosts() []string
+	// Tell tells one of crashes, and asks it to write them to the log if append is set.
+	Tell(ctx context.Context, host string, marks []poison.Mark, append bool) error
+}
+
 // CrashLogParams are what a crash log is built from.
 type CrashLogParams struct {
 	// Host is this host's name.
 	Host   string
 	Stream port.KeyedStream
 	// Put writes records of the stream; an empty value removes its key.
-	Put     func(ctx context.Context, records []port.KeyedRecord) error
+	Put func(ctx context.Context, records []port.KeyedRecord) error
+	// Peers are told while the store does not take crashes.
+	Peers   Peers
 	Crashes Crashes
 	Logger  logr.Logger
 }
 
 // CrashLog shares the crashes of targets among all hosts through the store. A crash
-// has a record of its own, which outlasts the host that has seen it.
+// has a record of its own, which outlasts the host that has seen it. A host that does
+// not reach the store tells the others, some of which write for it.
 type CrashLog struct {
 	params CrashLogParams
 	tail   *tail
@@ -74,11 +96,13 @@
 	sweepAt time.Time
 	// old carries the keys of crashes that are to be removed.
 	old chan []string
+	// told are the marks that the others have been told of. They belong to the writer.
+	told map[poison.Mark]bool
 }
 
 // NewCrashLog returns a crash log.
 func NewCrashLog(p CrashLogParams) *CrashLog {
-	c := &CrashLog{params: p, log: p.Logger.WithName("crashes"), seenAt: make(map[string]time.Time), old: make(chan []string, 1)}
+	c := &CrashLog{params: p, log: p.Logger.WithName("crashes"), seenAt: make(map[string]time.Time), old: make(chan []string, 1), told: make(map[poison.Mark]bool)}
 	c.tail = &tail{stream: p.Stream, handler: c, wait: crashesWait, log: c.log}
 	return c
 }
@@ -98,25 +122,77 @@
 	c.done.Wait()
 	ctx, cancel := context.WithTimeout(ctx, lastTimeout)
 	defer cancel()
-	if marks := c.params.Crashes.Unshared(); len(marks) > 0 {
+	if marks := c.waiting(); len(marks) > 0 {
 		c.write(ctx, marks)
 	}
 	return nil
 }
 
+// waiting returns what is to be written next.
+func (c *CrashLog) waiting() []poison.Mark {
+	marks := append(c.params.Crashes.Unshared(), c.params.Crashes.Relayed()...)
+	return marks[:min(len(marks), maxCrashes)]
+}
+
 // share writes crashes as soon as they are seen, and again while that fails.
 func (c *CrashLog) share(ctx context.Context) {
 	for ctx.Err() == nil {
-		marks := c.params.Crashes.Unshared()
-		switch {
-		case len(marks) == 0:
+		marks := c.waiting()
+		if len(marks) == 0 {
+			clear(c.told)
 			c.await(ctx)
-		case !c.write(ctx, marks[:min(len(marks), maxCrashes)]):
+			continue
+		}
+		// The others learn first of what the store has not taken so far.
+		if len(c.told) > 0 {
+			c.tell(ctx)
+		}
+		if !c.write(ctx, marks) {
+			c.tell(ctx)
 			sleep(ctx, crashesRetry)
 		}
 	}
 }
 
+// tell tells all other hosts of the crashes that this one has seen, and asks some to
+// write them.
+func (c *CrashLog) tell(ctx context.Context) {
+	marks := slices.DeleteFunc(c.params.Crashes.Unshared(), func(m poison.Mark) bool { return c.told[m] })
+	hosts := c.params.Peers.Hosts()
+	if len(marks) == 0 || len(hosts) == 0 {
+		return
+	}
+	marks = marks[:min(len(marks), maxCrashes)]
+	rand.Shuffle(len(hosts), func(i, k int) { hosts[i], hosts[k] = hosts[k], hosts[i] })
+	var reached, asked atomic.Int64
+	var calls sync.WaitGroup
+	slots := make(chan struct{}, tellAtOnce)
+	for _, host := range hosts {
+		slots <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+			defer cancel()
+			isRelay := asked.Add(1) <= relays
+			if err := c.params.Peers.Tell(ctx, host, marks, isRelay); err != nil {
+				if isRelay {
+					asked.Add(-1)
+				}
+				c.log.V(1).Info("A host could not be told of crashes.", "host", host, "cause", err.Error())
+				return
+			}
+			reached.Add(1)
+		})
+	}
+	calls.Wait()
+	if reached.Load() > 0 {
+		for _, m := range marks {
+			c.told[m] = true
+		}
+	}
+	c.log.Info("Other hosts are told of crashes.", "count", len(marks), "hosts", len(hosts), "reached", reached.Load())
+}
+
 // await waits for crashes to share and removes old ones meanwhile.
 func (c *CrashLog) await(ctx context.Context) {
 	select {
@@ -134,7 +210,7 @@
 	begun := time.Now()
 	records := make([]port.KeyedRecord, 0, len(marks))
 	for _, m := range marks {
-		value, err := proto.Marshal(encodeCrash(m, c.params.Host))
+		value, err := proto.Marshal(crashrpc.Encode(m, c.params.Host))
 		if err != nil {
 			c.log.Error(err, "A crash can't be encoded and is not shared.", "target", m.Target)
 			continue
@@ -170,14 +246,6 @@
 	return fmt.Sprintf("%016x-%016x", m.Fingerprint, xxhash.Sum64String(fmt.Sprint(run.Target, "/", run.Run, "/", run.At)))
 }
 
-func encodeCrash(m poison.Mark, host string) *quarantine.Crash {
-	return &quarantine.Crash{Fingerprint: m.Fingerprint, Target: m.Target, Run: m.Run, SeenAt: uint64(m.At), Host: host}
-}
-
-func decodeCrash(c *quarantine.Crash) poison.Mark {
-	return poison.Mark{Fingerprint: c.GetFingerprint(), Target: c.GetTarget(), Run: c.GetRun(), At: int64(c.GetSeenAt())}
-}
-
 func (c *CrashLog) reset(records []port.KeyedRecord) {
 	clear(c.seenAt)
 	for _, r := range records {
@@ -195,7 +263,7 @@
 		c.log.Info("A crash can't be read and is passed over.", "key", r.Key, "cause", errors.Trace(err).Error())
 		return
 	}
-	mark := decodeCrash(&m)
+	mark := crashrpc.Decode(&m)
 	c.seenAt[r.Key] = time.Unix(0, mark.At)
 	c.params.Crashes.Learn(m.GetHost(), []poison.Mark{mark})
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 
 	"yuccausher/internal/adapter/budgetrpc"
 	"yuccausher/internal/adapter/conversationrpc"
+	"yuccausher/internal/adapter/crashrpc"
 	"yuccausher/internal/adapter/metrics"
 	"yuccausher/internal/conversation"
 	"yuccausher/internal/core/fleet"
@@ -177,11 +178,12 @@
 	return h
 }
 
-func newCrashLog(lc fx.Lifecycle, o Options, crashes *quarantine.Service) *follow.CrashLog {
+func newCrashLog(lc fx.Lifecycle, o Options, peers *budgetrpc.Client, crashes *quarantine.Service) *follow.CrashLog {
 	c := follow.NewCrashLog(follow.CrashLogParams{
 		Host:    o.HostName,
 		Stream:  o.Platform.Crashes,
 		Put:     o.Platform.PutCrashes,
+		Peers:   crashrpc.Client{Dialer: peers, Host: o.HostName},
 		Crashes: crashes,
 		Logger:  o.Logger,
 	})
@@ -195,8 +197,13 @@
 	return c
 }
 
-func newLending(s *spending.Service, c *conversation.Service, o Options) (*budgetrpc.Server, error) {
-	register := func(mux drpc.Mux) error { return conversationrpc.Register(mux, c) }
+func newLending(s *spending.Service, c *conversation.Service, q *quarantine.Service, o Options) (*budgetrpc.Server, error) {
+	register := func(mux drpc.Mux) error {
+		if err := crashrpc.Register(mux, q); err != nil {
+			return err
+		}
+		return conversationrpc.Register(mux, c)
+	}
 	return budgetrpc.NewServer(s, register, o.Logger.WithName("lending"))
 }
 
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -88,6 +88,8 @@
 	seen *lru.Cache[poison.Mark, struct{}]
 	// unshared are the marks that other hosts have not been told of, the oldest first.
 	unshared []poison.Mark
+	// relayed are marks of other hosts that this one is to write to the shared log.
+	relayed []poison.Mark
 }
 
 type metrics struct {
@@ -332,10 +334,20 @@
 		}
 		s.mark(m, ownHost)
 	}
-	if lost := len(s.unshared) - maxUnshared; lost > 0 {
+	s.unshared = s.bounded(s.unshared)
+	s.signal()
+}
+
+// bounded drops the oldest of too many marks.
+func (s *Service) bounded(marks []poison.Mark) []poison.Mark {
+	if lost := len(marks) - maxUnshared; lost > 0 {
 		s.log.Info("Crashes can't be shared and are dropped.", "count", lost)
-		s.unshared = s.unshared[lost:]
+		return marks[lost:]
 	}
+	return marks
+}
+
+func (s *Service) signal() {
 	select {
 	case s.changed <- struct{}{}:
 	default:
@@ -383,18 +395,36 @@
 // Changed tells that there are new marks to share.
 func (s *Service) Changed() <-chan struct{} { return s.changed }
 
-// Unshared returns the marks that other hosts have not been told of.
+// Unshared returns the marks of this host that others have not been told of.
 func (s *Service) Unshared() []poison.Mark {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.unshared)
 }
 
-// Shared notes that marks last and reach the other hosts.
+// Relayed returns the marks of other hosts that are to be written to the shared log.
+func (s *Service) Relayed() []poison.Mark {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.relayed)
+}
+
+// Shared notes that marks are in the shared log.
 func (s *Service) Shared(marks []poison.Mark) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unshared = slices.DeleteFunc(s.unshared, func(m poison.Mark) bool { return slices.Contains(marks, m) })
+	isShared := func(m poison.Mark) bool { return slices.Contains(marks, m) }
+	s.unshared = slices.DeleteFunc(s.unshared, isShared)
+	s.relayed = slices.DeleteFunc(s.relayed, isShared)
+}
+
+// Relay takes marks of another host that does not reach the shared log.
+func (s *Service) Relay(host string, marks []poison.Mark) {
+	s.Learn(host, marks)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relayed = s.bounded(append(s.relayed, marks...))
+	s.signal()
 }
 
 // Learn takes the marks that another host has made.
