poison, follow, quarantine: marks are written and sent by one piece of code

The form of a mark in records and calls stands with the mark. No look for a target begins once the quarantine stops, which could pass its wait.

--- a/internal/adapter/crashrpc/crashrpc.go
+++ b/internal/adapter/crashrpc/crashrpc.go
@@ -33,22 +33,12 @@
 	defer conn.Close()
 	request := &quarantine.TellRequest{Append: append, Crashes: make([]*quarantine.Crash, len(marks))}
 	for i, m := range marks {
-		request.Crashes[i] = Encode(m, c.Host)
+		request.Crashes[i] = poison.ToWire(m, c.Host)
 	}
 	_, err = quarantine.NewDRPCCrashesClient(conn).Tell(ctx, request)
 	return errors.Annotatef(err, "tell host %s of crashes", host)
 }
 
-// Encode returns a crash as it is sent and stored.
-func Encode(m poison.Mark, host string) *quarantine.Crash {
-	return &quarantine.Crash{Fingerprint: m.Fingerprint, Target: m.Target, Run: m.Run, SeenAt: uint64(m.At), Host: host}
-}
-
-// Decode reads a crash that was sent or stored.
-func Decode(c *quarantine.Crash) poison.Mark {
-	return poison.Mark{Fingerprint: c.GetFingerprint(), Target: c.GetTarget(), Run: c.GetRun(), At: int64(c.GetSeenAt())}
-}
-
 // Receiver takes crashes that other hosts tell of.
 type Receiver interface {
 	// Learn takes crashes, Relay also those that are to be written to the shared log.
@@ -66,7 +56,7 @@
 // Tell implements quarantine.DRPCCrashesServer.
 func (h *handler) Tell(_ context.Context, r *quarantine.TellRequest) (*quarantine.TellReply, error) {
 	for _, c := range r.GetCrashes() {
-		marks := []poison.Mark{Decode(c)}
+		marks := []poison.Mark{poison.FromWire(c)}
 		if r.GetAppend() {
 			h.receiver.Relay(c.GetHost(), marks)
 			continue
--- a/internal/follow/crashes.go
+++ b/internal/follow/crashes.go
@@ -14,7 +14,6 @@
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
-	"yuccausher/internal/adapter/crashrpc"
 	"yuccausher/internal/core/poison"
 	"yuccausher/internal/gen/quarantine"
 	"yuccausher/internal/port"
@@ -96,8 +95,10 @@
 	sweepAt time.Time
 	// old carries the keys of crashes that are to be removed.
 	old chan []string
-	// told are the marks that the others have been told of. They belong to the writer.
-	told map[poison.Mark]bool
+	// told are the marks that the others have been told of, and failingSince is when
+	// writes began to fail. They belong to the writer.
+	told         map[poison.Mark]bool
+	failingSince time.Time
 }
 
 // NewCrashLog returns a crash log.
@@ -143,8 +144,7 @@
 			c.await(ctx)
 			continue
 		}
-		// The others learn first of what the store has not taken so far.
-		if len(c.told) > 0 {
+		if !c.failingSince.IsZero() {
 			c.tell(ctx)
 		}
 		if !c.write(ctx, marks) {
@@ -210,15 +210,16 @@
 	begun := time.Now()
 	records := make([]port.KeyedRecord, 0, len(marks))
 	for _, m := range marks {
-		value, err := proto.Marshal(crashrpc.Encode(m, c.params.Host))
+		value, err := proto.Marshal(poison.ToWire(m, c.params.Host))
 		if err != nil {
 			c.log.Error(err, "A crash can't be encoded and is not shared.", "target", m.Target)
 			continue
 		}
 		records = append(records, port.KeyedRecord{Key: crashKey(m), Value: value})
 	}
-	if err := c.params.Put(ctx, records); err != nil {
-		c.log.Info("Crashes could not be written.", "count", len(marks), "ms", time.Since(begun).Milliseconds(), "cause", err.Error())
+	err := c.params.Put(ctx, records)
+	c.observe(err)
+	if err != nil {
 		return false
 	}
 	c.params.Crashes.Shared(marks)
@@ -226,6 +227,18 @@
 	return true
 }
 
+// observe logs when writes begin to fail and when they succeed again.
+func (c *CrashLog) observe(err error) {
+	switch {
+	case err != nil && c.failingSince.IsZero():
+		c.failingSince = time.Now()
+		c.log.Info("Store takes no crashes.", "cause", err.Error())
+	case err == nil && !c.failingSince.IsZero():
+		c.log.Info("Store takes crashes again.", "away", time.Since(c.failingSince).String())
+		c.failingSince = time.Time{}
+	}
+}
+
 func (c *CrashLog) remove(ctx context.Context, keys []string) {
 	ctx, cancel := context.WithTimeout(ctx, crashesTimeout)
 	defer cancel()
@@ -263,7 +276,7 @@
 		c.log.Info("A crash can't be read and is passed over.", "key", r.Key, "cause", errors.Trace(err).Error())
 		return
 	}
-	mark := crashrpc.Decode(&m)
+	mark := poison.FromWire(&m)
 	c.seenAt[r.Key] = time.Unix(0, mark.At)
 	c.params.Crashes.Learn(m.GetHost(), []poison.Mark{mark})
 }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -139,7 +139,9 @@
 
 // Stop ends the looks for targets.
 func (s *Service) Stop(context.Context) error {
-	s.stop()
+	s.mu.Lock()
+	s.stop() // no look begins from here on
+	s.mu.Unlock()
 	s.done.Wait()
 	return nil
 }
