follow, platform: reads of crashes wait for half the stable window

A wait of 1.5 s fits the window of three seconds; larger sites have longer ones and can do with fewer reads.

--- a/internal/follow/crashes.go
+++ b/internal/follow/crashes.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	// crashesWait is how long a read waits for the next crash. A host whose connection
-	// has fallen silent learns of one no later than this and one call's timeout after
-	// it could, which is less than the time after which hosts count as undisturbed.
-	crashesWait = 1500 * time.Millisecond
+	// crashReads is how many reads fit into the time within which crashes are to be
+	// known. A read waits for the next crash; one whose connection has fallen silent
+	// fails after its wait and a call's timeout, and the next one must come in time.
+	crashReads = 2
 	// crashesTimeout bounds a write of crashes. The store takes milliseconds, and 60
 	// times as long when it is slow.
 	crashesTimeout = 500 * time.Millisecond
@@ -74,6 +74,8 @@
 	Stream port.KeyedStream
 	// Put writes records of the stream; an empty value removes its key.
 	Put func(ctx context.Context, records []port.KeyedRecord) error
+	// Within is the time in which hosts are to know of crashes after a disturbance.
+	Within time.Duration
 	// Peers are told while the store does not take crashes.
 	Peers   Peers
 	Crashes Crashes
@@ -104,7 +106,7 @@
 // NewCrashLog returns a crash log.
 func NewCrashLog(p CrashLogParams) *CrashLog {
 	c := &CrashLog{params: p, log: p.Logger.WithName("crashes"), seenAt: make(map[string]time.Time), old: make(chan []string, 1), told: make(map[poison.Mark]bool)}
-	c.tail = &tail{stream: p.Stream, handler: c, wait: crashesWait, log: c.log}
+	c.tail = &tail{stream: p.Stream, handler: c, wait: p.Within / crashReads, log: c.log}
 	return c
 }
 
--- a/internal/follow/crashes_test.go
+++ b/internal/follow/crashes_test.go
@@ -21,6 +21,7 @@
 const (
 	crashesTopic = "keyed.crashes"
 	content      = uint64(7)
+	within       = 3 * time.Second
 )
 
 func fingerprint() uint64 { return content }
@@ -44,7 +45,7 @@
 func newCrashLog(t *testing.T, store *metastore.Store, name string, crashes Crashes) *CrashLog {
 	t.Helper()
 	keyed := store.Client(name).Keyed(crashesTopic)
-	c := NewCrashLog(CrashLogParams{Host: name, Stream: keyed, Put: keyed.PutAll, Peers: noPeers{}, Crashes: crashes, Logger: logr.Discard()})
+	c := NewCrashLog(CrashLogParams{Host: name, Stream: keyed, Put: keyed.PutAll, Within: within, Peers: noPeers{}, Crashes: crashes, Logger: logr.Discard()})
 	if err := c.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -138,7 +139,7 @@
 		calls := store.Calls()
 		time.Sleep(4 * sweepInterval)
 		is.Equal(count(), 0)
-		reads := 3 * int(4*sweepInterval/crashesWait)
+		reads := 3 * int(4*sweepInterval/(within/crashReads))
 		is.True(store.Calls()-calls < 2*reads) // removed by few writes, not by each host
 		for n := range logs {
 			is.NoErr(logs[n].Stop(context.Background()))
@@ -159,7 +160,7 @@
 		for n := range 3 {
 			is.True(!crashes.Holds(fingerprint))
 			keyed := store.Client("b").Keyed(crashesTopic)
-			other := NewCrashLog(CrashLogParams{Host: "b", Stream: keyed, Put: keyed.PutAll, Peers: noPeers{}, Crashes: newCrashes(), Logger: logr.Discard()})
+			other := NewCrashLog(CrashLogParams{Host: "b", Stream: keyed, Put: keyed.PutAll, Within: within, Peers: noPeers{}, Crashes: newCrashes(), Logger: logr.Discard()})
 			is.True(other.write(context.Background(), []poison.Mark{{Fingerprint: content, Target: fmt.Sprint(n), At: 1}}))
 			time.Sleep(10 * time.Millisecond)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -61,6 +61,8 @@
 	DataCentre  string
 	// DrainTime is how soon a leaving target must get no more requests.
 	DrainTime time.Duration
+	// StableTime is how long after a disturbance a host must know what others know.
+	StableTime time.Duration
 	// StopTime is the time between SIGTERM and SIGKILL.
 	StopTime time.Duration
 	// Partitions is how many partitions of the shared log carry the claims on
@@ -183,6 +185,7 @@
 		Host:    o.HostName,
 		Stream:  o.Platform.Crashes,
 		Put:     o.Platform.PutCrashes,
+		Within:  o.StableTime,
 		Peers:   crashrpc.Client{Dialer: peers, Host: o.HostName},
 		Crashes: crashes,
 		Logger:  o.Logger,
--- a/internal/quarantine/node_test.go
+++ b/internal/quarantine/node_test.go
@@ -60,7 +60,7 @@
 	n := &node{name: name, disturbed: time.Now()}
 	n.crashes = quarantine.New(quarantine.Params{Probe: w.probe, Logger: logr.Discard(), Scope: tally.NoopScope})
 	keyed := client.Keyed(crashesTopic)
-	n.shared = follow.NewCrashLog(follow.CrashLogParams{Host: name, Stream: keyed, Put: keyed.PutAll, Peers: peers{w, name}, Crashes: n.crashes, Logger: logr.Discard()})
+	n.shared = follow.NewCrashLog(follow.CrashLogParams{Host: name, Stream: keyed, Put: keyed.PutAll, Within: stableTime, Peers: peers{w, name}, Crashes: n.crashes, Logger: logr.Discard()})
 	if err := n.shared.Start(context.Background()); err != nil {
 		w.t.Fatal(err)
 	}
