soak, quarantine: one content ends each replica that runs it

Two runs at one address that say the same start were taken for one, since the later had to be younger; replicas behind a proxy always take connections, so that nothing else showed their ends. A run of another ID counts as the next one if it is not older.

--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -239,7 +239,7 @@
 	if old == target || old.Address != target.Address && old.ID != target.ID {
 		return false
 	}
-	return old.StartedAt == 0 || target.StartedAt == 0 || old.StartedAt < target.StartedAt
+	return old.StartedAt == 0 || target.StartedAt == 0 || old.StartedAt <= target.StartedAt
 }
 
 // SucceededError says that another run of a target has begun at its address or under
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -20,6 +20,15 @@
 	f.list = append(f.list, fmt.Sprintf(format, args...))
 }
 
+// deathsAt returns times some seconds after another.
+func deathsAt(from time.Time, seconds ...int) []time.Time {
+	var list []time.Time
+	for _, s := range seconds {
+		list = append(list, from.Add(time.Duration(s)*time.Second))
+	}
+	return list
+}
+
 // Each check reports evidence of a broken promise and is silent about a kept one.
 func TestChecksCanFail(t *testing.T) {
 	ran := func(id, path string) replica.Run {
@@ -100,6 +109,9 @@
 		{"stop crashes", true, func(r reporter) { checkStop(r, "h", 2, []attempt{good}) }},
 		{"served", false, func(r reporter) { checkServed(r, 9, 10) }},
 		{"not served", true, func(r reporter) { checkServed(r, 8, 10) }},
+		{"deaths", false, func(r reporter) { checkDeaths(r, deathsAt(now, 0, 0, 0, 1, 4, 4, 4), now) }},
+		{"deaths go on", true, func(r reporter) { checkDeaths(r, deathsAt(now, 0, 0, 0, 1, 4, 4, 4, 4), now) }},
+		{"deaths under faults", false, func(r reporter) { checkDeaths(r, deathsAt(now, 0, 0, 0, 4, 4, 4, 4), now.Add(2*time.Second)) }},
 		{"nothing asked", true, func(r reporter) { checkServed(r, 0, 0) }},
 	}
 	for _, c := range cases {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,6 +50,7 @@
 	watcherStream     = 1000
 	examinationStream = 2000
 	talkerStream      = 3000
+	deadlyStream      = 4000
 )
 
 func TestSoak(t *testing.T) {
@@ -111,6 +112,7 @@
 		random := rand.New(rand.NewPCG(seed, talkerStream+uint64(i)))
 		calling.Go(func() { c.talk(running, random) })
 	}
+	calling.Go(func() { c.sendDeadly(running, rand.New(rand.NewPCG(seed, deadlyStream))) })
 	v := &watcher{world: w, callers: c}
 	for i, h := range w.hosts {
 		random := rand.New(rand.NewPCG(seed, watcherStream+uint64(i)))
@@ -132,6 +134,7 @@
 	calling.Wait()
 	checkVersions(t, v.sightings)
 	t.Logf("faults: %v", j.counts)
+	checkDeaths(t, w.deathTimes(), healedAt)
 	check(t, w, c, healedAt.Add(healed-judged), healedAt.Add(healed-judged/3))
 	if t.Failed() {
 		for _, h := range w.hosts {
@@ -157,7 +160,7 @@
 	for _, a := range c.attempts {
 		known[a.id] = true
 		checkAttempt(t, a, c.content(a), runs[a.id])
-		if strings.HasPrefix(a.path, "/extra-") || strings.HasPrefix(a.path, "/slow/") {
+		if strings.HasPrefix(a.path, "/extra-") || strings.HasPrefix(a.path, "/slow/") || isDeadly(a.path) {
 			// Those are examined by themselves.
 			continue
 		}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -52,6 +52,9 @@
 	retired []*replica.Replica
 	version int
 	started int
+	// deaths are when replicas were ended by the deadly content.
+	deaths []time.Time
+	dying  sync.WaitGroup
 }
 
 // target is a place where a replica runs, one after the other.
@@ -113,6 +116,7 @@
 		h.signal(syscall.SIGKILL)
 		h.store.close()
 	}
+	w.dying.Wait()
 	for _, target := range w.targets {
 		target.proxy.close()
 		target.replica.Close()
@@ -134,12 +138,15 @@
 	if service == "slow" {
 		work = slowWork
 	}
+	id := fmt.Sprintf("%s-%d", service, w.started)
 	r, err := replica.Listen("127.0.0.1:0", replica.Options{
-		ID:     fmt.Sprintf("%s-%d", service, w.started),
+		ID:     id,
 		Slots:  8,
 		Work:   work,
 		Events: streamEvents,
 		Pause:  5 * time.Millisecond,
+		Deadly: deadlyContent,
+		Ended:  func() { w.dying.Go(func() { w.died(id) }) },
 	})
 	w.must(err)
 	return r
@@ -156,6 +163,10 @@
 func (w *world) restart(t *target, after time.Duration) {
 	w.mu.Lock()
 	old := t.replica
+	if old == nil {
+		w.mu.Unlock()
+		return
+	}
 	w.retired = append(w.retired, old)
 	w.store.Put("keyed.servers", old.ID(), nil)
 	t.replica = nil
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -76,6 +76,10 @@
 	// Events is how many events a stream has, Pause the time between them.
 	Events int
 	Pause  time.Duration
+	// Deadly is a body that takes the replica down when it begins to run; empty means
+	// none. Ended is called when one has.
+	Deadly string
+	Ended  func()
 }
 
 // Run is one request that the replica began to run.
@@ -271,6 +275,11 @@
 		r.crash()
 		return false
 	}
+	if r.options.Deadly != "" && string(body) == r.options.Deadly {
+		r.crash()
+		r.options.Ended()
+		return false
+	}
 	if x.fault == Vanishing {
 		r.vanish()
 		_, _ = reader.Peek(1)
