quarantine: a request that outlives its target is counted

A target that ends silently may have been succeeded, and its successor's record read, before its caller leaves; whoever listens at its address by then lives. Found by reading the change; TestRequestThatOutlivesItsTargetIsCounted failed.

--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -134,3 +134,25 @@
 		is.True(!s.Holds(fingerprint))
 	})
 }
+
+// A target may have been succeeded before its request is given up: one that ended
+// silently is silent until its caller leaves.
+func TestRequestThatOutlivesItsTargetIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(t, nil)
+		run := func(n int64) upstream.Target {
+			return upstream.Target{ID: fmt.Sprint("t", n), Address: "a", StartedAt: n}
+		}
+		s.Started(run(1))
+		s.Started(run(2))
+		s.Broke(content, run(1))
+		s.Started(run(3))
+		s.GaveUp(content, run(2))
+		s.Started(run(4))
+		is.True(s.HasEnded(t.Context(), content, run(3)))
+		is.True(s.Holds(fingerprint))
+		s.GaveUp(1, run(4)) // the one that runs
+		is.Equal(len(s.Unshared()), 3)
+	})
+}
