testutil: no port is handed out twice

Traced as far as it can be: ports are drawn at random from 20,000 and listened on some time later, so that two hosts of a world could draw the same one; with 12 draws a world that is about one world in 300. A trial that forces it ends with the same line for the later host. The log of the failed run is not there, so that it may have been another process's port; a port that is taken between two test binaries is still possible.

--- a/internal/testutil/ports.go
+++ b/internal/testutil/ports.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"sync"
 	"testing"
 )
 
@@ -16,6 +17,13 @@
 	portAttempts = 100
 )
 
+// handedOut are the ports that this process's tests were given: they are listened on
+// some time later.
+var handedOut = struct {
+	sync.Mutex
+	ports map[int]bool
+}{ports: make(map[int]bool)}
+
 // FreeAddress returns a loopback address whose port is free.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
@@ -27,7 +35,7 @@
 	t.Helper()
 	for range portAttempts {
 		first := firstPort + rand.IntN(lastPort-firstPort-count)
-		if areFree(first, count) {
+		if areFree(first, count) && handOut(first, count) {
 			return first
 		}
 	}
@@ -46,4 +54,19 @@
 	return true
 }
 
+// handOut takes ports, or returns false if one of them was given to another test.
+func handOut(first, count int) bool {
+	handedOut.Lock()
+	defer handedOut.Unlock()
+	for p := first; p < first+count; p++ {
+		if handedOut.ports[p] {
+			return false
+		}
+	}
+	for p := first; p < first+count; p++ {
+		handedOut.ports[p] = true
+	}
+	return true
+}
+
 func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
