gateway: a close that crosses a posting is told apart from one that ran it

A target that says it keeps a connection and closes it may do so as the next request leaves; the host can't know whether that one ran and says 502, as it should. The check allowed that for the second request of a round only.

--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -153,6 +153,11 @@
 			s := newSite(t)
 			r := s.add(app, replica.Options{ID: "r1"})
 			s.add(app, replica.Options{ID: "r2"})
+			// A close that crosses a request leaves its outcome unknown to the host; it
+			// has not run then.
+			isCrossed := func(id string, status int) bool {
+				return c.fault == replica.HalfClosed && status == http.StatusBadGateway && s.runsOf(id) == 0
+			}
 			for i := range 12 {
 				for _, r := range s.replicas {
 					r.Fail(c.fault)
@@ -160,9 +165,11 @@
 				id := "p" + strconv.Itoa(i)
 				body := strings.Repeat("b", 50<<10)
 				a := s.do(request{method: http.MethodPost, path: posting, id: id, body: body})
-				is.Equal(a.status, c.once)
 				is.NoErr(a.err)
-				is.Equal(s.runsOf(id), 1)
+				if !isCrossed(id, a.status) {
+					is.Equal(a.status, c.once)
+					is.Equal(s.runsOf(id), 1)
+				}
 				if a.status == http.StatusOK && c.fault != replica.Early {
 					is.Equal(a.body, "answer to "+id)
 				}
@@ -171,10 +178,8 @@
 					r.FailAlways(replica.None)
 				}
 				next := s.do(request{method: http.MethodPost, path: posting, id: id + "n", body: body})
-				// The other replica may still have the fault before it, and a
-				// close that crosses a request leaves its outcome unknown.
-				isCrossed := c.fault == replica.HalfClosed && next.status == http.StatusBadGateway
-				is.True(next.status == c.once || next.status == http.StatusOK || isCrossed)
+				// The other replica may still have the fault before it.
+				is.True(next.status == c.once || next.status == http.StatusOK || isCrossed(id+"n", next.status))
 				is.True(s.runsOf(id+"n") <= 1)
 			}
 			for _, run := range r.Runs() {
