follow: hosts that don't answer do not hold up writes of crashes

Found by reading: a host that is cut off asked each other host in turn before it tried the store again, some eight seconds at 410 hosts. All calls together have a second now. TestSilentHostsDoNotHoldUpTheStore failed before.

--- a/internal/adapter/crashrpc/crashrpc.go
+++ b/internal/adapter/crashrpc/crashrpc.go
@@ -24,14 +24,14 @@
 	Host string
 }
 
-// Tell tells a host of crashes. append asks it to write them to the shared log.
-func (c Client) Tell(ctx context.Context, host string, marks []poison.Mark, append bool) error {
+// Tell tells a host of crashes. A relay is asked to write them to the shared log.
+func (c Client) Tell(ctx context.Context, host string, marks []poison.Mark, isRelay bool) error {
 	conn, err := c.Connect(ctx, host)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	request := &quarantine.TellRequest{Append: append, Crashes: make([]*quarantine.Crash, len(marks))}
+	request := &quarantine.TellRequest{Append: isRelay, Crashes: make([]*quarantine.Crash, len(marks))}
 	for i, m := range marks {
 		request.Crashes[i] = poison.ToWire(m, c.Host)
 	}
--- a/internal/follow/crashes.go
+++ b/internal/follow/crashes.go
@@ -38,9 +38,11 @@
 	sweepInterval = 2 * time.Minute
 	// maxCrashes bounds the crashes of one write, some 100 bytes each.
 	maxCrashes = 256
-	// tellTimeout bounds a call to another host, tellAtOnce the calls at a time.
+	// tellTimeout bounds a call to another host, tellAtOnce the calls at a time, and
+	// tellTotal all of them: a host that is cut off must try the store again.
 	tellTimeout = 300 * time.Millisecond
 	tellAtOnce  = 16
+	tellTotal   = time.Second
 	// relays is how many other hosts are asked to write crashes for one that does not
 	// reach the store: the first may not reach it either.
 	relays = 3
@@ -63,8 +65,8 @@
 type Peers interface {
 	// Hosts returns their addresses.
 	Hosts() []string
-	// Tell tells one of crashes, and asks it to write them to the log if append is set.
-	Tell(ctx context.Context, host string, marks []poison.Mark, append bool) error
+	// Tell tells one of crashes. A relay is asked to write them to the log.
+	Tell(ctx context.Context, host string, marks []poison.Mark, isRelay bool) error
 }
 
 // CrashLogParams are what a crash log is built from.
@@ -166,6 +168,8 @@
 	}
 	marks = marks[:min(len(marks), maxCrashes)]
 	rand.Shuffle(len(hosts), func(i, k int) { hosts[i], hosts[k] = hosts[k], hosts[i] })
+	ctx, cancel := context.WithTimeout(ctx, tellTotal)
+	defer cancel()
 	var reached, asked atomic.Int64
 	var calls sync.WaitGroup
 	slots := make(chan struct{}, tellAtOnce)
--- a/internal/follow/crashes_test.go
+++ b/internal/follow/crashes_test.go
@@ -148,6 +148,36 @@
 	})
 }
 
+// hangingPeers are many hosts none of which answers.
+type hangingPeers struct{}
+
+func (hangingPeers) Hosts() []string { return make([]string, 400) }
+
+func (hangingPeers) Tell(ctx context.Context, _ string, _ []poison.Mark, _ bool) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// A host that is cut off from all others writes soon after the store is back.
+func TestSilentHostsDoNotHoldUpTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := metastore.New()
+		store.SetFaults("a", metastore.Faults{Refuse: true})
+		crashes := newCrashes()
+		keyed := store.Client("a").Keyed(crashesTopic)
+		c := NewCrashLog(CrashLogParams{Host: "a", Stream: keyed, Put: keyed.PutAll, Within: within, Peers: hangingPeers{}, Crashes: crashes, Logger: logr.Discard()})
+		is.NoErr(c.Start(context.Background()))
+		crashes.Broke(content, upstream.Target{ID: "t"})
+		time.Sleep(10 * time.Second)
+		store.SetFaults("a", metastore.Faults{})
+		time.Sleep(within)
+		is.Equal(len(crashes.Unshared()), 0)
+		is.NoErr(c.Stop(context.Background()))
+		is.NoErr(crashes.Stop(context.Background()))
+	})
+}
+
 // Records of other writers are passed over.
 func TestCrashThatCantBeReadIsPassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quarantine/node_test.go
+++ b/internal/quarantine/node_test.go
@@ -38,12 +38,12 @@
 	return slices.DeleteFunc(slices.Clone(p.world.names), func(name string) bool { return name == p.self })
 }
 
-func (p peers) Tell(_ context.Context, host string, marks []poison.Mark, append bool) error {
+func (p peers) Tell(_ context.Context, host string, marks []poison.Mark, isRelay bool) error {
 	n := p.world.host(host)
 	switch {
 	case n == nil:
 		return errors.New("connection refused")
-	case append:
+	case isRelay:
 		n.crashes.Relay(p.self, marks)
 	default:
 		n.crashes.Learn(p.self, marks)
