--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -1,8 +1,8 @@
-// Package quarantine keeps content that crashes the targets that run it away
-// from further targets, on all hosts together. A crash is a request that broke
-// off at a target that takes no connection shortly after; it leaves a mark on
-// the content of each request that was under way there. Hosts show each other
-// their marks; core/poison counts them.
+// Package quarantine keeps content that crashes the targets that run it away from
+// further targets, on all hosts together. A request that got no whole answer from a
+// target leaves a mark on its content if the target takes no connection afterwards, or
+// if another has begun to run in its place. Hosts share their marks; core/poison counts
+// them.
 package quarantine
 
 import (
