conversation: any host with a path to the log appends turns of hosts without one

A round also ended while an append of another host was pending.

Change: core/conversation.Relays records failures by host and tries the host that worked last first. The mean append time learns from answered appends only.

Ruled out: refusing before dispatch; other hosts had a path all the time.

--- a/internal/conversation/keep.go
+++ b/internal/conversation/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/juju/errors"
@@ -30,17 +31,14 @@
 	// failingInterval is the minimum time between appends of a host while all calls to
 	// the log fail.
 	failingInterval = 100 * time.Millisecond
-	// maxAppendPeers is how many other hosts are asked to append a turn.
-	maxAppendPeers = 2
+	// maxAppendPeers is how many other hosts are asked to append a turn in one round.
+	maxAppendPeers = 4
 	// peerAppendTimeout limits an append on behalf of another host.
 	peerAppendTimeout = 350 * time.Millisecond
 	// copyTimeout limits sending a copy of a turn to another host.
 	copyTimeout = 300 * time.Millisecond
 	// maxCopies limits how many turns are copied to other hosts at once.
 	maxCopies = 64
-	// peersUnavailableTime is how long no other host is asked to append after one of
-	// them could not.
-	peersUnavailableTime = 400 * time.Millisecond
 )
 
 // errUnavailable means that the log does not answer.
@@ -144,12 +142,10 @@
 	if mayAppend && !isPartUnavailable {
 		list = append(list, own)
 	}
-	if !s.arePeersUnavailable() {
-		for _, host := range s.peers(t.Partition, maxAppendPeers) {
-			list = append(list, attempt{method: peerAppend, turn: t, run: func(ctx context.Context, t *conversation.Turn) error {
-				return s.appendAt(ctx, host, t)
-			}})
-		}
+	for _, host := range s.chooseRelays(t.Partition) {
+		list = append(list, attempt{method: peerAppend, turn: t, run: func(ctx context.Context, t *conversation.Turn) error {
+			return s.appendAt(ctx, host, t)
+		}})
 	}
 	if mayAppend && !isPartUnavailable {
 		list = append(list, own)
@@ -176,15 +172,15 @@
 
 // runHedged runs the attempts one after the other. It starts the next one as soon as
 // the last one has failed or is slow; slow ones continue in parallel. It returns the
-// first attempt that succeeds, or nil if all have failed, if ctx ends, or if all have
-// been started and the log is unavailable to this host.
+// first attempt that succeeds, or nil if all have failed, if ctx ends, or if only
+// appends of this host are left and the log is unavailable to it.
 func (s *Service) runHedged(ctx context.Context, attempts []attempt) *attempt {
 	type ended struct {
 		attempt *attempt
 		err     error
 	}
 	results := make(chan ended, len(attempts))
-	next, pending := 0, 0
+	next, pending, pendingAtPeers := 0, 0, 0
 	hedge := time.NewTicker(s.hedgeDelay())
 	defer hedge.Stop()
 	start := func() {
@@ -194,6 +190,9 @@
 		a := &attempts[next]
 		next++
 		pending++
+		if a.method == peerAppend {
+			pendingAtPeers++
+		}
 		s.done.Go(func() { results <- ended{attempt: a, err: a.run(ctx, a.turn)} })
 	}
 	start()
@@ -201,6 +200,9 @@
 		select {
 		case r := <-results:
 			pending--
+			if r.attempt.method == peerAppend {
+				pendingAtPeers--
+			}
 			if r.err == nil {
 				return r.attempt
 			}
@@ -210,7 +212,7 @@
 		case <-ctx.Done():
 			return nil
 		}
-		if s.isUnavailable() && next >= len(attempts) {
+		if s.isUnavailable() && next >= len(attempts) && pendingAtPeers == 0 {
 			return nil
 		}
 	}
@@ -273,15 +275,15 @@
 	}
 	s.observe(p, started, err)
 	s.metrics.countAppend(err)
+	if err != nil {
+		return err
+	}
 	s.mu.Lock()
 	if s.meanAppend == 0 {
 		s.meanAppend = duration
 	}
 	s.meanAppend += time.Duration(meanAppendGain * float64(duration-s.meanAppend))
 	s.mu.Unlock()
-	if err != nil {
-		return err
-	}
 	for _, r := range records {
 		s.metrics.appendedBytes.Inc(int64(len(r)))
 	}
@@ -289,30 +291,36 @@
 	return nil
 }
 
+// chooseRelays returns the hosts that this host asks to append turns to a partition.
+func (s *Service) chooseRelays(part int) []string {
+	hosts := s.peers(part, math.MaxInt)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relays.Retain(hosts)
+	return s.relays.Choose(hosts, time.Now(), maxAppendPeers)
+}
+
 // appendAt asks another host to append a turn. It returns errUnavailable if that host
 // can't.
 func (s *Service) appendAt(ctx context.Context, host string, t *conversation.Turn) error {
-	ctx, cancel := context.WithTimeout(ctx, peerAppendTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, peerAppendTimeout)
 	defer cancel()
-	kept, err := s.params.Peers.Keep(ctx, host, t, port.KeepAppend)
-	if err != nil {
-		return err
+	kept, err := s.params.Peers.Keep(callCtx, host, t, port.KeepAppend)
+	if err == nil && !kept {
+		err = errUnavailable
 	}
-	if !kept {
-		s.mu.Lock()
-		s.peersUnavailableUntil = time.Now().Add(peersUnavailableTime)
-		s.mu.Unlock()
-		return errUnavailable
+	if err != nil && ctx.Err() != nil {
+		// Another attempt has succeeded or the caller no longer waits.
+		return err
 	}
-	return nil
-}
-
-// arePeersUnavailable reports whether another host recently failed to append for this
-// one.
-func (s *Service) arePeersUnavailable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Now().Before(s.peersUnavailableUntil)
+	if err != nil {
+		s.relays.Failed(host, time.Now())
+		return err
+	}
+	s.relays.Succeeded(host)
+	return nil
 }
 
 // KeepLocal implements port.ConversationServer.
--- a/internal/conversation/service.go
+++ b/internal/conversation/service.go
@@ -78,9 +78,8 @@
 	reach conversation.Availability
 	// lastAppendAt is when this host last started an append.
 	lastAppendAt time.Time
-	// peersUnavailableUntil is the time until which no other host is asked to append,
-	// because one of them could not reach the log.
-	peersUnavailableUntil time.Time
+	// relays chooses the hosts that append turns for this one.
+	relays conversation.Relays
 	// meanAppend is the exponentially weighted mean duration of an append; zero before
 	// the first one.
 	meanAppend time.Duration
