spending: tokens of claims that nobody uses are given back

Two ways to it: a turn that was put back into the queue after a failed append and then given up left no release behind; and a partition that was slow once counted as slow until the host's next append to it, so that unused tokens were kept for good.

--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -102,18 +102,13 @@
 		s := p.slice
 		s.waiting -= len(p.waiters)
 		s.isClaiming = false
-		hasWaiters := false
+		s.isUndecided = true
 		for _, w := range p.waiters {
 			if !w.isAbandoned {
 				l.queue = append(l.queue, w)
-				hasWaiters = true
 			}
 		}
-		if !hasWaiters {
-			// The append may still take effect. A further claim lowers the total to
-			// what is needed.
-			l.releases[s.program] = s
-		}
+		l.releaseUndecided(s.program)
 		delete(l.verdicts, p.claim.Sequence)
 	}
 }
@@ -130,6 +125,7 @@
 		s := p.slice
 		s.waiting -= len(p.waiters)
 		s.isClaiming = false
+		s.isUndecided = false
 		s.usedAt = now
 		for _, w := range p.waiters {
 			l.resolve(w, s, verdict)
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -1,6 +1,7 @@
 package spending
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,8 +89,10 @@
 	// verdicts holds the verdicts on this host's claims by sequence number, until
 	// their turns are resolved.
 	verdicts map[uint64]budget.Verdict
-	// meanAppend is the moving average of append durations.
+	// meanAppend is the moving average of append durations, appendedAt when it was last
+	// updated.
 	meanAppend time.Duration
+	appendedAt time.Time
 }
 
 func newLedger(shared port.SharedLog, p port.Partition, writer uint64, log logr.Logger, m *metrics, initialReadSlots chan struct{}) *ledger {
@@ -141,6 +144,22 @@
 	if w.reservation != nil {
 		// The claim was accepted just as the caller gave up.
 		w.reservation.slice.End(w.maxTokens, 0)
+		return
+	}
+	l.releaseUndecided(w.program)
+}
+
+// releaseUndecided gives back what the latest claim of a program may have claimed, if
+// that claim may still take effect and no turn waits for it. The caller holds l.mu.
+func (l *ledger) releaseUndecided(program string) {
+	s := l.slices[program]
+	if s == nil || !s.isUndecided || s.isClaiming {
+		return
+	}
+	isAwaited := func(w *waiter) bool { return w.program == program && !w.isAbandoned }
+	if !slices.ContainsFunc(l.queue, isAwaited) {
+		l.releases[program] = s
+		l.signalWriter()
 	}
 }
 
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -21,6 +21,8 @@
 	// isClaiming says that a claim has been sent and has no verdict yet. There is one
 	// at a time, so that the latest claim is also the last one in the log.
 	isClaiming bool
+	// isUndecided says that the latest claim failed and may still take effect.
+	isUndecided bool
 	// loan is the claim that covers what the host has lent; nil if it has lent
 	// nothing.
 	loan *budget.Claim
--- a/internal/spending/writer.go
+++ b/internal/spending/writer.go
@@ -37,6 +37,9 @@
 	// slow. Claims then ask for more tokens at a time and unused parts of slices are
 	// not given back.
 	slowAppendThreshold = 60 * time.Millisecond
+	// slowAppendTTL is how long after its latest append to a partition a host takes the
+	// log for slow.
+	slowAppendTTL = 2 * time.Second
 )
 
 // runWriter writes claims until ctx ends.
@@ -113,8 +116,10 @@
 	return min(max(lateFactor*l.meanAppend, minLateAfter), maxLateAfter)
 }
 
-// isSlow reports whether the log is slow. The caller holds l.mu.
-func (l *ledger) isSlow() bool { return l.meanAppend > slowAppendThreshold }
+// isSlow reports whether the log was slow a moment ago. The caller holds l.mu.
+func (l *ledger) isSlow() bool {
+	return l.meanAppend > slowAppendThreshold && time.Since(l.appendedAt) < slowAppendTTL
+}
 
 // errAppendLost says that the log answers reads and does not contain the appended
 // claims.
@@ -167,6 +172,7 @@
 func (l *ledger) observeAppend(took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.appendedAt = time.Now()
 	if l.meanAppend == 0 {
 		l.meanAppend = took
 	}
