gateway: a failure of the second target does not end an interrupted stream

Its body went out as the rest of the stream, framed as complete.

The failure counts as an interruption: another target, or a visibly broken answer. The stand-in replica fails streams too. The test fails without the change.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -39,12 +39,36 @@
 		choice.End(time.Now(), fleet.Broken, 0)
 		return outcomeUnknown
 	}
+	if j.headerSent && response.StatusCode != http.StatusOK {
+		return j.recordFailedResume(choice, conn, response)
+	}
 	if j.route.Kind == route.Stream && response.StatusCode == http.StatusOK {
 		return j.relayStream(ctx, choice, conn, response, sent)
 	}
 	return j.relayAnswer(ctx, choice, conn, response, sent)
 }
 
+// recordFailedResume handles a failure of the target that was to continue a stream. Its
+// body does not belong to the stream.
+func (j *job) recordFailedResume(choice *fleet.Choice, conn *upstream.Conn, response *http.Response) result {
+	j.cause = &ResumeFailedError{Target: choice.ID, Status: response.StatusCode}
+	conn.Drain(response)
+	choice.End(time.Now(), fleet.Failed, 0)
+	return interrupted
+}
+
+// ResumeFailedError reports that a target answered the continuation of a stream with a
+// failure.
+type ResumeFailedError struct {
+	Target string
+	Status int
+}
+
+// Error implements error.
+func (e *ResumeFailedError) Error() string {
+	return "target " + e.Target + " answered the rest of a stream with status " + strconv.Itoa(e.Status)
+}
+
 // recordLeaving handles an answer in which the target announces that it is leaving.
 func (j *job) recordLeaving(choice *fleet.Choice) {
 	if j.g.fleet.MarkLeaving(choice.Member, time.Now()) {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -82,6 +82,30 @@
 	is.Equal(a.body, events(6, 9))
 }
 
+// An interrupted stream goes to another target, which answers with a failure. The body of
+// the failure is not the rest of the stream, and the answer must not look complete.
+func TestFailureOfASecondTargetDoesNotEndTheStream(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	for _, id := range []string{"m1", "m2"} {
+		s.add(models, replica.Options{ID: id, Events: 9, Work: 30 * time.Millisecond})
+	}
+	s.replicas["m1"].FailAlways(replica.Cut)
+	s.replicas["m2"].FailAlways(replica.Failing)
+	interrupted := 0
+	for i := range 16 {
+		id := string(rune('a' + i))
+		a := s.mustSend(request{method: http.MethodPost, path: turns, id: id, header: turnHeader("p" + id)})
+		if a.status != http.StatusOK {
+			continue
+		}
+		interrupted++
+		is.True(a.err != nil)
+		is.Equal(a.body, events(1, 5))
+	}
+	is.True(interrupted > 0)
+}
+
 func TestStreamThatNeverBeganIsAFailure(t *testing.T) {
 	for _, fault := range []replica.Fault{replica.Lost, replica.Reset, replica.Garbled} {
 		is := is.New(t)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -467,6 +467,8 @@
 	case Garbled:
 		_, _ = io.WriteString(x.conn, "\x00garbage")
 		return false
+	case Failing:
+		return x.spoiled()
 	}
 	if !x.head(http.StatusOK, x.stamp(), "Content-Type: text/event-stream", "Transfer-Encoding: chunked") {
 		return false
