upstream: the connect timeout follows the time of earlier connections

Change: a timeout of the mean and four deviations, at least 100 ms, doubled while connections time out in a row, at most 700 ms as before. Probes of the quarantine keep 700 ms, since they count crashes.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,14 +13,18 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"yuccausher/internal/core/retry"
 	"yuccausher/internal/socket"
 )
 
 const (
-	// dialTimeout limits the time to establish a connection. It is shorter than the
+	// maxDialTimeout limits the time to establish a connection. It is shorter than the
 	// retransmission timeout of a lost SYN packet: by then it is better to choose
 	// another target.
-	dialTimeout = 700 * time.Millisecond
+	maxDialTimeout = 700 * time.Millisecond
+	// minDialTimeout is the lower bound of the timeout that follows the time of earlier
+	// connections. A target that has lost its power does not refuse connections.
+	minDialTimeout = 100 * time.Millisecond
 	// defaultIdleTimeout is the idle timeout of connections whose target does not
 	// announce one.
 	defaultIdleTimeout = 10 * time.Second
@@ -44,9 +48,11 @@
 
 // Pool holds the idle connections to targets. It is safe for concurrent use.
 type Pool struct {
-	dialer  net.Dialer
-	mu      sync.Mutex
-	idle    map[Target][]*Conn
+	dialer net.Dialer
+	mu     sync.Mutex
+	idle   map[Target][]*Conn
+	// timeout is that of connections for requests. It is guarded by mu.
+	timeout retry.Timeout
 	opened  tally.Counter
 	reused  tally.Counter
 	dropped tally.Counter
@@ -56,8 +62,9 @@
 func NewPool(scope tally.Scope) *Pool {
 	s := scope.SubScope("upstream")
 	return &Pool{
-		dialer:  net.Dialer{Timeout: dialTimeout, Control: socket.DetectDeadPeer},
+		dialer:  net.Dialer{Control: socket.DetectDeadPeer},
 		idle:    make(map[Target][]*Conn),
+		timeout: retry.Timeout{Min: minDialTimeout, Max: maxDialTimeout},
 		opened:  s.Counter("connections_opened"),
 		reused:  s.Counter("connections_reused"),
 		dropped: s.Counter("connections_dropped"),
@@ -97,9 +104,31 @@
 	return p.Dial(ctx, target)
 }
 
-// Dial opens a new connection. Its error is a *DialError.
+// Dial opens a new connection, which may take several times as long as earlier ones. Its
+// error is a *DialError.
 func (p *Pool) Dial(ctx context.Context, target Target) (*Conn, error) {
+	started := time.Now()
+	p.mu.Lock()
+	limit := p.timeout.Limit()
+	p.mu.Unlock()
+	c, err := p.dial(ctx, target, limit)
+	took := time.Since(started)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err == nil:
+		p.timeout.Succeeded(took)
+	case ctx.Err() == nil && took >= limit:
+		p.timeout.Expired()
+	}
+	return c, err
+}
+
+// dial opens a new connection within a limit.
+func (p *Pool) dial(ctx context.Context, target Target, limit time.Duration) (*Conn, error) {
 	p.opened.Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	c, err := p.dialer.DialContext(ctx, "tcp", target.Address)
 	if err != nil {
 		return nil, &DialError{Target: target.ID, Cause: err}
@@ -173,10 +202,10 @@
 	}
 }
 
-// Probe checks that a target accepts connections, and adds the connection to the pool.
-// Its error is a *DialError.
+// Probe checks that a target accepts connections within maxDialTimeout, and adds the
+// connection to the pool. Its error is a *DialError.
 func (p *Pool) Probe(ctx context.Context, target Target) error {
-	c, err := p.Dial(ctx, target)
+	c, err := p.dial(ctx, target, maxDialTimeout)
 	if err != nil {
 		return err
 	}
