occupancy: requests of all hosts are spread by counts that one host keeps for a target

Cause: each of 87 hosts sees 1/87 of the turns, so that its own counts and latencies say nothing of how full a target is.

Change: the first host in rendezvous order coordinates a target. A turn asks the coordinator of the target that its program prefers; if that has 1.25 times the mean or more in progress, or has failed requests of two hosts, it asks the next, four at most. A coordinator that does not answer within 25 ms is paused, and the host goes by what it knows, as before; so do hosts beside older ones, which do not know the call. Two small calls a turn.

Ruled out: reports polled from targets (delayed by 100 ms and more, then to be spread to all hosts), counts exchanged by all hosts (hosts squared), one host for all targets (a twelfth of a core of the smallest hosts at this load alone).

The request's line tells the parts of its time.

--- /dev/null
+++ b/internal/adapter/occupancyrpc/occupancyrpc_test.go
@@ -0,0 +1,70 @@
+package occupancyrpc
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	core "yuccausher/internal/core/occupancy"
+	"yuccausher/internal/port"
+)
+
+type server struct {
+	admitted []port.AdmitRequest
+	finished []port.FinishRequest
+}
+
+func (s *server) AdmitLocal(r port.AdmitRequest) core.Reply {
+	s.admitted = append(s.admitted, r)
+	return core.Reply{Admitted: r.Limit == 7, InProgress: 6, IsSuspect: r.Limit != 7}
+}
+
+func (s *server) FinishLocal(r port.FinishRequest) { s.finished = append(s.finished, r) }
+
+// pipe connects to one server, whatever the host.
+type pipe struct{ server *drpcserver.Server }
+
+func (p pipe) Self() string    { return "a" }
+func (p pipe) Hosts() []string { return []string{"b"} }
+
+func (p pipe) Connect(ctx context.Context, _ string) (drpc.Conn, error) {
+	near, far := net.Pipe()
+	go func() { _ = p.server.ServeOne(ctx, far) }()
+	return drpcconn.New(near), nil
+}
+
+func TestRequestsArriveUnchanged(t *testing.T) {
+	is := is.New(t)
+	s := &server{}
+	mux := drpcmux.New()
+	is.NoErr(Register(mux, s))
+	c := Client{Dialer: pipe{drpcserver.New(mux)}}
+	admit := port.AdmitRequest{Target: "t", Lease: 1<<64 - 1, Limit: 7, TTL: 2500 * time.Millisecond}
+	reply, err := c.Admit(t.Context(), "b", admit)
+	is.NoErr(err)
+	is.Equal(reply, core.Reply{Admitted: true, InProgress: 6})
+	reply, err = c.Admit(t.Context(), "b", port.AdmitRequest{Target: "u"})
+	is.NoErr(err)
+	is.Equal(reply, core.Reply{InProgress: 6, IsSuspect: true})
+	is.Equal(s.admitted[0], admit)
+	for _, result := range []core.Result{core.Inconclusive, core.Answered, core.Failed} {
+		finish := port.FinishRequest{Target: "t", Lease: 5, Host: 9, Result: result}
+		is.NoErr(c.Finish(t.Context(), "b", finish))
+		is.Equal(s.finished[len(s.finished)-1], finish)
+	}
+}
+
+// A host of an earlier version does not know the requests.
+func TestHostWithoutTheServiceReturnsAnError(t *testing.T) {
+	is := is.New(t)
+	c := Client{Dialer: pipe{drpcserver.New(drpcmux.New())}}
+	_, err := c.Admit(t.Context(), "b", port.AdmitRequest{Target: "t"})
+	is.True(err != nil)
+}
--- a/internal/conversation/keep.go
+++ b/internal/conversation/keep.go
@@ -296,7 +296,6 @@
 	hosts := s.peers(part, math.MaxInt)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.relays.Retain(hosts)
 	return s.relays.Choose(hosts, time.Now(), maxAppendPeers)
 }
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -293,12 +293,43 @@
 	slowFactor = 4.0
 )
 
-// Choose returns a target for a dispatch, or nil if no target may get it. Targets
-// that are paused after a failure, or that recently refused a request as full,
-// are only chosen if there are no others.
+// Choose returns a target for a dispatch, or nil if no target may get it.
 func (f *Fleet) Choose(r Request, now time.Time) *Choice {
+	candidates := f.Candidates(r, 1, now)
+	if len(candidates) == 0 {
+		return nil
+	}
+	return f.Begin(candidates[0], now)
+}
+
+// Candidates returns up to limit targets for a dispatch, the best one first, the others
+// in the order in which programs with the same affinity prefer them; without affinity
+// only the best one. Targets that are paused after a failure, or that recently refused a
+// request as full, are only returned if there are no others.
+func (f *Fleet) Candidates(r Request, limit int, now time.Time) []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	available := f.available(r, now)
+	if len(available) == 0 {
+		return nil
+	}
+	if r.Affinity == "" {
+		return []Member{f.leastLoaded(available, now).Member}
+	}
+	order := rendezvous.Order(r.Affinity, available, targetID)
+	best := f.cheapest(order, now)
+	candidates := append(make([]Member, 0, limit), best.Member)
+	slices.SortStableFunc(order, func(a, b *Target) int { return compareBool(a.isSuspect(now), b.isSuspect(now)) })
+	for _, t := range order {
+		if t != best && len(candidates) < limit {
+			candidates = append(candidates, t.Member)
+		}
+	}
+	return candidates
+}
+
+// available returns the targets that may get a request.
+func (f *Fleet) available(r Request, now time.Time) []*Target {
 	available := make([]*Target, 0, 16)
 	paused := make([]*Target, 0, 4)
 	for _, t := range f.services[r.Service] {
@@ -311,28 +342,33 @@
 		}
 	}
 	if len(available) == 0 {
-		available = paused
+		return paused
 	}
-	if len(available) == 0 {
+	return available
+}
+
+// Begin records a dispatch to a target. It returns nil if the target has ended or is
+// leaving.
+func (f *Fleet) Begin(m Member, now time.Time) *Choice {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.byID[m.ID]
+	if t == nil || !t.isSameRun(m) || !t.isUsable(now) {
 		return nil
 	}
-	best := f.cheapest(r, available, now)
-	cost := time.Duration(best.cost(now) * float64(time.Second))
-	earlier := best.inFlight
-	best.inFlight++
-	best.unanswered = append(best.unanswered, now)
-	return &Choice{Member: best.Member, Cost: cost, InFlight: earlier, fleet: f, target: best, sentAt: now}
+	cost := time.Duration(t.cost(now) * float64(time.Second))
+	earlier := t.inFlight
+	t.inFlight++
+	t.unanswered = append(t.unanswered, now)
+	return &Choice{Member: t.Member, Cost: cost, InFlight: earlier, fleet: f, target: t, sentAt: now}
 }
 
-// cheapest returns the target with the lowest cost for a request. Requests without
-// affinity go to the least loaded target.
-func (f *Fleet) cheapest(r Request, available []*Target, now time.Time) *Target {
-	if r.Affinity == "" {
-		return f.leastLoaded(available, now)
-	}
+// cheapest returns the target with the lowest cost for a program that prefers targets
+// in a given order.
+func (f *Fleet) cheapest(order []*Target, now time.Time) *Target {
 	var best *Target
 	lowest := 0.0
-	for rank, t := range f.candidates(r.Affinity, available) {
+	for rank, t := range f.preferred(order) {
 		c := t.cost(now)
 		if rank > 0 {
 			c += prefixMissCost
@@ -347,11 +383,10 @@
 	return best
 }
 
-// candidates returns the targets that are compared for a program: the first one of
-// the host's own data centre in rendezvous order, and the first ones of all data
-// centres, which are the same for all hosts.
-func (f *Fleet) candidates(affinity string, available []*Target) []*Target {
-	order := rendezvous.Order(affinity, available, targetID)
+// preferred returns the targets that are compared for a program: the first one of the
+// host's own data centre in its order, and the first ones of all data centres, which are
+// the same for all hosts.
+func (f *Fleet) preferred(order []*Target) []*Target {
 	preferred := order[:min(preferredTargets, len(order))]
 	near := slices.IndexFunc(order, func(t *Target) bool { return t.DataCentre == f.dataCentre })
 	if near <= 0 {
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -4,8 +4,9 @@
 package fleet
 
 import (
-	"math"
 	"time"
+
+	"yuccausher/internal/core/failure"
 )
 
 // Member is a target's own record.
@@ -44,20 +45,9 @@
 	// fullPause is how long a target that refused a request as full is avoided
 	// while others have free slots. It is about the time of one request.
 	fullPause = 60 * time.Millisecond
-	// failureGain and successGain are the weights of one answer in a target's
-	// failure share. A failure has the larger weight, since each one may end a
-	// program, and targets that fail do so for seconds.
-	failureGain = 0.25
-	successGain = 0.1
-	// failureShareHalfLife is the half-life of the failure share. The decay lets a
-	// target that is avoided get requests again.
-	failureShareHalfLife = 3 * time.Second
 	// failureCost is the delay that a failed request causes its caller, in
 	// seconds: a pause of up to 0.4 s, and the time of another request.
 	failureCost = 0.5
-	// suspectShare is the failure share above which requests without affinity
-	// prefer other targets. One failure exceeds it for four seconds.
-	suspectShare = 0.1
 	// loadCost is the relative increase in the cost of a target whose slots are
 	// all taken by this host's requests. Requests of other hosts slow it down further.
 	loadCost = 3.0
@@ -80,11 +70,10 @@
 	observedAt time.Time
 	// lastContact is when data last arrived from the target.
 	lastContact time.Time
-	// failureShare is the share of answers that were cut off, never arrived or
-	// reported a failure of the target, as of failureShareAt.
-	failureShare   float64
-	failureShareAt time.Time
-	failures       int
+	// failed is the share of requests that the target has failed.
+	failed failure.Share
+	// failures counts consecutive failed connection attempts.
+	failures int
 	// pausedUntil is when the target may be chosen again after failures.
 	pausedUntil time.Time
 	fullUntil   time.Time
@@ -113,22 +102,8 @@
 	return max(latency, t.longestWait(now))
 }
 
-// decayedFailureShare returns the failure share, which decays with time.
-func (t *Target) decayedFailureShare(now time.Time) float64 {
-	if t.failureShare == 0 {
-		return 0
-	}
-	return t.failureShare * math.Exp2(-float64(now.Sub(t.failureShareAt))/float64(failureShareHalfLife))
-}
-
 // isSuspect reports whether a request to the target has failed recently.
-func (t *Target) isSuspect(now time.Time) bool { return t.decayedFailureShare(now) > suspectShare }
-
-// updateFailureShare moves the failure share towards a value by a weight.
-func (t *Target) updateFailureShare(now time.Time, to, gain float64) {
-	share := t.decayedFailureShare(now)
-	t.failureShare, t.failureShareAt = share+gain*(to-share), now
-}
+func (t *Target) isSuspect(now time.Time) bool { return t.failed.IsSuspect(now) }
 
 // longestWait returns the age of the oldest unanswered request, in seconds.
 func (t *Target) longestWait(now time.Time) float64 {
@@ -152,7 +127,7 @@
 // load on it, in seconds. It is only meaningful in comparison to other targets.
 func (t *Target) cost(now time.Time) float64 {
 	load := float64(t.inFlight) / float64(t.Slots)
-	return t.unloadedCost(now)*(1+loadCost*load) + failureCost*t.decayedFailureShare(now)
+	return t.unloadedCost(now)*(1+loadCost*load) + failureCost*t.failed.Value(now)
 }
 
 func (t *Target) isPauseOver(now time.Time) bool { return now.After(t.pausedUntil) }
@@ -209,14 +184,14 @@
 	switch o {
 	case Answered:
 		t.failures = 0
-		t.updateFailureShare(now, 0, successGain)
+		t.failed.RecordSuccess(now)
 	case Full:
 		t.fullUntil = now.Add(fullPause)
 	case Failed:
 		t.failures = 0
-		t.updateFailureShare(now, 1, failureGain)
+		t.failed.RecordFailure(now)
 	case Broken:
-		t.updateFailureShare(now, 1, failureGain)
+		t.failed.RecordFailure(now)
 	case Unreachable:
 		t.recordConnectFailure(now)
 	case Replaced:
--- /dev/null
+++ b/internal/core/occupancy/bound.go
@@ -0,0 +1,58 @@
+package occupancy
+
+import "math"
+
+const (
+	// meanGain is the weight of one count in the mean. A host of a large fleet sees
+	// some ten counts a second.
+	meanGain = 0.1
+	// boundFactor is the multiple of the mean up to which a request goes to the
+	// target that it prefers, where its prompt is cached.
+	boundFactor = 1.25
+)
+
+// Bound is the number of requests at a target from which on a request goes to another
+// one. It follows the mean of the counts that the host sees, so that it holds at any
+// load: consistent hashing with bounded loads. The zero value is ready for use. It is
+// not safe for concurrent use.
+type Bound struct {
+	mean float64
+	seen bool
+}
+
+// Observe records the requests in progress at the first target that a request prefers.
+func (b *Bound) Observe(inProgress int) {
+	if !b.seen {
+		b.mean, b.seen = float64(inProgress), true
+		return
+	}
+	b.mean += meanGain * (float64(inProgress) - b.mean)
+}
+
+// Limit returns the bound for a target with a number of slots, at least one.
+func (b *Bound) Limit(slots int) int {
+	limit := int(math.Ceil(boundFactor*b.mean)) + 1
+	if slots > 0 {
+		limit = min(limit, slots)
+	}
+	return max(limit, 1)
+}
+
+// LeastOccupied returns the index of the reply with the fewest requests in progress,
+// suspect targets last, the first of equal ones.
+func LeastOccupied(replies []Reply) int {
+	best := 0
+	for i, r := range replies {
+		b := replies[best]
+		if r.IsSuspect != b.IsSuspect {
+			if b.IsSuspect {
+				best = i
+			}
+			continue
+		}
+		if r.InProgress < b.InProgress {
+			best = i
+		}
+	}
+	return best
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,11 +18,13 @@
 	"yuccausher/internal/adapter/conversationrpc"
 	"yuccausher/internal/adapter/crashrpc"
 	"yuccausher/internal/adapter/metrics"
+	"yuccausher/internal/adapter/occupancyrpc"
 	"yuccausher/internal/conversation"
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/follow"
 	"yuccausher/internal/gateway"
+	"yuccausher/internal/occupancy"
 	"yuccausher/internal/port"
 	"yuccausher/internal/quarantine"
 	"yuccausher/internal/spending"
@@ -104,7 +106,7 @@
 	f.fx = fx.New(
 		fx.Supply(o),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newCrashLog, newPeers, newSpending, newConversations, newPeerServer, newPool, newQuarantine, newGateway, newServers),
+		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newCrashLog, newPeers, newSpending, newConversations, newOccupancy, newPeerServer, newPool, newQuarantine, newGateway, newServers),
 		fx.Provide(func() *route.Holder { return &route.Holder{} }),
 		fx.Populate(&f.servers),
 		fx.Invoke(func(*follow.CrashLog) {}),
@@ -202,11 +204,20 @@
 	return c
 }
 
-func newPeerServer(s *spending.Service, c *conversation.Service, q *quarantine.Service, o Options) (*budgetrpc.Server, error) {
+func newOccupancy(lc fx.Lifecycle, o Options, peers *budgetrpc.Client, scope tally.Scope) *occupancy.Service {
+	s := occupancy.New(occupancy.Params{Peers: occupancyrpc.Client{Dialer: peers}, Logger: o.Logger, Scope: scope})
+	lc.Append(fx.Hook{OnStart: s.Start, OnStop: s.Stop})
+	return s
+}
+
+func newPeerServer(s *spending.Service, c *conversation.Service, q *quarantine.Service, u *occupancy.Service, o Options) (*budgetrpc.Server, error) {
 	register := func(mux drpc.Mux) error {
 		if err := crashrpc.Register(mux, q); err != nil {
 			return err
 		}
+		if err := occupancyrpc.Register(mux, u); err != nil {
+			return err
+		}
 		return conversationrpc.Register(mux, c)
 	}
 	return budgetrpc.NewServer(s, register, o.Logger.WithName("lending"))
@@ -291,6 +302,7 @@
 	Spending   *spending.Service
 	Turns      *conversation.Service
 	Quarantine *quarantine.Service
+	Occupancy  *occupancy.Service
 	Scope      tally.Scope
 }
 
@@ -301,6 +313,7 @@
 		Fleet:         p.Fleet,
 		Pool:          p.Pool,
 		Budgets:       p.Spending,
+		Placement:     p.Occupancy,
 		Conversations: p.Turns,
 		Quarantine:    p.Quarantine,
 		TargetsReadAt: p.Follower.TargetsReadAt,
--- a/internal/gateway/conversation.go
+++ b/internal/gateway/conversation.go
@@ -40,7 +40,9 @@
 	if l == nil {
 		return true
 	}
+	waiting := time.Now()
 	<-l.done
+	since(&j.times.lookup, waiting)
 	if l.err != nil {
 		j.refuseWithoutConversation(l.err)
 		return false
@@ -105,14 +107,13 @@
 	// A caller that has disconnected may have received the complete answer.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.deadline())
 	defer cancel()
-	started := time.Now()
+	defer since(&j.times.save, time.Now())
 	err := j.g.conversations.Save(ctx, j.chain, conversation.Turn{
 		ID:      j.call.RequestID,
 		Program: j.call.Program,
 		Input:   bytes.Clone(j.body),
 		Output:  j.output,
 	})
-	j.saveTime = time.Since(started)
 	if err != nil {
 		j.cause = err
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/core/occupancy"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/core/urgency"
 	"yuccausher/internal/fault"
@@ -41,17 +42,21 @@
 	// maxIdleIdempotent is the same for other requests. The target's own limit also
 	// applies to them.
 	maxIdleIdempotent = time.Minute
+	// maxCandidates is how many targets a request with a prompt is placed among.
+	maxCandidates = 4
 )
 
 // dispatchUntilAnswered sends the request to one target after another until one
 // answers or no further attempt is allowed.
 func (j *job) dispatchUntilAnswered(ctx context.Context) {
+	// An aborted answer leaves the loop by a panic.
+	defer j.finishPlace(occupancy.Inconclusive)
 	for {
 		if j.g.quarantine.IsQuarantined(j.fingerprint) {
 			j.finishQuarantined(ctx)
 			return
 		}
-		choice := j.g.fleet.Choose(fleet.Request{Service: j.service, Affinity: j.prefixKey(), Exclude: j.excluded}, time.Now())
+		choice := j.choose(ctx)
 		if choice == nil {
 			if !j.waitForCapacity(ctx) {
 				return
@@ -60,6 +65,7 @@
 		}
 		j.target, j.choice = choice.ID, choice
 		r := j.dispatch(ctx, choice)
+		j.finishPlace(j.placeResult(ctx, choice, r))
 		j.recordContentResult(ctx, choice, r)
 		switch r {
 		case completed:
@@ -93,6 +99,53 @@
 		"runs", len(j.ranAt), "last_event", j.lastEvent, "ms", time.Since(j.started).Milliseconds(), "cause", fault.Text(j.cause))
 }
 
+// choose returns the target of the next dispatch, or nil if there is none. Requests with
+// a prompt are placed among the targets that they prefer.
+func (j *job) choose(ctx context.Context) *fleet.Choice {
+	r := fleet.Request{Service: j.service, Affinity: j.prefixKey(), Exclude: j.excluded}
+	if r.Affinity == "" {
+		return j.g.fleet.Choose(r, time.Now())
+	}
+	candidates := j.g.fleet.Candidates(r, maxCandidates, time.Now())
+	if len(candidates) == 0 {
+		return nil
+	}
+	started := time.Now()
+	j.place = j.g.placement.Place(ctx, candidates, time.Until(j.deadline()))
+	since(&j.times.place, started)
+	choice := j.g.fleet.Begin(candidates[j.place.Index], time.Now())
+	if choice == nil {
+		// The target has left while the request was placed.
+		j.finishPlace(occupancy.Inconclusive)
+		return j.g.fleet.Choose(r, time.Now())
+	}
+	return choice
+}
+
+// finishPlace reports how the dispatch of a placed request ended, at the first call.
+func (j *job) finishPlace(r occupancy.Result) {
+	if j.place.Finish != nil {
+		j.place.Finish(r)
+		j.place.Finish = nil
+	}
+}
+
+// placeResult returns what the result of a dispatch says about its target.
+func (j *job) placeResult(ctx context.Context, choice *fleet.Choice, r result) occupancy.Result {
+	var unreachable *upstream.DialError
+	switch {
+	case r == notRun && ctx.Err() == nil && errors.As(j.cause, &unreachable):
+		return occupancy.Failed
+	case r == notRun:
+		return occupancy.Inconclusive
+	case r == completed && j.status < http.StatusInternalServerError:
+		return occupancy.Answered
+	case ctx.Err() != nil && choice.SilentFor(time.Now()) < minSilenceBeforeProbe:
+		return occupancy.Inconclusive
+	}
+	return occupancy.Failed
+}
+
 // prefixKey returns the affinity of a request with a prompt; empty for others.
 func (j *job) prefixKey() string {
 	if j.route.Kind != route.Stream {
@@ -131,6 +184,7 @@
 		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targets_full", retryAfter: fullRetryAfter})
 		return false
 	}
+	defer since(&j.times.wait, time.Now())
 	timer := time.NewTimer(fullRetryInterval)
 	defer timer.Stop()
 	select {
@@ -259,6 +313,7 @@
 
 // connect returns a connection to the chosen target, a new one if fresh is set.
 func (j *job) connect(ctx context.Context, choice *fleet.Choice, fresh bool) (*upstream.Conn, error) {
+	defer since(&j.times.connect, time.Now())
 	target := connectionTarget(choice)
 	if fresh {
 		return j.g.pool.Dial(ctx, target)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -18,6 +18,7 @@
 
 	"yuccausher/internal/core/conversation"
 	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/core/occupancy"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/quarantine"
@@ -75,6 +76,11 @@
 func wholeShare(service string) []route.Share { return []route.Share{{Service: service, Weight: 1}} }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWithPlacement(t, firstPlace{})
+}
+
+func newFixtureWithPlacement(t *testing.T, placement gateway.Placement) *fixture {
 	t.Helper()
 	s := &fixture{t: t, tables: &route.Holder{}, fleet: fleet.New("here", 1), budgets: &budgets{}, turnStore: &turnStore{turns: make(map[string]conversation.Chain)}, replicas: make(map[string]*replica.Replica)}
 	pool := upstream.NewPool(tally.NoopScope)
@@ -84,6 +90,7 @@
 		Tables:        s.tables,
 		Fleet:         s.fleet,
 		Pool:          pool,
+		Placement:     placement,
 		Budgets:       s.budgets,
 		Conversations: s.turnStore,
 		Quarantine:    s.quarantine,
@@ -282,3 +289,10 @@
 	a.turns[t.ID] = append(before[:len(before):len(before)], before.Next(t, time.Now(), time.Minute))
 	return nil
 }
+
+// firstPlace places each request at the target that it prefers.
+type firstPlace struct{}
+
+func (firstPlace) Place(context.Context, []fleet.Member, time.Duration) gateway.Place {
+	return gateway.Place{Finish: func(occupancy.Result) {}}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"yuccausher/internal/core/conversation"
 	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/core/occupancy"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/upstream"
 )
@@ -84,6 +85,24 @@
 // Error implements error.
 func (e *UncertainTurnError) Error() string { return "turn " + e.Turn + " can't be looked up now" }
 
+// Place is the target chosen for one dispatch.
+type Place struct {
+	// Index is that of the chosen candidate.
+	Index int
+	// Asked is how many candidates were compared, InProgress how many other requests
+	// of all hosts the chosen one had.
+	Asked, InProgress int
+	// Finish reports how the dispatch ended. It must be called once.
+	Finish func(occupancy.Result)
+}
+
+// Placement spreads the requests of all hosts over targets.
+type Placement interface {
+	// Place chooses one of the candidates, which are in the order of preference. The
+	// dispatch takes ttl at most.
+	Place(ctx context.Context, candidates []fleet.Member, ttl time.Duration) Place
+}
+
 // Quarantine records content that crashes the targets that run it. Methods that
 // take the fingerprint as a function call it only if some content is suspect.
 type Quarantine interface {
@@ -111,6 +130,8 @@
 	Fleet    *fleet.Fleet
 	Pool     *upstream.Pool
 	Budgets  Budgets
+	// Placement spreads requests with a prompt over targets.
+	Placement Placement
 	// Conversations stores turns of routes that keep conversations.
 	Conversations Conversations
 	// Quarantine blocks content that crashes targets.
@@ -128,6 +149,7 @@
 	fleet         *fleet.Fleet
 	pool          *upstream.Pool
 	budgets       Budgets
+	placement     Placement
 	conversations Conversations
 	quarantine    Quarantine
 	targetsReadAt func() time.Time
@@ -148,6 +170,7 @@
 		fleet:         p.Fleet,
 		pool:          p.Pool,
 		budgets:       p.Budgets,
+		placement:     p.Placement,
 		conversations: p.Conversations,
 		quarantine:    p.Quarantine,
 		targetsReadAt: p.TargetsReadAt,
@@ -211,6 +234,7 @@
 	if !j.readBody(table.Limits) {
 		return
 	}
+	since(&j.times.body, j.started)
 	defer g.bodies.release(len(j.body))
 	j.serve(table)
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -31,8 +31,8 @@
 	chain conversation.Chain
 	// output is the output of the turn so far, on routes that keep conversations.
 	output []byte
-	// saveTime is how long it took to save the turn.
-	saveTime time.Duration
+	// times are the parts of the request's time so far.
+	times times
 
 	reservation Reservation
 	eventTokens int64
@@ -54,12 +54,28 @@
 	// Fields for the log line of the request.
 	target    string
 	choice    *fleet.Choice
+	place     Place
 	status    int
 	outcome   string
 	cause     error
 	firstByte time.Duration
 }
 
+// times are the parts of a request's time that are not spent at a target.
+type times struct {
+	// body is the time until the body was read, reserve that of the reservation of
+	// tokens, lookup the further wait for the earlier turns.
+	body, reserve, lookup time.Duration
+	// place and connect are those of all dispatches together, wait the pauses while
+	// all targets were full.
+	place, connect, wait time.Duration
+	// save is how long it took to save the turn.
+	save time.Duration
+}
+
+// since adds the time since started to a part.
+func since(part *time.Duration, started time.Time) { *part += time.Since(started) }
+
 // refusal is an answer made by the host itself.
 type refusal struct {
 	status int
@@ -122,15 +138,18 @@
 	}
 	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "route", name,
 		"config", j.version, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target,
-		"expected_ms", cost.Milliseconds(), "in_flight", before, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
+		"expected_ms", cost.Milliseconds(), "in_flight", before, "in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
 		"runs", len(j.ranAt), "refused_by", len(j.excluded), "events", j.events,
-		"previous_turn", j.call.PreviousTurn, "earlier_turns", len(j.chain), "keep_ms", j.saveTime.Milliseconds(),
-		"first_ms", j.firstByte.Milliseconds(), "ms", total.Milliseconds(), "cause", fault.Text(j.cause))
+		"previous_turn", j.call.PreviousTurn, "earlier_turns", len(j.chain),
+		"body_ms", j.times.body.Milliseconds(), "reserve_ms", j.times.reserve.Milliseconds(), "lookup_ms", j.times.lookup.Milliseconds(),
+		"place_ms", j.times.place.Milliseconds(), "connect_ms", j.times.connect.Milliseconds(), "wait_ms", j.times.wait.Milliseconds(),
+		"keep_ms", j.times.save.Milliseconds(), "first_ms", j.firstByte.Milliseconds(), "ms", total.Milliseconds(), "cause", fault.Text(j.cause))
 }
 
 // reserve reserves the most that the turn may spend from its program's budget. It
 // returns false after it has refused the request.
 func (j *job) reserve(ctx context.Context) bool {
+	defer since(&j.times.reserve, time.Now())
 	reservation, err := j.g.budgets.Reserve(ctx, j.call.Program, j.call.Budget, j.call.MaxOutput)
 	if err == nil {
 		j.reservation = reservation
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/core/occupancy"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/upstream"
 )
@@ -165,6 +166,7 @@
 		if errors.Is(err, io.EOF) {
 			conn.Release()
 			choice.End(time.Now(), fleet.Answered, first)
+			j.finishPlace(occupancy.Answered)
 			if !j.saveTurn(ctx) {
 				j.outcome = "turn_not_kept"
 				abortAnswer()
--- /dev/null
+++ b/internal/occupancy/service.go
@@ -0,0 +1,295 @@
+// Package occupancy spreads requests over the targets of a service. Each target has a
+// coordinator, the first host in rendezvous order, which counts the requests of all
+// hosts at the target. A host that sends a request asks the coordinators of the targets
+// that the request prefers, and takes the first one that is neither much fuller than
+// the others nor known to fail. Nothing depends on a coordinator: without its answer
+// the host goes by what it knows itself.
+package occupancy
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/core/occupancy"
+	"yuccausher/internal/core/pause"
+	"yuccausher/internal/core/rendezvous"
+	"yuccausher/internal/gateway"
+	"yuccausher/internal/port"
+)
+
+const (
+	// admitTimeout limits the wait for a coordinator, which answers within a few
+	// milliseconds.
+	admitTimeout = 25 * time.Millisecond
+	// finishTimeout limits a report of how a request ended.
+	finishTimeout = 200 * time.Millisecond
+	// maxAsked is how many targets a request compares before it takes the one with the
+	// fewest requests.
+	maxAsked = 4
+	// maxReports limits the reports in progress.
+	maxReports = 128
+	// sweepInterval is how often counters of targets without requests are dropped.
+	sweepInterval = 5 * time.Second
+)
+
+// Params are the dependencies of a Service.
+type Params struct {
+	Peers  port.OccupancyPeers
+	Logger logr.Logger
+	Scope  tally.Scope
+}
+
+// Service places requests and counts those at the targets of which this host is the
+// coordinator. It implements gateway.Placement and port.OccupancyServer.
+type Service struct {
+	peers port.OccupancyPeers
+	// host identifies this run of the process.
+	host    uint64
+	log     logr.Logger
+	metrics *metrics
+	order   rendezvous.Cache
+	// reports is a semaphore.
+	reports chan struct{}
+
+	mu       sync.Mutex
+	counters map[string]*occupancy.Counter
+	// bounds holds the bound of each service.
+	bounds map[string]*occupancy.Bound
+	paused pause.Hosts
+
+	ctx  context.Context
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+var (
+	_ gateway.Placement    = (*Service)(nil)
+	_ port.OccupancyServer = (*Service)(nil)
+)
+
+// New returns a service. Call Start to run its background work.
+func New(p Params) *Service {
+	s := &Service{
+		peers:    p.Peers,
+		host:     rand.Uint64(),
+		log:      p.Logger.WithName("occupancy"),
+		metrics:  newMetrics(p.Scope.SubScope("occupancy")),
+		reports:  make(chan struct{}, maxReports),
+		counters: make(map[string]*occupancy.Counter),
+		bounds:   make(map[string]*occupancy.Bound),
+	}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	return s
+}
+
+// Start starts the background work. It returns no error.
+func (s *Service) Start(context.Context) error {
+	s.done.Go(s.sweep)
+	return nil
+}
+
+// Stop stops the background work and waits for the reports in progress.
+func (s *Service) Stop(context.Context) error {
+	s.stop()
+	s.done.Wait()
+	return nil
+}
+
+// sweep drops idle counters until the service is stopped.
+func (s *Service) sweep() {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.dropIdle(now)
+		}
+	}
+}
+
+func (s *Service) dropIdle(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for target, c := range s.counters {
+		if c.IsIdle(now) {
+			delete(s.counters, target)
+		}
+	}
+	s.paused.Retain(s.peers.Hosts())
+}
+
+// Place implements gateway.Placement.
+func (s *Service) Place(ctx context.Context, candidates []fleet.Member, ttl time.Duration) gateway.Place {
+	lease := rand.Uint64()
+	limit := s.limit(candidates[0])
+	replies := make([]occupancy.Reply, 0, maxAsked)
+	for i, m := range candidates[:min(maxAsked, len(candidates))] {
+		reply, ok := s.admit(ctx, port.AdmitRequest{Target: m.ID, Lease: lease, Limit: limit, TTL: ttl})
+		if !ok {
+			// The coordinator does not answer, so that the host's own preference decides.
+			return gateway.Place{Index: i, Asked: i + 1, Finish: func(occupancy.Result) {}}
+		}
+		if i == 0 {
+			s.observe(m.Service, reply.InProgress)
+		}
+		if reply.Admitted {
+			s.metrics.admitted.Inc(1)
+			return s.place(candidates, i, i+1, lease, reply)
+		}
+		replies = append(replies, reply)
+	}
+	best := occupancy.LeastOccupied(replies)
+	s.metrics.overBound.Inc(1)
+	s.admit(ctx, port.AdmitRequest{Target: candidates[best].ID, Lease: lease, TTL: ttl})
+	return s.place(candidates, best, len(replies), lease, replies[best])
+}
+
+// place returns the place of a request that its coordinator counts.
+func (s *Service) place(candidates []fleet.Member, index, asked int, lease uint64, r occupancy.Reply) gateway.Place {
+	target := candidates[index].ID
+	return gateway.Place{
+		Index:      index,
+		Asked:      asked,
+		InProgress: r.InProgress,
+		Finish: func(result occupancy.Result) {
+			s.finish(port.FinishRequest{Target: target, Lease: lease, Host: s.host, Result: result})
+		},
+	}
+}
+
+func (s *Service) limit(m fleet.Member) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bound(m.Service).Limit(m.Slots)
+}
+
+func (s *Service) observe(service string, inProgress int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bound(service).Observe(inProgress)
+}
+
+// bound returns the bound of a service. The caller holds s.mu.
+func (s *Service) bound(service string) *occupancy.Bound {
+	b := s.bounds[service]
+	if b == nil {
+		b = &occupancy.Bound{}
+		s.bounds[service] = b
+	}
+	return b
+}
+
+// coordinator returns the coordinator of a target: the first host in the target's order
+// that has not failed to answer a moment ago. It returns false if none of the first two
+// answers.
+func (s *Service) coordinator(target string) (string, bool) {
+	order := s.order.Order(target, append(s.peers.Hosts(), s.peers.Self()))
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, host := range order[:min(maxCoordinators, len(order))] {
+		if host == s.peers.Self() || !s.paused.IsPaused(host, now) {
+			return host, true
+		}
+	}
+	return "", false
+}
+
+// maxCoordinators is how many hosts may count the requests at a target, one at a time.
+const maxCoordinators = 2
+
+// admit asks the coordinator of a target to count a request. It returns false if the
+// coordinator does not answer.
+func (s *Service) admit(ctx context.Context, r port.AdmitRequest) (occupancy.Reply, bool) {
+	host, ok := s.coordinator(r.Target)
+	if !ok {
+		s.metrics.unanswered.Inc(1)
+		return occupancy.Reply{}, false
+	}
+	if host == s.peers.Self() {
+		return s.AdmitLocal(r), true
+	}
+	callCtx, cancel := context.WithTimeout(ctx, admitTimeout)
+	defer cancel()
+	reply, err := s.peers.Admit(callCtx, host, r)
+	if ctx.Err() != nil {
+		return occupancy.Reply{}, false
+	}
+	s.recordAnswer(host, r.Target, err)
+	return reply, err == nil
+}
+
+// recordAnswer records whether a coordinator has answered.
+func (s *Service) recordAnswer(host, target string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.paused.Succeeded(host)
+		return
+	}
+	s.metrics.unanswered.Inc(1)
+	if now := time.Now(); !s.paused.IsPaused(host, now) {
+		s.paused.Failed(host, now)
+		s.log.Info("Coordinator of a target did not answer; pausing it.", "host", host, "target", target, "cause", err.Error())
+	}
+}
+
+// finish reports in the background how a request ended. It does nothing if maxReports
+// reports are in progress: the coordinator then counts the request until its lease ends.
+func (s *Service) finish(r port.FinishRequest) {
+	host, ok := s.coordinator(r.Target)
+	if !ok {
+		return
+	}
+	if host == s.peers.Self() {
+		s.FinishLocal(r)
+		return
+	}
+	select {
+	case s.reports <- struct{}{}:
+	default:
+		s.metrics.unreported.Inc(1)
+		return
+	}
+	s.done.Go(func() {
+		defer func() { <-s.reports }()
+		ctx, cancel := context.WithTimeout(s.ctx, finishTimeout)
+		defer cancel()
+		if err := s.peers.Finish(ctx, host, r); err != nil {
+			s.metrics.unreported.Inc(1)
+			s.log.V(1).Info("Coordinator of a target was not told of the end of a request.", "host", host, "target", r.Target, "cause", err.Error())
+		}
+	})
+}
+
+// AdmitLocal implements port.OccupancyServer.
+func (s *Service) AdmitLocal(r port.AdmitRequest) occupancy.Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counter(r.Target).Admit(r.Lease, r.Limit, r.TTL, time.Now())
+}
+
+// FinishLocal implements port.OccupancyServer.
+func (s *Service) FinishLocal(r port.FinishRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counter(r.Target).Finish(r.Lease, r.Host, r.Result, time.Now())
+}
+
+// counter returns the counter of a target. The caller holds s.mu.
+func (s *Service) counter(target string) *occupancy.Counter {
+	c := s.counters[target]
+	if c == nil {
+		c = &occupancy.Counter{}
+		s.counters[target] = c
+	}
+	return c
+}
--- /dev/null
+++ b/internal/occupancy/service_test.go
@@ -0,0 +1,165 @@
+package occupancy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/core/occupancy"
+	"yuccausher/internal/gateway"
+	"yuccausher/internal/port"
+)
+
+// hosts is a number of hosts that reach each other within a millisecond.
+type hosts struct {
+	names    []string
+	services map[string]*Service
+	// silent hosts accept requests and do not answer.
+	silent map[string]bool
+}
+
+func newHosts(t *testing.T, n int) *hosts {
+	t.Helper()
+	h := &hosts{services: make(map[string]*Service), silent: make(map[string]bool)}
+	for i := range n {
+		h.names = append(h.names, fmt.Sprint("host-", i))
+	}
+	for _, name := range h.names {
+		s := New(Params{Peers: peers{hosts: h, self: name}, Logger: logr.Discard(), Scope: tally.NoopScope})
+		if err := s.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		h.services[name] = s
+		t.Cleanup(func() { _ = s.Stop(context.Background()) })
+	}
+	return h
+}
+
+// peers implements port.OccupancyPeers.
+type peers struct {
+	hosts *hosts
+	self  string
+}
+
+func (p peers) Self() string { return p.self }
+
+func (p peers) Hosts() []string {
+	var others []string
+	for _, name := range p.hosts.names {
+		if name != p.self {
+			others = append(others, name)
+		}
+	}
+	return others
+}
+
+var errSilent = errors.New("no answer")
+
+func (p peers) reach(ctx context.Context, host string) (*Service, error) {
+	time.Sleep(time.Millisecond)
+	if p.hosts.silent[host] || p.hosts.silent[p.self] {
+		<-ctx.Done()
+		return nil, errSilent
+	}
+	return p.hosts.services[host], nil
+}
+
+func (p peers) Admit(ctx context.Context, host string, r port.AdmitRequest) (occupancy.Reply, error) {
+	s, err := p.reach(ctx, host)
+	if err != nil {
+		return occupancy.Reply{}, err
+	}
+	return s.AdmitLocal(r), nil
+}
+
+func (p peers) Finish(ctx context.Context, host string, r port.FinishRequest) error {
+	s, err := p.reach(ctx, host)
+	if err != nil {
+		return err
+	}
+	s.FinishLocal(r)
+	return nil
+}
+
+func members(n, slots int) []fleet.Member {
+	list := make([]fleet.Member, n)
+	for i := range list {
+		list[i] = fleet.Member{ID: fmt.Sprint("target-", i), Service: "models", Slots: slots}
+	}
+	return list
+}
+
+// All hosts prefer the same target: none of them sees more than a few of the requests
+// there, and yet the requests spread.
+func TestRequestsOfAllHostsSpreadOverTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const n, slots = 13, 8
+		h := newHosts(t, n)
+		at := make(map[int]int)
+		var places []gateway.Place
+		for i := range 3 * slots {
+			p := h.services[h.names[i%n]].Place(t.Context(), members(4, slots), time.Second)
+			at[p.Index]++
+			places = append(places, p)
+		}
+		for target, count := range at {
+			if count > slots {
+				t.Errorf("target %d has %d requests", target, count)
+			}
+		}
+		for _, p := range places {
+			p.Finish(occupancy.Answered)
+		}
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(h.services[h.names[0]].Place(t.Context(), members(4, slots), time.Second).InProgress, 0)
+	})
+}
+
+// Without coordinators every request is placed at the target that it prefers, and hosts
+// that do not answer are not asked again at once.
+func TestSilentCoordinatorsDelayFewRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHosts(t, 5)
+		for _, name := range h.names[1:] {
+			h.silent[name] = true
+		}
+		self := h.services[h.names[0]]
+		started := time.Now()
+		for i := range 100 {
+			p := self.Place(t.Context(), members(20, 8)[i%16:], time.Second)
+			is.Equal(p.Index, 0)
+			p.Finish(occupancy.Answered)
+		}
+		is.True(time.Since(started) < 5*(admitTimeout+2*time.Millisecond))
+	})
+}
+
+// A target that fails requests is known to all hosts after two of them met it.
+func TestFailingTargetIsKnownToAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHosts(t, 13)
+		met := 0
+		for _, name := range h.names {
+			p := h.services[name].Place(t.Context(), members(4, 8), time.Second)
+			result := occupancy.Answered
+			if p.Index == 0 {
+				met++
+				result = occupancy.Failed
+			}
+			p.Finish(result)
+			time.Sleep(5 * time.Millisecond)
+		}
+		is.Equal(met, 2)
+	})
+}
