--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -18,7 +18,7 @@
 	return map[string][]subcommands.Command{
 		"see it run":        {&demoCommand{}, &devCommand{}, &standinCommand{}, &loadCommand{}},
 		"run a host":        {&serveCommand{}, &frontCommand{}},
-		"operate the fleet": {&checkConfigCommand{}, &ctlCommand{}, &capacityCommand{}},
+		"operate the fleet": {&checkConfigCommand{}, &ctlCommand{}, &reportCommand{}, &capacityCommand{}},
 	}
 }
 
