spending: few hosts read a partition, and a store that is busy is not away

The store answers after 0.4 s and counts as unavailable at 86 hosts, 685 to 1,260 times, until 37.5 to 38.9 s; 800 turns are refused as budget_unknown.

Changes, each measured after the one before: - a host whose preferred host is excluded asks the partition's other readers before it claims by itself; - the first read of a partition may take 1.2 s as long as the log answers any call of the host; - lookups are hedged after 500 ms.

--- a/internal/conversation/find.go
+++ b/internal/conversation/find.go
@@ -19,9 +19,9 @@
 	// its turns.
 	lookupHosts = 3
 	// hedgeTime is how long a host may take to answer before the next one is asked as
-	// well. A host that has just started may need that long to read its partition;
+	// well. Small hosts need that long to read a partition when all have just started;
 	// asking others sooner makes all of them read it.
-	hedgeTime = 250 * time.Millisecond
+	hedgeTime = 500 * time.Millisecond
 	// exclusionTime is how long a host that did not answer is asked last.
 	exclusionTime = 2 * time.Second
 	// maxFallbackReads limits how many partitions a host reads at once in place of the
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -106,7 +106,7 @@
 	f.fx = fx.New(
 		fx.Supply(o),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newCrashLog, newPeers, newSpending, newConversations, newOccupancy, newPeerServer, newPool, newQuarantine, newGateway, newServers),
+		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newCrashLog, newPeers, newLog, newSpending, newConversations, newOccupancy, newPeerServer, newPool, newQuarantine, newGateway, newServers),
 		fx.Provide(func() *route.Holder { return &route.Holder{} }),
 		fx.Populate(&f.servers),
 		fx.Invoke(func(*follow.CrashLog) {}),
@@ -246,13 +246,13 @@
 	}
 }
 
-func newConversations(lc fx.Lifecycle, o Options, peers *budgetrpc.Client, tables *route.Holder, scope tally.Scope) *conversation.Service {
+func newConversations(lc fx.Lifecycle, o Options, log *port.AnsweredLog, peers *budgetrpc.Client, tables *route.Holder, scope tally.Scope) *conversation.Service {
 	memory := defaultConversationBytes
 	if o.MemoryBytes > 0 {
 		memory = int(conversationMemoryShare * float64(o.MemoryBytes))
 	}
 	c := conversation.New(conversation.Params{
-		Log:         o.Platform.Log,
+		Log:         log,
 		Partitions:  o.Partitions,
 		RecordBytes: o.RecordBytes,
 		CallBytes:   o.CallBytes,
@@ -266,14 +266,17 @@
 	return c
 }
 
-func newSpending(lc fx.Lifecycle, o Options, lenders *budgetrpc.Client, scope tally.Scope) *spending.Service {
+func newLog(o Options) *port.AnsweredLog { return port.NewAnsweredLog(o.Platform.Log) }
+
+func newSpending(lc fx.Lifecycle, o Options, log *port.AnsweredLog, lenders *budgetrpc.Client, scope tally.Scope) *spending.Service {
 	s := spending.New(spending.Params{
-		Log:        o.Platform.Log,
-		Partitions: o.Partitions,
-		Peers:      lenders,
-		Retention:  o.Retention,
-		Logger:     o.Logger,
-		Scope:      scope,
+		Log:           log,
+		LogAnsweredAt: log.AnsweredAt,
+		Partitions:    o.Partitions,
+		Peers:         lenders,
+		Retention:     o.Retention,
+		Logger:        o.Logger,
+		Scope:         scope,
 	})
 	lc.Append(fx.Hook{OnStart: s.Start, OnStop: s.Stop})
 	return s
--- a/internal/spending/availability.go
+++ b/internal/spending/availability.go
@@ -22,6 +22,9 @@
 	// than slowReadThreshold, onUnavailable when reads begin to fail and onRecovered
 	// when they succeed again.
 	onAnswer, onSlowRead, onUnavailable, onRecovered func()
+	// hasAnsweredSince reports whether the log has answered any call of this host since
+	// a time.
+	hasAnsweredSince func(time.Time) bool
 	// isProbeDelegated reports whether another unavailable partition is probed on
 	// behalf of this one.
 	isProbeDelegated func() bool
--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	cutOff, frozen sync.Map
 	// loseAnswer holds the hosts whose next answer gets lost.
 	loseAnswer sync.Map
+	// isBusy says that the store answers other calls of each host all the time.
+	isBusy atomic.Bool
 }
 
 func newFleet(t *testing.T, n int) *fleet {
@@ -66,8 +69,15 @@
 // start starts a run of a host's process.
 func (f *fleet) start(t *testing.T, i int) *Service {
 	t.Helper()
+	log := port.NewAnsweredLog(f.store.Client(f.names[i]))
 	s := New(Params{
-		Log:        f.store.Client(f.names[i]),
+		Log: log,
+		LogAnsweredAt: func() time.Time {
+			if f.isBusy.Load() {
+				return time.Now()
+			}
+			return log.AnsweredAt()
+		},
 		Partitions: partitions,
 		Peers:      &testPeers{fleet: f, self: f.names[i]},
 		Retention:  5 * time.Minute,
--- a/internal/spending/giveback_test.go
+++ b/internal/spending/giveback_test.go
@@ -11,7 +11,7 @@
 	"yuccausher/internal/standin/metastore"
 )
 
-// A small budget holds one turn at its maximum. A host other than the preferred one has
+// A small budget holds one turn at its maximum. A host that reached no other host has
 // claimed it while the store was overloaded, as after a simultaneous start of all hosts,
 // and spent nothing. Other hosts must get the tokens.
 func TestTokensClaimedFromASlowStoreAreGivenBack(t *testing.T) {
@@ -19,7 +19,7 @@
 		is := is.New(t)
 		f := newFleet(t, 4)
 		order := f.order("p")
-		f.freeze(order[0])
+		f.cutOff.Store(order[3], true)
 		a := f.host(order[3])
 		// The host learns by and by that the store has become slow.
 		delays := []time.Duration{16 * time.Millisecond, 60 * time.Millisecond, 110 * time.Millisecond, 150 * time.Millisecond}
@@ -34,7 +34,7 @@
 		}
 		is.NoErr(turn(a, "p", 900, 570, 0))
 		f.store.SetFaults(order[3], metastore.Faults{})
-		f.frozen.Clear()
+		f.cutOff.Clear()
 		time.Sleep(slowAppendTTL + time.Second)
 		is.NoErr(turn(f.host(order[2]), "p", 900, 570, 100))
 	})
@@ -46,12 +46,12 @@
 		is := is.New(t)
 		f := newFleet(t, 4)
 		order := f.order("p")
-		f.freeze(order[0])
+		f.cutOff.Store(order[3], true)
 		f.store.SetFaults(order[3], metastore.Faults{Late: 3, Delay: 390 * time.Millisecond})
 		is.True(isUnknown(turn(f.host(order[3]), "p", 900, 570, 0)))
 		f.store.SetFaults(order[3], metastore.Faults{})
 		f.store.Flush()
-		f.frozen.Clear()
+		f.cutOff.Clear()
 		time.Sleep(slowAppendTTL + 2*time.Second)
 		is.NoErr(turn(f.host(order[2]), "p", 900, 570, 100))
 	})
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -46,6 +46,8 @@
 	// startOnce starts the ledger's goroutines at its first use.
 	startOnce sync.Once
 	isStarted atomic.Bool
+	// isRead says that the partition has been read to its end at least once.
+	isRead atomic.Bool
 	// isCurrent says that the host is one of the partition's readers, which are
 	// notified when a budget is nearly claimed, and that it has read the partition to
 	// its end since it became one. Other hosts must not lend.
--- a/internal/spending/preferred.go
+++ b/internal/spending/preferred.go
@@ -87,15 +87,30 @@
 	delete(e.byHost, exclusionKey{host, part})
 }
 
-// reserveAtPreferred asks the preferred host of the program's partition. It returns
-// false if that host is this one or could not decide, in which case this host has to
-// claim by itself.
+// reserveAtPreferred asks the preferred host of the program's partition, or the next of
+// its readers if that one is excluded or could not decide. It returns false if this host
+// has to claim by itself: it is the next one in the order, or none of the readers could
+// decide. Few hosts then read the partition, also while many hosts do not answer.
 func (s *Service) reserveAtPreferred(ctx context.Context, l *ledger, r port.LendRequest) (gateway.Reservation, error, bool) {
-	preferred, isOther := s.preferredHost(l.partition.Part)
-	if !isOther || s.exclusions.isExcluded(preferred, l.partition.Part, time.Now()) {
-		return nil, nil, false
+	order := s.hostOrder(l.partition.Part)
+	for _, host := range order[:min(readerCount, len(order))] {
+		if host == s.peers.Self() {
+			return nil, nil, false
+		}
+		if s.exclusions.isExcluded(host, l.partition.Part, time.Now()) {
+			continue
+		}
+		if g, err, ok := s.reserveAtReader(ctx, l, host, r); ok {
+			return g, err, true
+		}
 	}
-	b, answer, err := s.askWhileAlive(ctx, preferred, r)
+	return nil, nil, false
+}
+
+// reserveAtReader asks a host that reads the partition. It returns false, and excludes
+// the host, if the host could not decide.
+func (s *Service) reserveAtReader(ctx context.Context, l *ledger, host string, r port.LendRequest) (gateway.Reservation, error, bool) {
+	b, answer, err := s.askWhileAlive(ctx, host, r)
 	if ctx.Err() != nil {
 		return nil, unknownBudget(r.Program, ctx.Err()), true
 	}
@@ -105,12 +120,12 @@
 		if err == nil {
 			scope, limit, err = part, minExclusion, errPreferredUnavailable
 		}
-		pause := s.exclusions.add(preferred, scope, limit, time.Now())
+		pause := s.exclusions.add(host, scope, limit, time.Now())
 		s.metrics.preferredFailures.Inc(1)
-		s.log.Info("Preferred host did not serve the reservation; excluding it.", "host", preferred, "partition", part, "for", pause.String(), "cause", err.Error())
+		s.log.Info("Preferred host did not serve the reservation; excluding it.", "host", host, "partition", part, "for", pause.String(), "cause", err.Error())
 		return nil, nil, false
 	}
-	s.exclusions.remove(preferred, part)
+	s.exclusions.remove(host, part)
 	switch answer.Decision {
 	case port.LendBusy:
 		return nil, nil, false
--- a/internal/spending/preferred_test.go
+++ b/internal/spending/preferred_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -170,3 +172,45 @@
 		is.Equal(l.slices["p"].Open, int64(0))
 	})
 }
+
+// After a simultaneous start of all hosts their processors are busy and preferred hosts
+// answer late. Hosts that then claim by themselves all read all partitions, and the log
+// gets slower than the limit at which it counts as unavailable.
+func TestPartitionsAreReadByFewHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const hosts, programs = 24, 96
+		f := newFleet(t, hosts)
+		for i := range programs {
+			is.NoErr(turn(f.hosts[i%hosts], fmt.Sprint("p", i), 20000, 280, 70))
+		}
+		f.restart(t)
+		frozen := make(map[string]bool)
+		for part := range partitions {
+			frozen[f.hosts[0].hostOrder(part)[0]] = true
+		}
+		for name := range frozen {
+			f.freeze(name)
+		}
+		for i := range programs {
+			if s := f.hosts[(i*7)%hosts]; !frozen[f.names[(i*7)%hosts]] {
+				is.NoErr(turn(s, fmt.Sprint("p", i), 20000, 280, 70))
+			}
+		}
+		started, bound := 0, 0
+		for part := range partitions {
+			readers := f.hosts[0].hostOrder(part)[:readerCount]
+			if !slices.ContainsFunc(readers, func(name string) bool { return !frozen[name] }) {
+				continue // any host has to claim by itself
+			}
+			bound += readerCount
+			for _, s := range f.hosts {
+				if s.ledgers[part].isStarted.Load() {
+					started++
+				}
+			}
+		}
+		is.True(bound > 0)
+		is.True(started <= bound)
+	})
+}
--- a/internal/spending/reader.go
+++ b/internal/spending/reader.go
@@ -16,6 +16,11 @@
 // still completes in it. One that exceeds it marks the log as unavailable.
 const readTimeout = 400 * time.Millisecond
 
+// initialReadTimeout bounds a read of a partition that has not been read to its end yet,
+// as long as the log answers other calls of the host. After a simultaneous start of all
+// hosts the store sends whole partitions to many of them.
+const initialReadTimeout = 1200 * time.Millisecond
+
 // slowReadThreshold is the duration after which a read makes the host probe its other
 // partitions: many times the usual duration of a read. In an outage the host thus
 // detects all partitions as unavailable at the same time as the first one.
@@ -46,7 +51,31 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	return l.catchUp(ctx, math.MaxInt64)
+	if err := l.catchUp(ctx, math.MaxInt64); err != nil {
+		return err
+	}
+	l.isRead.Store(true)
+	return nil
+}
+
+// boundRead returns the context of a read. It ends after readTimeout, or after
+// initialReadTimeout if the partition has not been read yet and the log answers other
+// calls meanwhile.
+func (l *ledger) boundRead(ctx context.Context) (context.Context, context.CancelFunc) {
+	if l.isRead.Load() {
+		return context.WithTimeout(ctx, readTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, initialReadTimeout)
+	started := time.Now()
+	silent := time.AfterFunc(readTimeout, func() {
+		if !l.availability.hasAnsweredSince(started) {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		silent.Stop()
+		cancel()
+	}
 }
 
 // catchUp reads the log up to an offset, or to its end if that comes first. It reads
@@ -83,7 +112,7 @@
 
 // readPage reads and applies one page and returns the offset of the end of the log.
 func (l *ledger) readPage(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := l.boundRead(ctx)
 	defer cancel()
 	slow := time.AfterFunc(slowReadThreshold, l.availability.onSlowRead)
 	defer slow.Stop()
--- a/internal/spending/reader_test.go
+++ b/internal/spending/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,3 +64,34 @@
 		is.Equal(l.verdicts[2], budget.Accepted)
 	})
 }
+
+// All hosts start together and read partitions from a store that is busy with sending
+// them. The first turns wait for the reads; nobody takes the store for unavailable.
+func TestSlowInitialReadsAreNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 12)
+		for i := range 160 {
+			is.NoErr(turn(f.hosts[i%12], fmt.Sprint("p", i), 20000, 280, 70))
+		}
+		largest := 0
+		for part := range partitions {
+			page, err := f.store.Client("x").Read(t.Context(), port.Partition{Topic: topic, Part: part}, port.Range{})
+			is.NoErr(err)
+			size := 0
+			for _, r := range page.Records {
+				size += len(r)
+			}
+			largest = max(largest, size)
+		}
+		f.store.BytesPerSecond = largest * 10 / 7 // the largest partition takes 700 ms
+		f.isBusy.Store(true)
+		f.restart(t)
+		for i := range 40 {
+			is.NoErr(turn(f.hosts[(i*5)%12], fmt.Sprint("p", i), 20000, 280, 70))
+			for _, s := range f.hosts {
+				is.True(!s.isUnavailable())
+			}
+		}
+	})
+}
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -56,6 +56,8 @@
 type Params struct {
 	// Log holds the claims.
 	Log port.SharedLog
+	// LogAnsweredAt returns when the log last answered any call of this host.
+	LogAnsweredAt func() time.Time
 	// Partitions is the number of partitions of the log that carry claims. All hosts
 	// must agree on it.
 	Partitions int
@@ -110,6 +112,7 @@
 		}
 		l.isReader = func() bool { return s.isReader(part) }
 		l.availability.onAnswer = func() { s.answeredAt.Store(time.Now().UnixNano()) }
+		l.availability.hasAnsweredSince = func(t time.Time) bool { return p.LogAnsweredAt().After(t) }
 		l.availability.onSlowRead = func() { s.suspectAfterSlowRead(part) }
 		l.availability.onUnavailable = func() { s.suspectOthers(part) }
 		l.availability.isProbeDelegated = func() bool { return s.isProbeDelegated(part) }
