placement: a long prompt stays with the target that has it

Change: the cost of a miss follows the size of the prompt (5 us a token, as the 15 ms for some 3,000 before); if it exceeds that of a remote target, all hosts prefer the same target, wherever the turn arrives. The bound of the preferred target grows by one request for 3,000 tokens that only this program has.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -212,6 +212,8 @@
 	// Affinity is the same for requests that share a long prompt prefix. It is
 	// empty for requests that all targets serve equally well.
 	Affinity string
+	// PromptTokens is the size of the prompt; zero if unknown.
+	PromptTokens int64
 	// Exclude lists the targets that have already refused the request.
 	Exclude []string
 }
@@ -281,9 +283,11 @@
 	// prefix. All hosts compare the same ones, so that a program that moves away
 	// from its first target finds its prefix at the next.
 	preferredTargets = 2
-	// prefixMissCost is the cost of reading a prompt again at any but the first
-	// preferred target, in seconds. It corresponds to about 3,000 tokens.
-	prefixMissCost = 0.015
+	// tokenMissCost is the cost of reading a prompt again at any but the first
+	// preferred target, in seconds a token.
+	tokenMissCost = 5e-6
+	// defaultPromptTokens is the assumed size of a prompt that does not state it.
+	defaultPromptTokens = 3000
 	// remoteCost is the additional cost of a target in another data centre, in
 	// seconds: a few milliseconds of network time, and a connection that is seldom
 	// reused. It is small compared to the waits at a busy target.
@@ -317,7 +321,7 @@
 		return []Member{f.leastLoaded(available, now).Member}
 	}
 	order := rendezvous.Order(r.Affinity, available, targetID)
-	best := f.cheapest(order, now)
+	best := f.cheapest(order, r.missCost(), now)
 	candidates := append(make([]Member, 0, limit), best.Member)
 	slices.SortStableFunc(order, func(a, b *Target) int { return compareBool(a.isSuspect(now), b.isSuspect(now)) })
 	for _, t := range order {
@@ -363,15 +367,24 @@
 	return &Choice{Member: t.Member, Cost: cost, InFlight: earlier, fleet: f, target: t, sentAt: now}
 }
 
+// missCost returns the cost of reading the request's prompt at a target that has not
+// cached it, in seconds.
+func (r Request) missCost() float64 {
+	if r.PromptTokens == 0 {
+		return tokenMissCost * defaultPromptTokens
+	}
+	return tokenMissCost * float64(r.PromptTokens)
+}
+
 // cheapest returns the target with the lowest cost for a program that prefers targets
-// in a given order.
-func (f *Fleet) cheapest(order []*Target, now time.Time) *Target {
+// in a given order and whose prompt costs missCost seconds at any but the first one.
+func (f *Fleet) cheapest(order []*Target, missCost float64, now time.Time) *Target {
 	var best *Target
 	lowest := 0.0
-	for rank, t := range f.preferred(order) {
+	for rank, t := range f.preferred(order, missCost) {
 		c := t.cost(now)
 		if rank > 0 {
-			c += prefixMissCost
+			c += missCost
 		}
 		if t.DataCentre != f.dataCentre {
 			c += remoteCost
@@ -383,16 +396,21 @@
 	return best
 }
 
-// preferred returns the targets that are compared for a program: the first one of the
-// host's own data centre in its order, and the first ones of all data centres, which are
-// the same for all hosts.
-func (f *Fleet) preferred(order []*Target) []*Target {
+// preferred returns the targets that are compared for a program, the one that has
+// probably cached its prompt first: the first ones of all data centres, which are the
+// same for all hosts, and the first one of the host's own data centre. The latter comes
+// first if a prompt costs less to read than a remote target, since most turns of a
+// program arrive in the same data centre.
+func (f *Fleet) preferred(order []*Target, missCost float64) []*Target {
 	preferred := order[:min(preferredTargets, len(order))]
 	near := slices.IndexFunc(order, func(t *Target) bool { return t.DataCentre == f.dataCentre })
 	if near <= 0 {
 		return preferred
 	}
 	rest := slices.DeleteFunc(slices.Clone(preferred), func(t *Target) bool { return t == order[near] })
+	if missCost > remoteCost {
+		return append(rest, order[near])
+	}
 	return append([]*Target{order[near]}, rest...)
 }
 
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -282,3 +282,34 @@
 	first.End(now.Add(7*time.Second), Full, 0)
 	is.Equal(first.SilentFor(now.Add(8*time.Second)), time.Second)
 }
+
+// Turns of one program arrive at hosts of several data centres. A long prompt is cheaper
+// to send to the target that has cached it than to read again nearby; a short one is not.
+func TestLongPromptsStayAtOneTarget(t *testing.T) {
+	is := is.New(t)
+	var fleets []*Fleet
+	centres := []string{"a", "b", "c", "d"}
+	for i, centre := range centres {
+		f := New(centre, uint64(i))
+		for j := range 12 {
+			f.Put(Member{ID: fmt.Sprint("t", j), Service: "m", DataCentre: centres[j%4], Slots: 8})
+		}
+		fleets = append(fleets, f)
+	}
+	moved := func(promptTokens int64) int {
+		n := 0
+		for p := range 100 {
+			chosen := make(map[string]bool)
+			for _, f := range fleets {
+				r := Request{Service: "m", Affinity: fmt.Sprint("p", p), PromptTokens: promptTokens}
+				chosen[f.Candidates(r, 4, time.Unix(1000, 0))[0].ID] = true
+			}
+			if len(chosen) > 1 {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(moved(14_000), 0)
+	is.True(moved(1_000) > 80)
+}
--- a/internal/core/occupancy/bound.go
+++ b/internal/core/occupancy/bound.go
@@ -7,8 +7,11 @@
 	// some ten counts a second.
 	meanGain = 0.1
 	// boundFactor is the multiple of the mean up to which a request goes to the
-	// target that it prefers, where its prompt is cached.
+	// target that it prefers.
 	boundFactor = 1.25
+	// tokensPerRequest is the number of prompt tokens that take as long to read again
+	// as a further request in progress delays a turn.
+	tokensPerRequest = 3000
 )
 
 // Bound is the number of requests at a target from which on a request goes to another
@@ -29,9 +32,11 @@
 	b.mean += meanGain * (float64(inProgress) - b.mean)
 }
 
-// Limit returns the bound for a target with a number of slots, at least one.
-func (b *Bound) Limit(slots int) int {
-	limit := int(math.Ceil(boundFactor*b.mean)) + 1
+// Limit returns the bound for a target with a number of slots, at least one. It is
+// higher for a request with prompt tokens that the target has probably cached and others
+// would have to read.
+func (b *Bound) Limit(slots int, cachedTokens int64) int {
+	limit := int(math.Ceil(boundFactor*b.mean)) + 1 + int(cachedTokens/tokensPerRequest)
 	if slots > 0 {
 		limit = min(limit, slots)
 	}
--- a/internal/core/occupancy/occupancy_test.go
+++ b/internal/core/occupancy/occupancy_test.go
@@ -78,16 +78,18 @@
 func TestBoundFollowsTheLoad(t *testing.T) {
 	is := is.New(t)
 	var b Bound
-	is.Equal(b.Limit(12), 1)
+	is.Equal(b.Limit(12, 0), 1)
 	for range 100 {
 		b.Observe(8)
 	}
-	is.Equal(b.Limit(12), 11)
-	is.Equal(b.Limit(0), 11)
+	is.Equal(b.Limit(12, 0), 11)
+	is.Equal(b.Limit(0, 0), 11)
+	is.Equal(b.Limit(0, 2*tokensPerRequest), 13) // two requests more are better than to read the history again
+	is.Equal(b.Limit(12, 2*tokensPerRequest), 12)
 	for range 100 {
 		b.Observe(40)
 	}
-	is.Equal(b.Limit(12), 12)
+	is.Equal(b.Limit(12, 0), 12)
 }
 
 // turn is a request in progress of the replay.
@@ -145,7 +147,7 @@
 		for i, candidate := range order[:4] {
 			limit := 0
 			if isPlaced {
-				limit = b.Limit(slots)
+				limit = b.Limit(slots, 0)
 			}
 			reply := counters[candidate].Admit(lease, limit, time.Minute, now)
 			if i == 0 {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -102,7 +102,7 @@
 // choose returns the target of the next dispatch, or nil if there is none. Requests with
 // a prompt are placed among the targets that they prefer.
 func (j *job) choose(ctx context.Context) *fleet.Choice {
-	r := fleet.Request{Service: j.service, Affinity: j.prefixKey(), Exclude: j.excluded}
+	r := fleet.Request{Service: j.service, Affinity: j.prefixKey(), PromptTokens: j.call.PromptTokens, Exclude: j.excluded}
 	if r.Affinity == "" {
 		return j.g.fleet.Choose(r, time.Now())
 	}
@@ -111,7 +111,7 @@
 		return nil
 	}
 	started := time.Now()
-	j.place = j.g.placement.Place(ctx, candidates, time.Until(j.deadline()))
+	j.place = j.g.placement.Place(ctx, PlaceRequest{Candidates: candidates, CachedTokens: j.call.PrivateTokens, TTL: time.Until(j.deadline())})
 	since(&j.times.place, started)
 	choice := j.g.fleet.Begin(candidates[j.place.Index], time.Now())
 	if choice == nil {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -293,6 +293,6 @@
 // firstPlace places each request at the target that it prefers.
 type firstPlace struct{}
 
-func (firstPlace) Place(context.Context, []fleet.Member, time.Duration) gateway.Place {
+func (firstPlace) Place(context.Context, gateway.PlaceRequest) gateway.Place {
 	return gateway.Place{Finish: func(occupancy.Result) {}}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,11 +96,21 @@
 	Finish func(occupancy.Result)
 }
 
+// PlaceRequest describes a dispatch that is to be placed.
+type PlaceRequest struct {
+	// Candidates are the possible targets in the order of preference, at least one.
+	Candidates []fleet.Member
+	// CachedTokens is the part of the prompt that the first candidate has probably
+	// cached for this program alone.
+	CachedTokens int64
+	// TTL is the longest duration of the dispatch.
+	TTL time.Duration
+}
+
 // Placement spreads the requests of all hosts over targets.
 type Placement interface {
-	// Place chooses one of the candidates, which are in the order of preference. The
-	// dispatch takes ttl at most.
-	Place(ctx context.Context, candidates []fleet.Member, ttl time.Duration) Place
+	// Place chooses one of the candidates.
+	Place(ctx context.Context, r PlaceRequest) Place
 }
 
 // Quarantine records content that crashes the targets that run it. Methods that
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -138,7 +138,8 @@
 	}
 	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "route", name,
 		"config", j.version, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target,
-		"expected_ms", cost.Milliseconds(), "in_flight", before, "in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
+		"expected_ms", cost.Milliseconds(), "in_flight", before, "prompt_tokens", j.call.PromptTokens, "private_tokens", j.call.PrivateTokens,
+		"in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
 		"runs", len(j.ranAt), "refused_by", len(j.excluded), "events", j.events,
 		"previous_turn", j.call.PreviousTurn, "earlier_turns", len(j.chain),
 		"body_ms", j.times.body.Milliseconds(), "reserve_ms", j.times.reserve.Milliseconds(), "lookup_ms", j.times.lookup.Milliseconds(),
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/matryer/is"
 
-	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/occupancy"
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/standin/replica"
@@ -23,11 +22,11 @@
 	chosen []string
 }
 
-func (p *lastPlace) Place(_ context.Context, candidates []fleet.Member, _ time.Duration) gateway.Place {
+func (p *lastPlace) Place(_ context.Context, r gateway.PlaceRequest) gateway.Place {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(candidates) - 1
-	p.chosen = append(p.chosen, candidates[last].ID)
+	last := len(r.Candidates) - 1
+	p.chosen = append(p.chosen, r.Candidates[last].ID)
 	return gateway.Place{Index: last, Finish: func(r occupancy.Result) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -31,6 +31,9 @@
 	// the answer, in tokens.
 	PromptTokens int64
 	MaxOutput    int64
+	// PrivateTokens is the size of the part of the prompt that no other program shares,
+	// in tokens.
+	PrivateTokens int64
 	// ResumeAfter is the ID of the last event that the caller has received; empty if
 	// the request starts from the beginning.
 	ResumeAfter string
--- a/internal/occupancy/service.go
+++ b/internal/occupancy/service.go
@@ -127,12 +127,15 @@
 }
 
 // Place implements gateway.Placement.
-func (s *Service) Place(ctx context.Context, candidates []fleet.Member, ttl time.Duration) gateway.Place {
+func (s *Service) Place(ctx context.Context, r gateway.PlaceRequest) gateway.Place {
 	lease := rand.Uint64()
-	limit := s.limit(candidates[0])
 	replies := make([]occupancy.Reply, 0, maxAsked)
-	for i, m := range candidates[:min(maxAsked, len(candidates))] {
-		reply, ok := s.admit(ctx, port.AdmitRequest{Target: m.ID, Lease: lease, Limit: limit, TTL: ttl})
+	for i, m := range r.Candidates[:min(maxAsked, len(r.Candidates))] {
+		cached := r.CachedTokens
+		if i > 0 {
+			cached = 0
+		}
+		reply, ok := s.admit(ctx, port.AdmitRequest{Target: m.ID, Lease: lease, Limit: s.limit(m, cached), TTL: r.TTL})
 		if !ok {
 			// The coordinator does not answer, so that the host's own preference decides.
 			return gateway.Place{Index: i, Asked: i + 1, Finish: func(occupancy.Result) {}}
@@ -142,14 +145,14 @@
 		}
 		if reply.Admitted {
 			s.metrics.admitted.Inc(1)
-			return s.place(candidates, i, i+1, lease, reply)
+			return s.place(r.Candidates, i, i+1, lease, reply)
 		}
 		replies = append(replies, reply)
 	}
 	best := occupancy.LeastOccupied(replies)
 	s.metrics.overBound.Inc(1)
-	s.admit(ctx, port.AdmitRequest{Target: candidates[best].ID, Lease: lease, TTL: ttl})
-	return s.place(candidates, best, len(replies), lease, replies[best])
+	s.admit(ctx, port.AdmitRequest{Target: r.Candidates[best].ID, Lease: lease, TTL: r.TTL})
+	return s.place(r.Candidates, best, len(replies), lease, replies[best])
 }
 
 // place returns the place of a request that its coordinator counts.
@@ -165,10 +168,10 @@
 	}
 }
 
-func (s *Service) limit(m fleet.Member) int {
+func (s *Service) limit(m fleet.Member, cachedTokens int64) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.bound(m.Service).Limit(m.Slots)
+	return s.bound(m.Service).Limit(m.Slots, cachedTokens)
 }
 
 func (s *Service) observe(service string, inProgress int) {
--- a/internal/occupancy/service_test.go
+++ b/internal/occupancy/service_test.go
@@ -97,6 +97,10 @@
 	return list
 }
 
+func request(candidates []fleet.Member) gateway.PlaceRequest {
+	return gateway.PlaceRequest{Candidates: candidates, TTL: time.Second}
+}
+
 // All hosts prefer the same target: none of them sees more than a few of the requests
 // there, and yet the requests spread.
 func TestRequestsOfAllHostsSpreadOverTargets(t *testing.T) {
@@ -107,7 +111,7 @@
 		at := make(map[int]int)
 		var places []gateway.Place
 		for i := range 3 * slots {
-			p := h.services[h.names[i%n]].Place(t.Context(), members(4, slots), time.Second)
+			p := h.services[h.names[i%n]].Place(t.Context(), request(members(4, slots)))
 			at[p.Index]++
 			places = append(places, p)
 		}
@@ -120,7 +124,7 @@
 			p.Finish(occupancy.Answered)
 		}
 		time.Sleep(10 * time.Millisecond)
-		is.Equal(h.services[h.names[0]].Place(t.Context(), members(4, slots), time.Second).InProgress, 0)
+		is.Equal(h.services[h.names[0]].Place(t.Context(), request(members(4, slots))).InProgress, 0)
 	})
 }
 
@@ -136,7 +140,7 @@
 		self := h.services[h.names[0]]
 		started := time.Now()
 		for i := range 100 {
-			p := self.Place(t.Context(), members(20, 8)[i%16:], time.Second)
+			p := self.Place(t.Context(), request(members(20, 8)[i%16:]))
 			is.Equal(p.Index, 0)
 			p.Finish(occupancy.Answered)
 		}
@@ -151,7 +155,7 @@
 		h := newHosts(t, 13)
 		met := 0
 		for _, name := range h.names {
-			p := h.services[name].Place(t.Context(), members(4, 8), time.Second)
+			p := h.services[name].Place(t.Context(), request(members(4, 8)))
 			result := occupancy.Answered
 			if p.Index == 0 {
 				met++
