--- a/internal/core/rendezvous/rendezvous_test.go
+++ b/internal/core/rendezvous/rendezvous_test.go
@@ -36,3 +36,16 @@
 		is.True(n > 850 && n < 1150)
 	}
 }
+
+func TestCacheFollowsTheHosts(t *testing.T) {
+	is := is.New(t)
+	c := Cache{Limit: 2}
+	hosts := []string{"a", "b", "c", "d"}
+	is.Equal(c.Order("t", hosts), Order("t", hosts, identity)[:2])
+	fewer := []string{"a", "b", "c"}
+	is.Equal(c.Order("t", fewer), Order("t", fewer, identity)[:2])
+	for i := range 3 * maxCachedKeys {
+		c.Order(strconv.Itoa(i), fewer)
+	}
+	is.True(len(c.byKey) <= maxCachedKeys)
+}
--- a/internal/occupancy/service.go
+++ b/internal/occupancy/service.go
@@ -29,6 +29,9 @@
 	admitTimeout = 25 * time.Millisecond
 	// finishTimeout limits a report of how a request ended.
 	finishTimeout = 200 * time.Millisecond
+	// maxCoordinators is how many hosts may count the requests at a target, one at a
+	// time.
+	maxCoordinators = 2
 	// maxAsked is how many targets a request compares before it takes the one with the
 	// fewest requests.
 	maxAsked = 4
@@ -80,6 +83,7 @@
 		host:     rand.Uint64(),
 		log:      p.Logger.WithName("occupancy"),
 		metrics:  newMetrics(p.Scope.SubScope("occupancy")),
+		order:    rendezvous.Cache{Limit: maxCoordinators},
 		reports:  make(chan struct{}, maxReports),
 		counters: make(map[string]*occupancy.Counter),
 		bounds:   make(map[string]*occupancy.Bound),
@@ -151,6 +155,7 @@
 	}
 	best := occupancy.LeastOccupied(replies)
 	s.metrics.overBound.Inc(1)
+	// Without a limit the request is admitted, or the coordinator has just ended.
 	s.admit(ctx, port.AdmitRequest{Target: r.Candidates[best].ID, Lease: lease, TTL: r.TTL})
 	return s.place(r.Candidates, best, len(replies), lease, replies[best])
 }
@@ -198,7 +203,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, host := range order[:min(maxCoordinators, len(order))] {
+	for _, host := range order {
 		if host == s.peers.Self() || !s.paused.IsPaused(host, now) {
 			return host, true
 		}
@@ -206,9 +211,6 @@
 	return "", false
 }
 
-// maxCoordinators is how many hosts may count the requests at a target, one at a time.
-const maxCoordinators = 2
-
 // admit asks the coordinator of a target to count a request. It returns false if the
 // coordinator does not answer.
 func (s *Service) admit(ctx context.Context, r port.AdmitRequest) (occupancy.Reply, bool) {
