--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -286,8 +286,9 @@
 	// tokenMissCost is the cost of reading a prompt again at any but the first
 	// preferred target, in seconds a token.
 	tokenMissCost = 5e-6
-	// defaultPromptTokens is the assumed size of a prompt that does not state it.
-	defaultPromptTokens = 3000
+	// minPromptTokens is the least size of a prompt that is assumed: a short prompt
+	// grows with the turns of its program.
+	minPromptTokens = 3000
 	// remoteCost is the additional cost of a target in another data centre, in
 	// seconds: a few milliseconds of network time, and a connection that is seldom
 	// reused. It is small compared to the waits at a busy target.
@@ -370,10 +371,7 @@
 // missCost returns the cost of reading the request's prompt at a target that has not
 // cached it, in seconds.
 func (r Request) missCost() float64 {
-	if r.PromptTokens == 0 {
-		return tokenMissCost * defaultPromptTokens
-	}
-	return tokenMissCost * float64(r.PromptTokens)
+	return tokenMissCost * float64(max(r.PromptTokens, minPromptTokens))
 }
 
 // cheapest returns the target with the lowest cost for a program that prefers targets
