spending: what is left of a loan is not spent without a new one

Cause by what the code shows, not by a trace: a slice keeps what was lent for earlier turns, and a host that is asked for a claim, or serves its own callers, spent that rest without looking at claims and loans of others. Asking further readers asks more hosts that have such a rest.

Now each turn without a claim is lent anew, with the check of all that is known. The test fails without BeginClaimed by not compiling; no test of a fleet shows the fault.

--- a/internal/core/budget/loans_test.go
+++ b/internal/core/budget/loans_test.go
@@ -60,3 +60,16 @@
 	is.Equal(len(l.UnrecordedClaims(b, 3)), 3)
 	is.Equal(len(l.Of("p")), 5)
 }
+
+// A host lends for a turn that spends little. What is left of the loan is not spent by
+// the next turn, since another host may have lent meanwhile.
+func TestRestOfALoanIsNotSpentWithoutANewOne(t *testing.T) {
+	is := is.New(t)
+	s := Slice{}
+	is.True(s.Lend(280, 840, 0, 0))
+	is.True(s.Begin(280))
+	s.End(280, 14)
+	is.True(!s.BeginClaimed(200))
+	is.True(!s.Lend(280, 840, 700, 0)) // the log holds claims of others by now
+	is.True(s.Lend(280, 840, 0, 0))
+}
--- a/internal/core/budget/slice.go
+++ b/internal/core/budget/slice.go
@@ -49,6 +49,16 @@
 	return true
 }
 
+// BeginClaimed reserves maxTokens for a turn like Begin, of claimed tokens only. What was
+// lent for an earlier turn may have been lent by another host since.
+func (s *Slice) BeginClaimed(maxTokens int64) bool {
+	if s.Confirmed-s.Spent-s.Open < maxTokens {
+		return false
+	}
+	s.Open += maxTokens
+	return true
+}
+
 // End releases the reservation of a turn that began with maxTokens and counts
 // the tokens that it delivered as spent.
 func (s *Slice) End(maxTokens, spent int64) {
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -52,12 +52,13 @@
 	}
 }
 
-// begin starts a turn if the host's slice has enough tokens left.
+// begin starts a turn if the host's slice has enough claimed tokens left. Tokens without
+// a claim are lent anew for each turn, see lend.
 func (l *ledger) begin(program string, maxTokens int64) (gateway.Reservation, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.slices[program]
-	if s == nil || !s.Begin(maxTokens) {
+	if s == nil || !s.BeginClaimed(maxTokens) {
 		return nil, false
 	}
 	s.usedAt = time.Now()
