spending: no host spends the rest of its slice while all claims exceed the budget

Cause by reading, reproduced by a test over the store stand-in: the claim for a loan counts what running turns may still spend and is accepted beyond the budget; the turns spend a fraction, and the rest of the slice was then spent by further turns, although the claims of all hosts exceeded the budget.

Now a slice is not spent while the claims exceed the budget as far as the host has read; its next claim asks for no more than the waiting turns need, which gives the rest back and grants them if they fit. The test fails without the change.

--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -83,6 +83,9 @@
 		// The part that is given back must not be spent from here on, whether or not
 		// the append takes effect.
 		s.Confirmed = total
+	case l.isOverdrawn(s):
+		// What is left of the slice beyond the need of the waiting turns is given back.
+		s.Confirmed = min(s.Confirmed, total)
 	case !p.waiters[0].isSingle:
 		total = s.ClaimTotal(requested, s.budget, l.book.Claimed(s.program), l.isSlow() || l.isPreferredHost())
 	}
@@ -144,9 +147,13 @@
 // refused. In all other cases, for instance if a claim for several turns was refused,
 // the turn gets a claim of its own.
 func (l *ledger) resolve(w *waiter, s *slice, verdict budget.Verdict) {
+	if verdict == budget.Accepted && l.isOverdrawn(s) {
+		// A claim that does not raise the host's total is accepted in any case.
+		verdict = budget.Refused
+	}
 	switch {
 	case w.isAbandoned:
-	case verdict == budget.Accepted && s.Begin(w.maxTokens):
+	case verdict == budget.Accepted && s.BeginClaimed(w.maxTokens):
 		w.reservation = &reservation{ledger: l, slice: s, maxTokens: w.maxTokens}
 		w.done <- nil
 	case verdict == budget.Refused && l.exceeds(w, s) && w.hasWaited:
--- a/internal/spending/loans_test.go
+++ b/internal/spending/loans_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"yuccausher/internal/gateway"
 	"yuccausher/internal/standin/metastore"
 )
 
@@ -20,7 +21,7 @@
 		is := is.New(t)
 		f := newFleet(t, 8)
 		f.outage()
-		const budget, maxTokens = 840, 280
+		const budget, maxTokens, xTokens = 840, 280, 350
 		granted := f.turnAtEachHost(budget, maxTokens)
 		is.Equal(granted, int64(maxTokens))
 		f.disconnect(f.order("runaway")[0])
@@ -39,7 +40,7 @@
 		is := is.New(t)
 		f := newFleet(t, 12)
 		f.outage()
-		const budget, maxTokens = 840, 280
+		const budget, maxTokens, xTokens = 840, 280, 350
 		granted := f.turnAtEachHost(budget, maxTokens)
 		for _, host := range f.order("runaway")[:4] {
 			f.disconnect(host)
@@ -113,7 +114,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 4)
-		const budget, maxTokens = 840, 280
+		const budget, maxTokens, xTokens = 840, 280, 350
 		preferred := f.host(f.order("p")[0])
 		for range 3 {
 			is.NoErr(turn(preferred, "p", budget, maxTokens, maxTokens))
@@ -134,7 +135,7 @@
 		f := newFleet(t, 4)
 		// The lender of "runaway" is the host that is cut off. The other program is in
 		// another partition.
-		const budget, maxTokens = 840, 280
+		const budget, maxTokens, xTokens = 840, 280, 350
 		cutOff, unavailable := f.host(f.order("runaway")[0]), ""
 		for i := 0; unavailable == "" || cutOff.partitionOf(unavailable) == cutOff.partitionOf("runaway"); i++ {
 			unavailable = fmt.Sprint("away", i)
@@ -233,3 +234,56 @@
 	// The monotonic clock does not advance while a machine is suspended.
 	is.True(p.isPaused(now.Round(0).Add(5 * pauseThreshold)))
 }
+
+// Two hosts spend one budget without knowing of each other's claims: one has ended, the
+// other has lent. The claim for what was lent exceeds the budget, and what is left of it
+// must not be spent by further turns until it has been given back and claimed anew.
+func TestRestOfASettledLoanIsNotSpentBeyondTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const budget, maxTokens, xTokens = 840, 280, 350
+		f := newFleet(t, 4)
+		order := f.order("p")
+		x, y := f.host(order[0]), f.host(order[1])
+		reserve := func() gateway.Reservation {
+			r, err := y.Reserve(t.Context(), "p", budget, maxTokens)
+			is.NoErr(err)
+			return r
+		}
+		f.cutOff.Store(order[1], true)
+		open := []gateway.Reservation{reserve()}
+		f.cutOff.Clear()
+		is.NoErr(turn(x, "p", budget, xTokens, xTokens))
+
+		f.cutOff.Store(order[0], true)
+		f.store.SetFaults(metastore.EveryHost, metastore.Faults{Refuse: true})
+		_ = turn(y, "probe", 20_000, maxTokens, 14)
+		time.Sleep(500 * time.Millisecond)
+		open = append(open, reserve())
+		f.store.SetFaults(metastore.EveryHost, metastore.Faults{})
+		time.Sleep(600 * time.Millisecond)
+		for _, r := range open {
+			r.Spend(14)
+			r.Release()
+		}
+		l := y.ledger("p")
+		l.mu.Lock()
+		claimed := l.book.Claimed("p")
+		l.mu.Unlock()
+		is.True(claimed > budget) // the case is met
+		_, err, ok := l.decideLocally("p", budget, maxTokens)
+		is.NoErr(err)
+		is.True(!ok) // not from the rest of the loan
+		granted := int64(xTokens + 2*14)
+		calls := f.store.Calls()
+		is.NoErr(turn(y, "p", budget, maxTokens, 0))
+		is.True(f.store.Calls()-calls <= 4) // one claim gives the rest back and holds the turn
+		for range 6 {
+			if turn(y, "p", budget, maxTokens, maxTokens) == nil {
+				granted += maxTokens
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		is.True(granted <= budget)
+	})
+}
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -58,7 +58,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.slices[program]
-	if s == nil || !s.BeginClaimed(maxTokens) {
+	if s == nil || l.isOverdrawn(s) || !s.BeginClaimed(maxTokens) {
 		return nil, false
 	}
 	s.usedAt = time.Now()
@@ -66,6 +66,11 @@
 	return &reservation{ledger: l, slice: s, maxTokens: maxTokens}, true
 }
 
+// isOverdrawn reports whether the claims of all hosts exceed the budget, as they may
+// after loans. No host may then spend what is left of its slice: it has to give it back
+// and claim anew. The caller holds l.mu.
+func (l *ledger) isOverdrawn(s *slice) bool { return l.book.Claimed(s.program) > s.budget }
+
 // sliceOf returns the host's slice of a program. Tokens that were held by a slice
 // that has since been dropped count as spent. The caller holds l.mu.
 func (l *ledger) sliceOf(program string, total int64) *slice {
