--- a/internal/core/occupancy/counter.go
+++ b/internal/core/occupancy/counter.go
@@ -38,6 +38,8 @@
 	minReporters = 2
 	// reportTTL is how long a report of a failure counts.
 	reportTTL = 4 * time.Second
+	// maxLeaseTTL limits how long a request counts that is never finished.
+	maxLeaseTTL = time.Minute
 )
 
 // Counter counts the requests of all hosts at one target. The zero value is an idle
@@ -53,7 +55,7 @@
 
 // Admit counts a request if fewer than limit are in progress and the target is not
 // suspect. A limit of zero admits the request in any case. The request counts until it
-// is finished, and for ttl at most, since the host that sent it may end.
+// is finished, and for ttl or maxLeaseTTL at most, since the host that sent it may end.
 func (c *Counter) Admit(lease uint64, limit int, ttl time.Duration, now time.Time) Reply {
 	c.expire(now)
 	r := Reply{InProgress: len(c.leases), IsSuspect: c.isSuspect(now)}
@@ -62,7 +64,7 @@
 		if c.leases == nil {
 			c.leases = make(map[uint64]time.Time)
 		}
-		c.leases[lease] = now.Add(ttl)
+		c.leases[lease] = now.Add(min(ttl, maxLeaseTTL))
 	}
 	return r
 }
--- a/internal/core/occupancy/occupancy_test.go
+++ b/internal/core/occupancy/occupancy_test.go
@@ -69,6 +69,15 @@
 	is.True(!c.Admit(103, 5, time.Second, now.Add(reportTTL+time.Second)).IsSuspect)
 }
 
+func TestRequestsThatAreNeverFinishedStopCounting(t *testing.T) {
+	is := is.New(t)
+	var c Counter
+	now := time.Unix(1000, 0)
+	c.Admit(1, 0, 24*time.Hour, now)
+	is.Equal(c.Admit(2, 0, time.Second, now.Add(maxLeaseTTL-time.Second)).InProgress, 1)
+	is.True(c.IsIdle(now.Add(maxLeaseTTL)))
+}
+
 func TestLeastOccupiedPrefersTargetsThatAreNotSuspect(t *testing.T) {
 	is := is.New(t)
 	is.Equal(LeastOccupied([]Reply{{InProgress: 1, IsSuspect: true}, {InProgress: 9}, {InProgress: 7}, {InProgress: 7}}), 2)
