--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -34,6 +34,8 @@
 	// cutOff holds the hosts that reach no other host, frozen those that accept
 	// requests and do not answer.
 	cutOff, frozen sync.Map
+	// apart holds the hosts that reach only each other.
+	apart sync.Map
 	// loseAnswer holds the hosts whose next answer gets lost.
 	loseAnswer sync.Map
 	// isBusy says that the store answers other calls of each host all the time.
@@ -115,10 +117,15 @@
 	return ok
 }
 
+func (f *fleet) isApart(host string) bool {
+	_, ok := f.apart.Load(host)
+	return ok
+}
+
 // connect returns another host after 1 ms, or an error if it can't be reached.
 func (p *testPeers) connect(ctx context.Context, host string) (*Service, error) {
 	time.Sleep(time.Millisecond)
-	if p.fleet.isCutOff(p.self) || p.fleet.isCutOff(host) {
+	if p.fleet.isCutOff(p.self) || p.fleet.isCutOff(host) || p.fleet.isApart(p.self) != p.fleet.isApart(host) {
 		return nil, errors.New("cut off")
 	}
 	if _, isFrozen := p.fleet.frozen.Load(host); isFrozen {
--- a/internal/spending/loans_test.go
+++ b/internal/spending/loans_test.go
@@ -287,3 +287,33 @@
 		is.True(granted <= budget)
 	})
 }
+
+// A minority of the hosts is cut off from the store and from the other hosts, which go on
+// to claim. The hosts of the minority tell each other that the log is unavailable; they
+// must not take that for an outage.
+func TestMinorityThatIsCutOffDoesNotLend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const budget, maxTokens = 840, 280
+		f := newFleet(t, 12)
+		order := f.order("p")
+		is.NoErr(turn(f.host(order[5]), "p", budget, maxTokens, 14))
+		for _, name := range order[:4] {
+			f.apart.Store(name, true)
+			f.store.SetFaults(name, metastore.Faults{Refuse: true})
+		}
+		for _, name := range order[:4] {
+			_ = turn(f.host(name), "probe", 20_000, maxTokens, 14)
+		}
+		time.Sleep(500 * time.Millisecond)
+		granted := int64(14)
+		for range 4 {
+			for _, name := range order {
+				if turn(f.host(name), "p", budget, maxTokens, maxTokens) == nil {
+					granted += maxTokens
+				}
+			}
+		}
+		is.True(granted <= budget)
+	})
+}
