spending: notes on claims are sent again to hosts that missed them

A host that would lend and was cut off for a moment when a budget was claimed knew nothing of the claims, and lent half of the budget when the store went away and the claiming host ended. Reproduced by a test, which fails without the change.

--- a/internal/spending/loans_test.go
+++ b/internal/spending/loans_test.go
@@ -317,3 +317,35 @@
 		is.True(granted <= budget)
 	})
 }
+
+// A host that would lend misses the note that a budget is claimed, since it is cut off for
+// a moment. When it is back and the store goes away, it must know of the claims.
+func TestHostThatMissedANoteDoesNotLend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const budget, maxTokens = 840, 280
+		f := newFleet(t, 8)
+		order := f.order("p")
+		f.cutOff.Store(order[1], true)
+		granted := int64(0)
+		for range 3 {
+			is.NoErr(turn(f.host(order[0]), "p", budget, maxTokens, maxTokens))
+			granted += maxTokens
+		}
+		time.Sleep(noteTimeout)
+		f.cutOff.Delete(order[1])
+		time.Sleep(time.Second)
+		f.cutOff.Store(order[0], true) // the host that knows the claims ends
+		f.store.SetFaults(metastore.EveryHost, metastore.Faults{Refuse: true})
+		for _, name := range order[1:] {
+			_ = turn(f.host(name), "probe", 20_000, maxTokens, 14)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, name := range order[1:] {
+			if turn(f.host(name), "p", budget, maxTokens, maxTokens) == nil {
+				granted += maxTokens
+			}
+		}
+		is.True(granted <= budget)
+	})
+}
--- a/internal/spending/notify.go
+++ b/internal/spending/notify.go
@@ -138,6 +138,9 @@
 			err := s.peers.Note(ctx, host, n)
 			if err != nil {
 				s.log.V(1).Info("Note was not accepted.", "host", host, "program", n.Program, "cause", err.Error())
+				if n.Claimed > 0 {
+					s.missed.add(host, n, time.Now())
+				}
 			}
 			accepted[i] = err == nil
 		})
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -85,6 +85,7 @@
 	peers      port.BudgetPeers
 	lending    lending
 	exclusions exclusions
+	missed     missedNotes
 	pauses     pauseDetector
 	// answeredAt is when the log last answered, in Unix nanoseconds.
 	answeredAt atomic.Int64
@@ -148,6 +149,7 @@
 	s.log.Info("Spending service started.", "writer", s.writer, "partitions", len(s.ledgers))
 	s.done.Go(func() { s.runReaders(s.ctx) })
 	s.done.Go(func() { s.sweep(s.ctx) })
+	s.done.Go(func() { s.runMissedNotes(s.ctx) })
 	return nil
 }
 
