gateway, quarantine: logs tell how an answer ended that cleared content

The lines could not distinguish the hypotheses about cleared marks: whether the answer was framed, and whether a mark was ignored as known. 'Request ended' has framing, the line of cleared content request, content and framing; counters gateway answers{framing} and quarantine_repeated. No change of logic.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,8 +119,8 @@
 	// IsQuarantined reports whether content must no longer run.
 	IsQuarantined(fingerprint func() uint64) bool
 	// RecordSuccess records that a target has answered content completely and
-	// successfully.
-	RecordSuccess(fingerprint func() uint64, target string)
+	// successfully. It returns the number of crash marks that this has cleared.
+	RecordSuccess(fingerprint func() uint64, target string) int
 	// RecordInterruption records that an answer was interrupted, as happens when a
 	// target crashes.
 	RecordInterruption(fingerprint uint64, target upstream.Target)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -11,6 +11,7 @@
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/fault"
+	"yuccausher/internal/upstream"
 )
 
 // job is the state of one request until its final answer.
@@ -59,6 +60,8 @@
 	outcome   string
 	cause     error
 	firstByte time.Duration
+	// framing is that of the last answer; empty if there was none.
+	framing upstream.Framing
 }
 
 // times are the parts of a request's time that are not spent at a target.
@@ -140,7 +143,7 @@
 		"config", j.version, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target,
 		"expected_ms", cost.Milliseconds(), "in_flight", before, "prompt_tokens", j.call.PromptTokens, "private_tokens", j.call.PrivateTokens,
 		"in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
-		"runs", len(j.ranAt), "refused_by", len(j.excluded), "events", j.events,
+		"runs", len(j.ranAt), "refused_by", len(j.excluded), "framing", j.framing, "events", j.events,
 		"previous_turn", j.call.PreviousTurn, "earlier_turns", len(j.chain),
 		"body_ms", j.times.body.Milliseconds(), "reserve_ms", j.times.reserve.Milliseconds(), "lookup_ms", j.times.lookup.Milliseconds(),
 		"place_ms", j.times.place.Milliseconds(), "connect_ms", j.times.connect.Milliseconds(), "wait_ms", j.times.wait.Milliseconds(),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/upstream"
 )
 
 // latencyBuckets are the buckets for the time to the first byte and to the end of an
@@ -54,6 +55,11 @@
 	}
 }
 
+// countAnswer counts an answer of a target by its framing.
+func (m *metrics) countAnswer(f upstream.Framing) {
+	m.scope.Tagged(map[string]string{"framing": string(f)}).Counter("answers").Inc(1)
+}
+
 // recordRefusal counts a dispatch that a target did not run.
 func (m *metrics) recordRefusal(o fleet.Outcome) {
 	m.scope.Tagged(map[string]string{"reason": o.String()}).Counter("retries").Inc(1)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -66,7 +66,10 @@
 func (j *job) recordContentResult(ctx context.Context, choice *fleet.Choice, r result) {
 	switch {
 	case r == completed && j.outcome == "answered" && j.status < http.StatusMultipleChoices:
-		j.g.quarantine.RecordSuccess(j.fingerprint, choice.ID)
+		if marks := j.g.quarantine.RecordSuccess(j.fingerprint, choice.ID); marks > 0 {
+			j.g.log.Info("Answer has cleared content of crash marks.", "request", j.call.RequestID, "content", strconv.FormatUint(j.fingerprint(), 16),
+				"target", choice.ID, "started_at", choice.StartedAt, "framing", j.framing, "events", j.events, "marks", marks)
+		}
 	case r == outcomeUnknown || r == interrupted:
 		j.recordMissingAnswer(ctx, choice)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -27,6 +27,8 @@
 // relay sends the answer of a target to the caller.
 func (j *job) relay(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, response *http.Response, sent time.Time) result {
 	answer := j.g.protocol.ParseAnswer(response.StatusCode, response.Header)
+	j.framing = upstream.FramingOf(response)
+	j.g.metrics.countAnswer(j.framing)
 	if answer.IsLeaving {
 		j.recordLeaving(choice)
 	}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -97,6 +97,8 @@
 type metrics struct {
 	scope                         tally.Scope
 	crashes, quarantined, cleared tally.Counter
+	// repeated counts marks that were not counted because they were known.
+	repeated tally.Counter
 	// receivedAge is the age of marks of other hosts on arrival.
 	receivedAge tally.Histogram
 }
@@ -110,6 +112,7 @@
 		crashes:     scope.Counter("crashes"),
 		quarantined: scope.Counter("contents"),
 		cleared:     scope.Counter("cleared"),
+		repeated:    scope.Counter("repeated"),
 		receivedAge: scope.Histogram("learned_age", ageBuckets),
 	}
 }
@@ -163,19 +166,21 @@
 }
 
 // RecordSuccess clears content of suspicion after target has answered it in full. It calls
-// fingerprint only while some content is suspect.
-func (s *Service) RecordSuccess(fingerprint func() uint64, target string) {
+// fingerprint only while some content is suspect. It returns the number of marks cleared.
+func (s *Service) RecordSuccess(fingerprint func() uint64, target string) int {
 	if s.suspects.Load() == 0 {
-		return
+		return 0
 	}
 	f := fingerprint()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if marks := s.registry.Clear(f); marks > 0 {
+	marks := s.registry.Clear(f)
+	if marks > 0 {
 		s.metrics.cleared.Inc(1)
 		s.log.Info("Content was cleared by a full answer.", "content", formatFingerprint(f), "target", target, "crashes", marks)
 	}
 	s.updateCounts()
+	return marks
 }
 
 // localHost is the value of the host key in log lines about this host's own marks.
@@ -197,6 +202,7 @@
 // addMark counts a mark unless it has been counted before. The caller holds the lock.
 func (s *Service) addMark(m poison.Mark, host string) {
 	if isKnown, _ := s.seen.ContainsOrAdd(m.CrashKey(), struct{}{}); isKnown {
+		s.metrics.repeated.Inc(1)
 		return
 	}
 	if age := time.Since(time.Unix(0, m.At)); host != localHost {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -130,8 +130,7 @@
 // end of the body mark the connection as reusable if the target keeps it open.
 func (c *Conn) prepareBody(response *http.Response) {
 	c.setIdleTimeout(response.Header.Get("Keep-Alive"))
-	isFramed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	keepAlive := !response.Close && isFramed
+	keepAlive := !response.Close && FramingOf(response) != Unframed
 	if response.ContentLength == 0 {
 		c.reusable = keepAlive
 	}
