tests: crashes inside unframed answers, and hosts that disagree about cleared content (red)

What callers saw: the users' BUDGET, a content that ended N targets was sent on.

The stand-in of targets ends as a killed process does (connections closed, no reset) in the middle of an unframed answer.

--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -64,6 +64,10 @@
 	Crashing
 	// Vanishing does the same without a word: the connections stay open.
 	Vanishing
+	// CrashingUnframed begins an answer without a length or chunks, and takes the
+	// replica down in the middle of it. The connections are closed, not reset, as those
+	// of a killed process.
+	CrashingUnframed
 )
 
 // Options set up a replica. Zero values mean no limits and no time.
@@ -77,8 +81,10 @@
 	Events int
 	Pause  time.Duration
 	// Deadly is a body that takes the replica down when it begins to run; empty means
-	// none. Ended is called when one has.
+	// none. Death is how: Crashing, Vanishing or CrashingUnframed; None means Crashing.
+	// Ended is called when one has.
 	Deadly string
+	Death  Fault
 	Ended  func()
 }
 
@@ -160,43 +166,6 @@
 	return r.opened
 }
 
-// Close crashes the replica: its connections are reset.
-func (r *Replica) Close() {
-	r.crash()
-	r.serving.Wait()
-}
-
-func (r *Replica) crash() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.isDown {
-		close(r.down)
-	}
-	r.isDown = true
-	_ = r.listener.Close()
-	for c := range r.conns {
-		reset(c)
-	}
-}
-
-// vanish takes no further connections and says nothing on those that there are.
-func (r *Replica) vanish() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.isDown {
-		close(r.down)
-	}
-	r.isDown = true
-	_ = r.listener.Close()
-}
-
-func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
 func (r *Replica) accept() {
 	for {
 		c, err := r.listener.Accept()
@@ -271,20 +240,15 @@
 	if err != nil || x.fault == Early {
 		return err == nil
 	}
-	if x.fault == Crashing {
-		r.crash()
+	if x.fault == Crashing || x.fault == Vanishing || x.fault == CrashingUnframed {
+		r.die(x, x.fault, reader)
 		return false
 	}
 	if r.options.Deadly != "" && string(body) == r.options.Deadly {
-		r.crash()
+		r.die(x, r.options.Death, reader)
 		r.options.Ended()
 		return false
 	}
-	if x.fault == Vanishing {
-		r.vanish()
-		_, _ = reader.Peek(1)
-		return false
-	}
 	if r.isAbandoned(x, reader) {
 		return false
 	}
