gateway, quarantine: the end of an unframed answer is no proof that its target lives

Callers saw: a content that ends targets was sent on and on (BUDGET); its request was answered 200 with a part of the answer.

Cause: an answer without a length or chunks ends with its connection. A target that is killed while it answers closes the connection in the same way. The end was taken for that of a complete answer, which cleared the content of the marks of earlier crashes and left none itself.

Ruled out: framed answers, whose early end the HTTP library reports; streams that end inside an event, which were interruptions already.

Why it works: an unframed end is an open question until the target was probed. A closed connection shows that the machine could be reached, so that only a refused connection, or a next run that began at that moment, is taken for a crash; a probe that times out is not. The answer is still delivered: by the protocol it is complete.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,9 @@
 	// RecordInterruption records that an answer was interrupted, as happens when a
 	// target crashes.
 	RecordInterruption(fingerprint uint64, target upstream.Target)
+	// RecordUnframedAnswer records that an answer ended with its connection, as the
+	// answer of a target does that crashes.
+	RecordUnframedAnswer(fingerprint uint64, target upstream.Target)
 	// RecordAbandoned records that a request was abandoned at a target from which
 	// this host had received data shortly before.
 	RecordAbandoned(fingerprint uint64, target upstream.Target)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -11,6 +11,7 @@
 
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/fault"
+	"yuccausher/internal/upstream"
 )
 
 // noRetryAfter omits the advice on when to retry.
@@ -65,6 +66,8 @@
 // recordContentResult reports the result of a dispatch to the quarantine.
 func (j *job) recordContentResult(ctx context.Context, choice *fleet.Choice, r result) {
 	switch {
+	case r == completed && j.outcome == "answered" && j.framing == upstream.Unframed:
+		j.g.quarantine.RecordUnframedAnswer(j.fingerprint(), connectionTarget(choice))
 	case r == completed && j.outcome == "answered" && j.status < http.StatusMultipleChoices:
 		if marks := j.g.quarantine.RecordSuccess(j.fingerprint, choice.ID); marks > 0 {
 			j.g.log.Info("Answer has cleared content of crash marks.", "request", j.call.RequestID, "content", strconv.FormatUint(j.fingerprint(), 16),
--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -13,17 +13,34 @@
 	"yuccausher/internal/upstream"
 )
 
-// interruption is a request that was not answered in full by a target.
+// interruption is a request that was not answered in full by a target, or whose answer
+// may be incomplete.
 type interruption struct {
 	content uint64
 	at      time.Time
+	// isUnframed is true if an answer ended with its connection. It is incomplete only
+	// if the target crashed at that moment.
+	isUnframed bool
 	// isAlive is true if the target accepted a connection afterwards. It may still have
 	// crashed and restarted before the probe.
 	isAlive bool
 }
 
-// notSeenAlive reports whether a target has not been seen alive since an interruption.
-func notSeenAlive(b interruption) bool { return !b.isAlive }
+// isCrash reports whether the failure of a probe shows that the target has crashed at an
+// interruption. A connection that was closed in order shows that the target's machine
+// could be reached, so that only a refused connection tells of a crash.
+func (b interruption) isCrash(failure error) bool {
+	return !b.isAlive && (!b.isUnframed || errors.Is(failure, syscall.ECONNREFUSED))
+}
+
+// isCrashBefore reports whether the start of a target's next run shows that the target
+// has crashed at an interruption.
+func (b interruption) isCrashBefore(next upstream.Target) bool {
+	if !b.isUnframed {
+		return true
+	}
+	return next.StartedAt != 0 && time.UnixMilli(next.StartedAt).Sub(b.at).Abs() <= maxRestartTime
+}
 
 // RecordInterruption records that a request was interrupted at a target and probes the target in the
 // background. If the target turns out to have crashed, the content is marked.
@@ -36,6 +53,18 @@
 	}
 }
 
+// RecordUnframedAnswer records that an answer ended with its connection, and probes the
+// target in the background. If the target turns out to have crashed, the content is
+// marked.
+func (s *Service) RecordUnframedAnswer(fingerprint uint64, target upstream.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addInterruption(target, interruption{content: fingerprint, at: time.Now(), isUnframed: true})
+	if !s.markIfReplaced(target) {
+		s.startProbe(target)
+	}
+}
+
 // startProbe probes a target in the background unless a probe of it is running. The
 // caller holds the lock.
 func (s *Service) startProbe(target upstream.Target) {
@@ -68,7 +97,7 @@
 	case s.markIfReplaced(target):
 		return true
 	case errors.Is(err, syscall.ECONNREFUSED):
-		s.markCrashed(target, err, notSeenAlive)
+		s.markCrashed(target, err, func(b interruption) bool { return b.isCrash(err) })
 		return true
 	}
 	s.startProbe(target)
@@ -96,7 +125,7 @@
 func (s *Service) markIfReplaced(target upstream.Target) bool {
 	for _, key := range []string{target.Address, target.ID} {
 		if next, ok := s.latestRuns.Get(key); ok && isReplaced(target, next) {
-			s.markCrashed(target, &ReplacedError{By: next.ID}, func(interruption) bool { return true })
+			s.markCrashed(target, &ReplacedError{By: next.ID}, func(b interruption) bool { return b.isCrashBefore(next) })
 			return true
 		}
 	}
@@ -159,7 +188,7 @@
 	switch {
 	case s.ctx.Err() != nil:
 	case err != nil:
-		s.markCrashed(target, err, notSeenAlive)
+		s.markCrashed(target, err, func(b interruption) bool { return b.isCrash(err) })
 	default:
 		s.foundAlive(target, time.Since(started))
 	}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -38,6 +38,10 @@
 	// its target: until a restarted target has registered, which may take several
 	// seconds.
 	interruptionTTL = 10 * time.Second
+	// maxRestartTime is the longest time between the crash of a target and the start of
+	// its next run for which a probe may have met the next run. Clocks of targets and
+	// hosts differ by less.
+	maxRestartTime = time.Second
 	// maxInterruptions limits the interruptions that are kept per target.
 	maxInterruptions = 256
 	// maxLatestRuns limits the addresses and IDs whose latest run is kept. Each target
