quarantine, follow: content that one host clears is clear at all hosts

Callers saw: a content that ends targets was refused by most hosts and sent on by one.

Cause: a complete answer cleared the marks of the host that saw it, and of no other. That host never counted these marks again, so that the next crash quarantined the content at all hosts but there, for good. Hosts that started later counted the cleared marks. Class: replicas of one state that change it each for itself.

Ruled out: marks that arrive twice or late (TestWholeAnswerClears).

Why it works: the marks in the shared log are the state now, and each host's counts mirror them. A host that clears content removes its marks from the log, before it writes others, and each host that reads the removal drops them too; what is left decides, also for content that was quarantined meanwhile. Records are as they were: an older host reads a removal as it reads that of an expired mark, and goes on counting for itself.

--- a/internal/core/poison/registry.go
+++ b/internal/core/poison/registry.go
@@ -19,6 +19,9 @@
 // quarantined ones. The least recently used are evicted first.
 const maxFingerprints = 8192
 
+// maxMarks limits the marks that are kept of quarantined content.
+const maxMarks = 64
+
 // Verdict determines how content may run.
 type Verdict int
 
@@ -56,9 +59,11 @@
 // use.
 type Registry struct {
 	// crashLimit is the number of marks that quarantine content.
-	crashLimit  int
-	suspects    *lru.Cache[uint64, []Mark]
-	quarantined *lru.Cache[uint64, struct{}]
+	crashLimit int
+	suspects   *lru.Cache[uint64, []Mark]
+	// quarantined holds the marks of quarantined content, none if the content was
+	// quarantined without them.
+	quarantined *lru.Cache[uint64, []Mark]
 	inFlight    inFlight
 }
 
@@ -66,7 +71,7 @@
 // marks.
 func NewRegistry(crashLimit int) *Registry {
 	suspects, _ := lru.New[uint64, []Mark](maxFingerprints)
-	quarantined, _ := lru.New[uint64, struct{}](maxFingerprints)
+	quarantined, _ := lru.New[uint64, []Mark](maxFingerprints)
 	return &Registry{crashLimit: crashLimit, suspects: suspects, quarantined: quarantined, inFlight: make(inFlight)}
 }
 
@@ -110,30 +115,55 @@
 	}
 }
 
-// Clear drops the marks of suspect content and returns their number.
-func (r *Registry) Clear(fingerprint uint64) int {
+// Clear drops the marks of suspect content and returns them.
+func (r *Registry) Clear(fingerprint uint64) []Mark {
 	marks, _ := r.suspects.Peek(fingerprint)
 	r.suspects.Remove(fingerprint)
-	return len(marks)
+	return marks
+}
+
+// Remove drops the marks of content for which isRemoved returns true. Content that is
+// left with fewer marks than the crash limit is no longer quarantined. It returns the
+// number of marks dropped.
+func (r *Registry) Remove(fingerprint uint64, isRemoved func(Mark) bool) int {
+	marks, isQuarantined := r.quarantined.Peek(fingerprint)
+	if !isQuarantined {
+		marks, _ = r.suspects.Peek(fingerprint)
+	}
+	kept := slices.DeleteFunc(slices.Clone(marks), isRemoved)
+	removed := len(marks) - len(kept)
+	if removed == 0 {
+		return 0
+	}
+	r.suspects.Remove(fingerprint)
+	r.quarantined.Remove(fingerprint)
+	switch {
+	case len(kept) >= r.crashLimit:
+		r.quarantined.Add(fingerprint, kept)
+	case len(kept) > 0:
+		r.suspects.Add(fingerprint, kept)
+	}
+	return removed
 }
 
 // RecordCrash adds a mark of this or another host. It returns true if the mark
 // quarantines the content.
 func (r *Registry) RecordCrash(m Mark) bool {
-	if _, ok := r.quarantined.Get(m.Fingerprint); ok {
-		return false
+	marks, isQuarantined := r.quarantined.Get(m.Fingerprint)
+	if !isQuarantined {
+		marks, _ = r.suspects.Get(m.Fingerprint)
 	}
-	marks, _ := r.suspects.Get(m.Fingerprint)
 	if slices.ContainsFunc(marks, func(known Mark) bool { return known.CrashKey() == m.CrashKey() }) {
 		return false
 	}
 	marks = append(slices.Clip(marks), m)
-	if len(marks) < r.crashLimit {
+	if !isQuarantined && len(marks) < r.crashLimit {
 		r.suspects.Add(m.Fingerprint, marks)
 		return false
 	}
-	r.Quarantine(m.Fingerprint)
-	return true
+	r.suspects.Remove(m.Fingerprint)
+	r.quarantined.Add(m.Fingerprint, marks[:min(len(marks), maxMarks)])
+	return !isQuarantined
 }
 
 // Quarantine puts content in quarantine. It returns false if it already was.
@@ -142,7 +172,7 @@
 	if r.quarantined.Contains(fingerprint) {
 		return false
 	}
-	r.quarantined.Add(fingerprint, struct{}{})
+	r.quarantined.Add(fingerprint, nil)
 	return true
 }
 
--- a/internal/follow/crashes.go
+++ b/internal/follow/crashes.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,8 +33,11 @@
 	writeRetry = 250 * time.Millisecond
 	// finalWriteTimeout limits the last write when the host stops.
 	finalWriteTimeout = 200 * time.Millisecond
-	// crashRetention is how long a crash mark stays in the log for hosts that start.
-	crashRetention = 10 * time.Minute
+	// crashRetention is how long a crash mark stays in the log, quarantineRetention how
+	// long those of quarantined content do. Content that is not quarantined must not
+	// collect marks of crashes by chance.
+	crashRetention      = 10 * time.Minute
+	quarantineRetention = 24 * time.Hour
 	// sweepInterval is the mean time between searches for expired marks. Each host adds
 	// its own jitter, so that usually one host removes the marks before the others find
 	// them.
@@ -62,6 +67,14 @@
 	ConfirmShared([]poison.Mark)
 	// Receive adds marks of another host.
 	Receive(host string, marks []poison.Mark)
+	// Cleared returns marks that this host is to remove from the log, and ConfirmCleared
+	// removes those that are no longer there.
+	Cleared() []poison.Mark
+	ConfirmCleared([]poison.Mark)
+	// Remove removes marks of content that are no longer in the log.
+	Remove(fingerprint uint64, isRemoved func(poison.Mark) bool)
+	// IsQuarantined reports whether content is quarantined.
+	IsQuarantined(fingerprint func() uint64) bool
 }
 
 // Peers reaches the other hosts.
@@ -100,10 +113,10 @@
 	stop   context.CancelFunc
 	done   sync.WaitGroup
 
-	// crashedAt maps the keys in the log to the times of their crashes. Only the tail's
-	// goroutine uses it and sweepAt.
-	crashedAt map[string]time.Time
-	sweepAt   time.Time
+	// marks maps the keys in the log to their marks. Only the tail's goroutine uses it
+	// and sweepAt.
+	marks   map[string]poison.Mark
+	sweepAt time.Time
 	// expired passes the keys of expired marks to the writer.
 	expired chan []string
 	// notified contains the marks that other hosts have been notified of, and
@@ -114,7 +127,7 @@
 
 // NewCrashLog returns a crash log. Call Start to read and write marks.
 func NewCrashLog(p CrashLogParams) *CrashLog {
-	c := &CrashLog{params: p, log: p.Logger.WithName("crashes"), crashedAt: make(map[string]time.Time), expired: make(chan []string, 1), notified: make(map[poison.Mark]bool)}
+	c := &CrashLog{params: p, log: p.Logger.WithName("crashes"), marks: make(map[string]poison.Mark), expired: make(chan []string, 1), notified: make(map[poison.Mark]bool)}
 	c.tail = &tail{stream: p.Stream, handler: c, wait: p.PropagationLimit / readsPerLimit, log: c.log}
 	return c
 }
@@ -149,7 +162,14 @@
 // share writes marks as soon as they are set and retries failed writes, until ctx ends.
 func (c *CrashLog) share(ctx context.Context) {
 	for ctx.Err() == nil {
+		// Other hosts must not count cleared marks together with later ones.
+		if !c.removeCleared(ctx) {
+			sleep(ctx, writeRetry)
+		}
 		marks := c.pending()
+		if len(marks) == 0 && len(c.params.Crashes.Cleared()) > 0 {
+			continue
+		}
 		if len(marks) == 0 {
 			clear(c.notified)
 			c.waitForChange(ctx)
@@ -212,7 +232,7 @@
 	select {
 	case <-c.params.Crashes.Changed():
 	case keys := <-c.expired:
-		c.remove(ctx, keys)
+		c.removeExpired(ctx, keys)
 	case <-ctx.Done():
 	}
 }
@@ -253,29 +273,65 @@
 	}
 }
 
-func (c *CrashLog) remove(ctx context.Context, keys []string) {
+// removeCleared removes marks from the log whose content this host has cleared. It
+// returns false if the store has not confirmed it.
+func (c *CrashLog) removeCleared(ctx context.Context) bool {
+	marks := c.params.Crashes.Cleared()
+	if len(marks) == 0 {
+		return true
+	}
+	marks = marks[:min(len(marks), maxBatch)]
+	keys := make([]string, len(marks))
+	for i, m := range marks {
+		keys[i] = crashKey(m)
+	}
+	err := c.remove(ctx, keys)
+	c.observe(err)
+	if err != nil {
+		return false
+	}
+	c.params.Crashes.ConfirmCleared(marks)
+	c.log.Info("Crashes of cleared content were removed.", "count", len(keys))
+	return true
+}
+
+// removeExpired removes expired marks from the log.
+func (c *CrashLog) removeExpired(ctx context.Context, keys []string) {
+	if err := c.remove(ctx, keys); err != nil {
+		c.log.Info("Expired crashes could not be removed; the removal will be retried.", "count", len(keys), "cause", err.Error())
+		return
+	}
+	c.log.Info("Expired crashes were removed.", "count", len(keys))
+}
+
+func (c *CrashLog) remove(ctx context.Context, keys []string) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	records := make([]port.KeyedRecord, len(keys))
 	for i, key := range keys {
 		records[i].Key = key
 	}
-	if err := c.params.Put(ctx, records); err != nil {
-		c.log.Info("Expired crashes could not be removed; the removal will be retried.", "count", len(keys), "cause", err.Error())
-		return
-	}
-	c.log.Info("Expired crashes were removed.", "count", len(keys))
+	return c.params.Put(ctx, records)
 }
 
-// crashKey returns the key of a mark. It is the same for all marks of one crash on one
-// content.
+// fingerprintDigits is the number of hexadecimal digits that begin a key.
+const fingerprintDigits = 16
+
+// crashKey returns the key of a mark, which begins with the fingerprint of its content. It
+// is the same for all marks of one crash on one content.
 func crashKey(m poison.Mark) string {
 	run := m.CrashKey()
 	return fmt.Sprintf("%016x-%016x", m.Fingerprint, xxhash.Sum64String(fmt.Sprint(run.Target, "/", run.Run, "/", run.At)))
 }
 
 func (c *CrashLog) reset(records []port.KeyedRecord) {
-	clear(c.crashedAt)
+	removed := maps.Clone(c.marks)
+	for _, r := range records {
+		delete(removed, r.Key)
+	}
+	for key := range removed {
+		c.forget(key)
+	}
 	for _, r := range records {
 		c.apply(r)
 	}
@@ -283,7 +339,7 @@
 
 func (c *CrashLog) apply(r port.KeyedRecord) {
 	if len(r.Value) == 0 {
-		delete(c.crashedAt, r.Key)
+		c.forget(r.Key)
 		return
 	}
 	var m quarantine.Crash
@@ -292,10 +348,29 @@
 		return
 	}
 	mark := poison.FromWire(&m)
-	c.crashedAt[r.Key] = time.Unix(0, mark.At)
+	c.marks[r.Key] = mark
 	c.params.Crashes.Receive(m.GetHost(), []poison.Mark{mark})
 }
 
+// forget removes the mark of a key that is no longer in the log. The mark may have come
+// from another host before the log carried it.
+func (c *CrashLog) forget(key string) {
+	delete(c.marks, key)
+	fingerprint, err := strconv.ParseUint(key[:min(len(key), fingerprintDigits)], 16, 64)
+	if err != nil {
+		return // another writer's key, whose record was skipped
+	}
+	c.params.Crashes.Remove(fingerprint, func(m poison.Mark) bool { return crashKey(m) == key })
+}
+
+// retention returns how long a mark stays in the log.
+func (c *CrashLog) retention(m poison.Mark) time.Duration {
+	if c.params.Crashes.IsQuarantined(func() uint64 { return m.Fingerprint }) {
+		return quarantineRetention
+	}
+	return crashRetention
+}
+
 // afterRead searches for expired marks about every sweepInterval and passes them to the
 // writer.
 func (c *CrashLog) afterRead(now time.Time) {
@@ -307,8 +382,8 @@
 	}
 	c.sweepAt = now.Add(time.Duration((0.5 + rand.Float64()) * float64(sweepInterval)))
 	var keys []string
-	for key, at := range c.crashedAt {
-		if now.Sub(at) > crashRetention && len(keys) < maxBatch {
+	for key, m := range c.marks {
+		if now.Sub(time.Unix(0, m.At)) > c.retention(m) && len(keys) < maxBatch {
 			keys = append(keys, key)
 		}
 	}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -92,6 +92,9 @@
 	// seen contains the marks that have been counted. They must not be counted again
 	// after a full answer has cleared their content.
 	seen *lru.Cache[poison.Mark, struct{}]
+	// cleared are marks that this host is to remove from the shared log, the oldest
+	// first.
+	cleared []poison.Mark
 	// unshared are this host's marks that are not in the shared log, the oldest first.
 	unshared []poison.Mark
 	// relayed are marks of other hosts that this one is to write to the shared log.
@@ -101,6 +104,8 @@
 type metrics struct {
 	scope                         tally.Scope
 	crashes, quarantined, cleared tally.Counter
+	// removed counts marks that were removed from the shared log.
+	removed tally.Counter
 	// repeated counts marks that were not counted because they were known.
 	repeated tally.Counter
 	// receivedAge is the age of marks of other hosts on arrival.
@@ -116,6 +121,7 @@
 		crashes:     scope.Counter("crashes"),
 		quarantined: scope.Counter("contents"),
 		cleared:     scope.Counter("cleared"),
+		removed:     scope.Counter("removed"),
 		repeated:    scope.Counter("repeated"),
 		receivedAge: scope.Histogram("learned_age", ageBuckets),
 	}
@@ -169,8 +175,9 @@
 	return s.registry.Verdict(f) == poison.Quarantined
 }
 
-// RecordSuccess clears content of suspicion after target has answered it in full. It calls
-// fingerprint only while some content is suspect. It returns the number of marks cleared.
+// RecordSuccess clears content of suspicion, at all hosts, after target has answered it in
+// full. It calls fingerprint only while some content is suspect. It returns the number of
+// marks cleared.
 func (s *Service) RecordSuccess(fingerprint func() uint64, target string) int {
 	if s.suspects.Load() == 0 {
 		return 0
@@ -179,12 +186,37 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	marks := s.registry.Clear(f)
-	if marks > 0 {
-		s.metrics.cleared.Inc(1)
-		s.log.Info("Content was cleared by a full answer.", "content", formatFingerprint(f), "target", target, "crashes", marks)
+	if len(marks) == 0 {
+		return 0
 	}
+	s.metrics.cleared.Inc(1)
+	s.log.Info("Content was cleared by a full answer.", "content", formatFingerprint(f), "target", target, "crashes", len(marks))
+	s.updateCounts()
+	s.unshared = without(s.unshared, marks)
+	s.relayed = without(s.relayed, marks)
+	s.cleared = s.dropOldest(append(s.cleared, marks...))
+	s.signal()
+	return len(marks)
+}
+
+// without returns list without the marks in removed.
+func without(list, removed []poison.Mark) []poison.Mark {
+	return slices.DeleteFunc(list, func(m poison.Mark) bool { return slices.Contains(removed, m) })
+}
+
+// Remove removes marks of content that are no longer in the shared log.
+func (s *Service) Remove(fingerprint uint64, isRemoved func(poison.Mark) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.registry.Verdict(fingerprint)
+	removed := s.registry.Remove(fingerprint, isRemoved)
+	if removed == 0 {
+		return
+	}
+	s.metrics.removed.Inc(int64(removed))
+	s.log.Info("Crash marks were removed from the shared log.", "content", formatFingerprint(fingerprint), "count", removed,
+		"was_quarantined", before == poison.Quarantined, "is_quarantined", s.registry.Verdict(fingerprint) == poison.Quarantined)
 	s.updateCounts()
-	return marks
 }
 
 // localHost is the value of the host key in log lines about this host's own marks.
@@ -248,9 +280,22 @@
 func (s *Service) ConfirmShared(marks []poison.Mark) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isShared := func(m poison.Mark) bool { return slices.Contains(marks, m) }
-	s.unshared = slices.DeleteFunc(s.unshared, isShared)
-	s.relayed = slices.DeleteFunc(s.relayed, isShared)
+	s.unshared = without(s.unshared, marks)
+	s.relayed = without(s.relayed, marks)
+}
+
+// Cleared returns marks that this host is to remove from the shared log.
+func (s *Service) Cleared() []poison.Mark {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.cleared)
+}
+
+// ConfirmCleared removes marks that are no longer in the shared log from Cleared.
+func (s *Service) ConfirmCleared(marks []poison.Mark) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cleared = without(s.cleared, marks)
 }
 
 // Relay adds marks of another host that can't reach the shared log, and schedules them
