quarantine: the limit on repeats is tested with six endings of targets and failing racks

Loud, unframed, back at once under a new and under the same ID, abandoned; alone, with racks that fail at once and with each disruption.

--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,6 +55,8 @@
 	faults     map[string]metastore.Faults
 	runs       []run
 	crashCount int
+	// end is how targets end that run the deadly content; nil means endLoudly.
+	end *ending
 }
 
 // targetSlot is one address at which targets run: a crashed target is followed by
@@ -108,24 +111,37 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.targets {
-		if s.run.ID == target.ID && !time.Now().Before(s.upAt) {
+		if s.run.Address == target.Address && !time.Now().Before(s.upAt) {
 			return nil
 		}
 	}
-	return errors.New("connection refused")
+	return errors.Trace(syscall.ECONNREFUSED)
 }
 
 // crashTarget crashes a target while it runs contents for a host.
 func (c *cluster) crashTarget(n *node, s *targetSlot, contents ...uint64) {
+	end := c.end
+	if end == nil {
+		end = endLoudly
+	}
+	old := c.replace(s, end)
+	for _, f := range contents {
+		end.record(n, f, old)
+	}
+}
+
+// replace ends the run of a target, which is followed by another one, and returns it.
+func (c *cluster) replace(s *targetSlot, end *ending) upstream.Target {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	old := s.run
 	c.crashCount++
-	s.run = upstream.Target{ID: fmt.Sprintf("%s.%d", old.Address, c.crashCount), Address: old.Address, StartedAt: int64(c.crashCount)}
-	s.upAt = time.Now().Add(restartTime)
-	c.mu.Unlock()
-	for _, f := range contents {
-		n.crashes.RecordInterruption(f, old)
+	s.upAt = time.Now().Add(end.restartTime)
+	s.run = upstream.Target{ID: old.ID, Address: old.Address, StartedAt: s.upAt.UnixMilli()}
+	if !end.keepsID {
+		s.run.ID = fmt.Sprintf("%s.%d", old.Address, c.crashCount)
 	}
+	return old
 }
 
 // upTarget returns a random target that is up, or nil if there is none.
@@ -327,6 +343,20 @@
 	}
 }
 
+// allDisruptions are played in pairs and with each ending of targets.
+var allDisruptions = []struct {
+	name string
+	do   disruption
+}{
+	{"planned stops", hostsRestartInTurn},
+	{"kills", hostsAreKilledInTurn},
+	{"away for some", storeFailsForSome(metastore.Faults{Silent: true})},
+	{"away for all", storeFailsForAll(metastore.Faults{Refuse: true})},
+	{"answers lost", storeFailsForSome(metastore.Faults{LoseAnswers: 3})},
+	{"compacted", storeIsCompacted},
+	{"full engines", enginesAreFull},
+}
+
 func runScenario(t *testing.T, p pattern, seed uint64, disruptions []disruption) {
 	t.Helper()
 	c := newCluster(t, 10, 24, seed)
@@ -371,20 +401,8 @@
 }
 
 func TestCrashesAreKnownUnderDisruptionsInPairs(t *testing.T) {
-	all := []struct {
-		name string
-		do   disruption
-	}{
-		{"planned stops", hostsRestartInTurn},
-		{"kills", hostsAreKilledInTurn},
-		{"away for some", storeFailsForSome(metastore.Faults{Silent: true})},
-		{"away for all", storeFailsForAll(metastore.Faults{Refuse: true})},
-		{"answers lost", storeFailsForSome(metastore.Faults{LoseAnswers: 3})},
-		{"compacted", storeIsCompacted},
-		{"full engines", enginesAreFull},
-	}
-	for i, first := range all {
-		for _, second := range all[i+1:] {
+	for i, first := range allDisruptions {
+		for _, second := range allDisruptions[i+1:] {
 			t.Run(first.name+" and "+second.name, func(t *testing.T) { runScenarios(t, runsPerPair, first.do, second.do) })
 		}
 	}
