gateway: a crash in the middle of an answer that the caller has in part is counted

Callers saw: nothing yet; found while looking for the same cause elsewhere.

Cause: where an answer breaks off that the caller already has in part, the request ends by aborting the caller's connection, and skipped the report to the quarantine. So did a turn that could not be kept and a stream whose caller can't be written to.

Why it works: each of the three ends is reported before the connection is aborted: as a missing answer, as an unframed one or as abandoned.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -125,6 +125,7 @@
 		conn.Abort()
 		choice.End(time.Now(), failureOutcome(ctx, fleet.Broken), first)
 		j.outcome = "cut"
+		j.recordMissingAnswer(ctx, choice)
 		abortAnswer()
 	}
 	conn.Release()
@@ -171,6 +172,9 @@
 			j.finishPlace(occupancy.Answered)
 			if !j.saveTurn(ctx) {
 				j.outcome = "turn_not_kept"
+				if j.framing == upstream.Unframed {
+					j.g.quarantine.RecordUnframedAnswer(j.fingerprint(), connectionTarget(choice))
+				}
 				abortAnswer()
 			}
 			j.outcome = "answered"
@@ -197,6 +201,7 @@
 			conn.Abort()
 			choice.End(time.Now(), fleet.Abandoned, first)
 			j.outcome = "caller_gone"
+			j.g.quarantine.RecordAbandoned(j.fingerprint(), connectionTarget(choice))
 			abortAnswer()
 		}
 		if e.id != "" {
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -11,35 +11,54 @@
 	"yuccausher/internal/standin/replica"
 )
 
+// runsUntilQuarantined sends a content to eight targets, one after the other, that end
+// when they run it, and returns how many ran it.
+func runsUntilQuarantined(t *testing.T, death replica.Fault, r request) int {
+	t.Helper()
+	s := newFixture(t)
+	ran := 0
+	for n := range 8 {
+		var targets []*replica.Replica
+		for _, service := range []string{app, models} {
+			target := s.add(service, replica.Options{ID: fmt.Sprint(service, n), Events: 3})
+			target.FailAlways(death)
+			targets = append(targets, target)
+		}
+		r.id, r.body = fmt.Sprint("request", n), "deadly"
+		s.mustSend(r)
+		time.Sleep(300 * time.Millisecond)
+		for _, target := range targets {
+			ran += len(target.Runs())
+			s.fleet.Remove(target.ID())
+		}
+	}
+	return ran
+}
+
 // A target that is killed in the middle of an answer without a length closes its
 // connection, so that the answer looks complete. Such crashes were not counted.
 func TestCrashesInsideUnframedAnswersAreCounted(t *testing.T) {
 	for name, r := range map[string]request{
-		"posting": {method: http.MethodPost, path: posting, body: "deadly"},
-		"lookup":  {method: http.MethodPost, path: lookup, body: "deadly"},
-		"stream":  {method: http.MethodPost, path: single, body: "deadly", header: turnHeader("p")},
+		"posting": {method: http.MethodPost, path: posting},
+		"lookup":  {method: http.MethodPost, path: lookup},
+		"stream":  {method: http.MethodPost, path: single, header: turnHeader("p")},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			s := newFixture(t)
-			ran := 0
-			for n := range 8 {
-				var targets []*replica.Replica
-				for _, service := range []string{app, models} {
-					target := s.add(service, replica.Options{ID: fmt.Sprint(service, n), Events: 3})
-					target.FailAlways(replica.CrashingUnframed)
-					targets = append(targets, target)
-				}
-				r.id = fmt.Sprint("request", n)
-				s.mustSend(r)
-				time.Sleep(300 * time.Millisecond)
-				for _, target := range targets {
-					ran += len(target.Runs())
-					s.fleet.Remove(target.ID())
-				}
-			}
-			is.Equal(ran, 3)
+			is.Equal(runsUntilQuarantined(t, replica.CrashingUnframed, r), 3)
+		})
+	}
+}
+
+// A crash in the middle of an answer whose beginning the caller already had was not
+// counted.
+func TestCrashesInsideLargeAnswersAreCounted(t *testing.T) {
+	for _, path := range []string{posting, lookup} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			is.Equal(runsUntilQuarantined(t, replica.CrashingLarge, request{method: http.MethodPost, path: path}), 3)
 		})
 	}
 }
--- a/internal/standin/replica/death.go
+++ b/internal/standin/replica/death.go
@@ -5,9 +5,18 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 )
 
+// largeAnswerBytes is the size of an answer that callers don't buffer.
+const largeAnswerBytes = 1 << 20
+
+// isDeath reports whether a fault takes the replica down.
+func isDeath(f Fault) bool {
+	return f == Crashing || f == Vanishing || f == CrashingUnframed || f == CrashingLarge
+}
+
 // die takes the replica down while it runs a request.
 func (r *Replica) die(x *exchange, how Fault, reader *bufio.Reader) {
 	switch how {
@@ -17,6 +26,10 @@
 	case CrashingUnframed:
 		x.halfUnframed()
 		r.kill()
+	case CrashingLarge:
+		_ = x.head(http.StatusOK, x.stamp(), "Content-Length: "+strconv.Itoa(largeAnswerBytes))
+		_, _ = io.WriteString(x.conn, strings.Repeat("x", largeAnswerBytes/2))
+		r.kill()
 	default:
 		r.crash()
 	}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -68,6 +68,8 @@
 	// replica down in the middle of it. The connections are closed, not reset, as those
 	// of a killed process.
 	CrashingUnframed
+	// CrashingLarge does the same in a large answer with a length.
+	CrashingLarge
 )
 
 // Options set up a replica. Zero values mean no limits and no time.
@@ -240,7 +242,7 @@
 	if err != nil || x.fault == Early {
 		return err == nil
 	}
-	if x.fault == Crashing || x.fault == Vanishing || x.fault == CrashingUnframed {
+	if isDeath(x.fault) {
 		r.die(x, x.fault, reader)
 		return false
 	}
