--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -128,7 +128,9 @@
 	for n := 0; len(s.replicas["dmodels"].Runs()) == 0; n++ {
 		// Some programs prefer the target that crashes.
 		id := fmt.Sprint("resumed", n)
-		a = s.mustSend(request{method: http.MethodPost, path: turns, id: id, body: id, header: turnHeader(id)})
+		h := turnHeader(id)
+		h.Set("Tokens", "20000,280") // a prompt that is dear to read elsewhere
+		a = s.mustSend(request{method: http.MethodPost, path: turns, id: id, body: id, header: h})
 		is.NoErr(a.err)
 		is.Equal(a.body, events(1, 3))
 	}
