gateway, platform: logs and counters tell the rate limits that targets name

The lines could not distinguish whether a host had seen a limit, when, and what it did afterwards. An answer's limit is decoded, a change is logged with request, target and the time of the answer, and counted, as are limits that are not numbers. An answer without a limit ends it only if its request was sent after the limit had been named, since answers overtake each other. No change of logic: nothing reads the limit yet.

--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"yuccausher/internal/core/failure"
+	"yuccausher/internal/core/ratelimit"
 )
 
 // Member is a target's own record.
@@ -77,6 +78,8 @@
 	// pausedUntil is when the target may be chosen again after failures.
 	pausedUntil time.Time
 	fullUntil   time.Time
+	// limit is the rate limit that the target has named.
+	limit ratelimit.Limit
 	// announcedLeaving is set if the target has announced in an answer that it is
 	// leaving. It takes precedence over the record.
 	announcedLeaving bool
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,9 @@
 	endedTargets tally.Counter
 	// crashedAnswers counts answers that ended with the crash of their target.
 	crashedAnswers tally.Counter
+	// limitChanges counts changes of the rate limits that targets name, invalidLimits
+	// answers with a limit that is not a number or out of range.
+	limitChanges, invalidLimits tally.Counter
 	// unexplainedEnds counts requests that ended at a target without a complete answer
 	// and without a probe of the target.
 	unexplainedEnds tally.Counter
@@ -41,6 +44,8 @@
 		silentTargets:    scope.Counter("silent_targets"),
 		endedTargets:     scope.Counter("ended_targets"),
 		crashedAnswers:   scope.Counter("crashed_answers"),
+		limitChanges:     scope.Counter("limit_changes"),
+		invalidLimits:    scope.Counter("invalid_limits"),
 		unexplainedEnds:  scope.Counter("unexplained_ends"),
 		leavingTargets:   scope.Counter("leaving_targets"),
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -65,6 +65,11 @@
 	IsLeaving bool
 	// IsSigned is set if the answer carries the target's signature.
 	IsSigned bool
+	// Rate is the number of requests per second that the target accepts from all hosts
+	// together; negative if the answer names a rate that is not a number. HasRate reports
+	// whether the answer names one.
+	Rate    float64
+	HasRate bool
 	// IsEncoded is set if the body has a content encoding. Targets use none, so the
 	// body is not as the target sent it.
 	IsEncoded bool
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -29,6 +29,7 @@
 	answer := j.g.protocol.ParseAnswer(response.StatusCode, response.Header)
 	j.framing = upstream.FramingOf(response)
 	j.g.metrics.countAnswer(j.framing)
+	j.recordLimit(choice, answer, sent)
 	if answer.IsLeaving {
 		j.recordLeaving(choice)
 	}
