front: test of rate limits that targets name, over three hosts (red)

Fails on the current code: the target that names 2 requests a second gets its share of the load. The stand-in of targets names limits and counts what arrives, refused requests too.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -21,10 +21,16 @@
 	"yuccausher/platform"
 )
 
-const configuration = `{"version":1,"routes":[{"name":"posting","host":"a.example","prefix":"/posting/","kind":"unsafe","timeout_ms":3000,"goal_ms":500,"service":"app","attempts":1}],"services":[{"name":"app"}]}`
+const configuration = `{"version":1,"routes":[{"name":"posting","host":"a.example","prefix":"/posting/","kind":"unsafe","timeout_ms":3000,"goal_ms":500,"service":"app","attempts":1},{"name":"lookup","host":"a.example","prefix":"/lookup/","kind":"safe","timeout_ms":3000,"goal_ms":500,"service":"app","attempts":2}],"services":[{"name":"app"}]}`
 
 // startHost starts a host on a store. The host's own writes to the store are discarded.
 func startHost(t *testing.T, store *metastore.Store) (*Front, Options) {
+	t.Helper()
+	return startHostWith(t, store, func(*Options) {})
+}
+
+// startHostWith starts a host whose options set has changed.
+func startHostWith(t *testing.T, store *metastore.Store, set func(*Options)) (*Front, Options) {
 	t.Helper()
 	client := store.Client("host")
 	o := Options{
@@ -55,6 +61,7 @@
 			ReadyPath:           platform.ReadyPath,
 		},
 	}
+	set(&o)
 	f, err := New(o)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -118,8 +118,12 @@
 	opened  int
 	flooded int64
 	isDown  bool
-	down    chan struct{}
-	serving sync.WaitGroup
+	// limit is the rate limit that the replica names in its answers; empty for none.
+	limit string
+	// arrivals are when requests arrived, those that it refused as well.
+	arrivals []time.Time
+	down     chan struct{}
+	serving  sync.WaitGroup
 }
 
 // Listen starts a replica at an address.
@@ -215,11 +219,13 @@
 	request *http.Request
 	run     *Run
 	fault   Fault
+	// limit is the rate limit that the answer names; empty for none.
+	limit string
 }
 
 // answer serves one request. It returns false if the connection has ended.
 func (r *Replica) answer(c net.Conn, reader *bufio.Reader, request *http.Request) bool {
-	x := &exchange{conn: c, request: request, fault: r.nextFault()}
+	x := &exchange{conn: c, request: request, fault: r.nextFault(), limit: r.arrive()}
 	if want := request.Header.Get("Expect-Instance"); want != "" && want != r.options.ID {
 		_, _ = io.Copy(io.Discard, request.Body)
 		return x.head(http.StatusMisdirectedRequest, "Instance: "+r.options.ID, "Content-Length: 0")
@@ -339,6 +345,9 @@
 func (x *exchange) headFor(id string, status int, lines ...string) bool {
 	var b strings.Builder
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\n", status, http.StatusText(status), id)
+	if x.limit != "" {
+		b.WriteString("Server-Limit: " + x.limit + "\r\n")
+	}
 	for _, line := range lines {
 		b.WriteString(line + "\r\n")
 	}
