occupancy, gateway: targets get no more requests than the rate limit that they name

Cause: nobody read the limit. A host that kept to it alone would not do: the bound is the sum over all hosts, and at 410 of them one request each in four seconds breaks it.

Why it works: one count. The coordinator of a target grants its requests from a token bucket at the rate of the limit, turns in the call that places them anyway, others in a call of the same kind. A second coordinator, or one that others may not know yet, grants a third of it, so that all that may grant at once stays under one and a half limits and five requests, also while coordinators fall silent, end, start or have lost their record. Without a coordinator the target gets nothing from the host. What doesn't fit goes to other targets, urgent requests first; if none has room the request is refused at once, not run, with a Retry-After from the limits. Hosts learn limits from answers and from replies of coordinators, and an answer to a later request that names none ends the limit everywhere. Ruled out: shares of the limit per host, which idle the target while few hosts have requests for it.

Old hosts ask without the new fields: their requests are sent anyway and count against the bucket. Old coordinators don't regard limits; new hosts ask the second one then.

--- a/internal/adapter/occupancyrpc/occupancyrpc.go
+++ b/internal/adapter/occupancyrpc/occupancyrpc.go
@@ -26,22 +26,31 @@
 var _ port.OccupancyPeers = Client{}
 
 // Admit implements port.OccupancyPeers.
-func (c Client) Admit(ctx context.Context, host string, r port.AdmitRequest) (core.Reply, error) {
+func (c Client) Admit(ctx context.Context, host string, r port.AdmitRequest) (port.AdmitReply, error) {
 	conn, err := c.Connect(ctx, host)
 	if err != nil {
-		return core.Reply{}, err
+		return port.AdmitReply{}, err
 	}
 	defer conn.Close()
 	reply, err := occupancy.NewDRPCOccupancyClient(conn).Admit(ctx, &occupancy.AdmitRequest{
-		Target: []byte(r.Target),
-		Lease:  r.Lease,
-		Limit:  uint32(r.Limit),
-		TtlMs:  uint32(r.TTL.Milliseconds()),
+		Target:    []byte(r.Target),
+		Lease:     r.Lease,
+		Limit:     uint32(r.Limit),
+		TtlMs:     uint32(r.TTL.Milliseconds()),
+		Host:      r.Host,
+		RateLimit: toWire(r.RateLimit, time.Now()),
+		Level:     uint32(r.Level),
 	})
 	if err != nil {
-		return core.Reply{}, errors.Annotatef(err, "admit at host %s", host)
+		return port.AdmitReply{}, errors.Annotatef(err, "admit at host %s", host)
 	}
-	return core.Reply{Admitted: reply.Admitted, InProgress: int(reply.InProgress), IsSuspect: reply.IsSuspect}, nil
+	return port.AdmitReply{
+		Reply:           core.Reply{Admitted: reply.Admitted, InProgress: int(reply.InProgress), IsSuspect: reply.IsSuspect},
+		KnowsRateLimits: reply.KnowsRateLimits,
+		IsDenied:        reply.IsDenied,
+		RetryAfter:      milliseconds(reply.RetryAfterMs),
+		RateLimits:      fromWires(reply.RateLimits, time.Now()),
+	}, nil
 }
 
 var results = map[core.Result]occupancy.Result{
@@ -62,6 +71,8 @@
 		Lease:  r.Lease,
 		Host:   r.Host,
 		Result: results[r.Result],
+
+		RateLimit: toWire(r.RateLimit, time.Now()),
 	})
 	return errors.Annotatef(err, "finish at host %s", host)
 }
@@ -75,18 +86,33 @@
 
 // Admit implements occupancy.DRPCOccupancyServer.
 func (h *handler) Admit(_ context.Context, r *occupancy.AdmitRequest) (*occupancy.AdmitReply, error) {
+	now := time.Now()
 	reply := h.server.AdmitLocal(port.AdmitRequest{
-		Target: string(r.Target),
-		Lease:  r.Lease,
-		Limit:  int(r.Limit),
-		TTL:    time.Duration(r.TtlMs) * time.Millisecond,
+		Target:    string(r.Target),
+		Lease:     r.Lease,
+		Limit:     int(r.Limit),
+		TTL:       milliseconds(r.TtlMs),
+		Host:      r.Host,
+		RateLimit: fromWire(r.RateLimit, now),
+		Level:     int(r.Level),
 	})
-	return &occupancy.AdmitReply{Admitted: reply.Admitted, InProgress: uint32(reply.InProgress), IsSuspect: reply.IsSuspect}, nil
+	wire := &occupancy.AdmitReply{
+		Admitted:        reply.Admitted,
+		InProgress:      uint32(reply.InProgress),
+		IsSuspect:       reply.IsSuspect,
+		KnowsRateLimits: reply.KnowsRateLimits,
+		IsDenied:        reply.IsDenied,
+		RetryAfterMs:    uint32(reply.RetryAfter.Milliseconds()),
+	}
+	for _, l := range reply.RateLimits {
+		wire.RateLimits = append(wire.RateLimits, toWire(l, now))
+	}
+	return wire, nil
 }
 
 // Finish implements occupancy.DRPCOccupancyServer.
 func (h *handler) Finish(_ context.Context, r *occupancy.FinishRequest) (*occupancy.FinishReply, error) {
-	finish := port.FinishRequest{Target: string(r.Target), Lease: r.Lease, Host: r.Host}
+	finish := port.FinishRequest{Target: string(r.Target), Lease: r.Lease, Host: r.Host, RateLimit: fromWire(r.RateLimit, time.Now())}
 	for result, wire := range results {
 		if wire == r.Result {
 			finish.Result = result
--- a/internal/adapter/occupancyrpc/occupancyrpc_test.go
+++ b/internal/adapter/occupancyrpc/occupancyrpc_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -12,7 +13,9 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"yuccausher/internal/core/fleet"
 	core "yuccausher/internal/core/occupancy"
+	"yuccausher/internal/core/ratelimit"
 	"yuccausher/internal/port"
 )
 
@@ -21,9 +24,21 @@
 	finished []port.FinishRequest
 }
 
-func (s *server) AdmitLocal(r port.AdmitRequest) core.Reply {
+// limit is a rate limit that the server returns to requests for target u.
+func limit(now time.Time) fleet.TargetLimit {
+	return fleet.TargetLimit{ID: "u", StartedAt: -3, Statement: ratelimit.Statement{
+		Rate: 0.25, IsLimited: true, SentAt: now.Add(-2 * time.Second), ReceivedAt: now.Add(-time.Second),
+	}}
+}
+
+func (s *server) AdmitLocal(r port.AdmitRequest) port.AdmitReply {
 	s.admitted = append(s.admitted, r)
-	return core.Reply{Admitted: r.Limit == 7, InProgress: 6, IsSuspect: r.Limit != 7}
+	reply := port.AdmitReply{Reply: core.Reply{Admitted: r.Limit == 7, InProgress: 6, IsSuspect: r.Limit != 7}, RateLimits: []fleet.TargetLimit{}}
+	if r.Target == "u" {
+		reply.KnowsRateLimits, reply.IsDenied, reply.RetryAfter = true, true, 350*time.Millisecond
+		reply.RateLimits = append(reply.RateLimits, limit(time.Now()))
+	}
+	return reply
 }
 
 func (s *server) FinishLocal(r port.FinishRequest) { s.finished = append(s.finished, r) }
@@ -41,21 +56,31 @@
 }
 
 func TestRequestsArriveUnchanged(t *testing.T) {
+	synctest.Test(t, testRequestsArriveUnchanged)
+}
+
+func testRequestsArriveUnchanged(t *testing.T) {
 	is := is.New(t)
 	s := &server{}
 	mux := drpcmux.New()
 	is.NoErr(Register(mux, s))
 	c := Client{Dialer: pipe{drpcserver.New(mux)}}
-	admit := port.AdmitRequest{Target: "t", Lease: 1<<64 - 1, Limit: 7, TTL: 2500 * time.Millisecond}
+	admit := port.AdmitRequest{Target: "t", Lease: 1<<64 - 1, Limit: 7, TTL: 2500 * time.Millisecond, Host: 8, RateLimit: limit(time.Now()), Level: 2}
 	reply, err := c.Admit(t.Context(), "b", admit)
 	is.NoErr(err)
-	is.Equal(reply, core.Reply{Admitted: true, InProgress: 6})
+	is.Equal(reply, port.AdmitReply{Reply: core.Reply{Admitted: true, InProgress: 6}, RateLimits: []fleet.TargetLimit{}})
 	reply, err = c.Admit(t.Context(), "b", port.AdmitRequest{Target: "u"})
 	is.NoErr(err)
-	is.Equal(reply, core.Reply{InProgress: 6, IsSuspect: true})
+	is.Equal(reply, port.AdmitReply{
+		Reply:           core.Reply{InProgress: 6, IsSuspect: true},
+		KnowsRateLimits: true,
+		IsDenied:        true,
+		RetryAfter:      350 * time.Millisecond,
+		RateLimits:      []fleet.TargetLimit{limit(time.Now())},
+	})
 	is.Equal(s.admitted[0], admit)
 	for _, result := range []core.Result{core.Inconclusive, core.Answered, core.Failed} {
-		finish := port.FinishRequest{Target: "t", Lease: 5, Host: 9, Result: result}
+		finish := port.FinishRequest{Target: "t", Lease: 5, Host: 9, Result: result, RateLimit: limit(time.Now())}
 		is.NoErr(c.Finish(t.Context(), "b", finish))
 		is.Equal(s.finished[len(s.finished)-1], finish)
 	}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -216,6 +216,8 @@
 	PromptTokens int64
 	// Exclude lists the targets that have already refused the request.
 	Exclude []string
+	// SkipLimited excludes all targets that limit their rate.
+	SkipLimited bool
 }
 
 // Choice is the target chosen for one dispatch. End must be called once.
@@ -339,7 +341,7 @@
 	paused := make([]*Target, 0, 4)
 	for _, t := range f.services[r.Service] {
 		switch {
-		case slices.Contains(r.Exclude, t.ID) || !t.isUsable(now):
+		case slices.Contains(r.Exclude, t.ID) || !t.isUsable(now) || t.isDenied(now) || r.SkipLimited && t.isLimited():
 		case !t.isPauseOver(now) || now.Before(t.fullUntil):
 			paused = append(paused, t)
 		default:
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -80,6 +80,8 @@
 	fullUntil   time.Time
 	// limit is the rate limit that the target has named.
 	limit ratelimit.Limit
+	// deniedUntil is when the target may get a request again under its rate limit.
+	deniedUntil time.Time
 	// announcedLeaving is set if the target has announced in an answer that it is
 	// leaving. It takes precedence over the record.
 	announcedLeaving bool
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -58,6 +58,8 @@
 
 	mu      sync.Mutex
 	entries map[string]hostRecord
+	// renewedAt is when the last successful renewal of this host's record began.
+	renewedAt time.Time
 }
 
 // hostRecord is the newest record of a host.
@@ -114,7 +116,22 @@
 	if err != nil {
 		return errors.Annotate(err, "host record")
 	}
-	return h.params.Put(ctx, h.params.Name, value)
+	started := time.Now()
+	if err := h.params.Put(ctx, h.params.Name, value); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.renewedAt = started
+	return nil
+}
+
+// RenewedAt returns when this host last renewed its record, which other hosts drop some
+// time later; the zero time if never.
+func (h *Hosts) RenewedAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.renewedAt
 }
 
 // Self returns the address of this host.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -204,8 +204,8 @@
 	return c
 }
 
-func newOccupancy(lc fx.Lifecycle, o Options, peers *budgetrpc.Client, scope tally.Scope) *occupancy.Service {
-	s := occupancy.New(occupancy.Params{Peers: occupancyrpc.Client{Dialer: peers}, Logger: o.Logger, Scope: scope})
+func newOccupancy(lc fx.Lifecycle, o Options, peers *budgetrpc.Client, h *follow.Hosts, f *fleet.Fleet, scope tally.Scope) *occupancy.Service {
+	s := occupancy.New(occupancy.Params{Peers: occupancyrpc.Client{Dialer: peers}, Limits: f, RenewedAt: h.RenewedAt, Logger: o.Logger, Scope: scope})
 	lc.Append(fx.Hook{OnStart: s.Start, OnStop: s.Stop})
 	return s
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -100,26 +100,51 @@
 }
 
 // choose returns the target of the next dispatch, or nil if there is none. Requests with
-// a prompt are placed among the targets that they prefer.
+// a prompt are placed among the targets that they prefer. Targets whose rate limits leave no
+// room are passed over.
 func (j *job) choose(ctx context.Context) *fleet.Choice {
 	r := fleet.Request{Service: j.service, Affinity: j.prefixKey(), PromptTokens: j.call.PromptTokens, Exclude: j.excluded}
-	if r.Affinity == "" {
-		return j.g.fleet.Choose(r, time.Now())
-	}
-	candidates := j.g.fleet.Candidates(r, maxCandidates, time.Now())
-	if len(candidates) == 0 {
-		return nil
-	}
-	started := time.Now()
-	j.place = j.g.placement.Place(ctx, PlaceRequest{Candidates: candidates, CachedTokens: j.call.PrivateTokens, TTL: time.Until(j.deadline())})
-	since(&j.times.place, started)
-	choice := j.g.fleet.Begin(candidates[j.place.Index], time.Now())
-	if choice == nil {
+	for denials := j.denials; ; {
+		// Targets without a rate limit need not be asked for.
+		r.SkipLimited = j.denials-denials >= maxDenials
+		candidates := j.g.fleet.Candidates(r, maxCandidates, time.Now())
+		if len(candidates) == 0 || ctx.Err() != nil {
+			return nil
+		}
+		index, ok := 0, true
+		if r.Affinity == "" {
+			ok = j.permit(ctx, candidates[0].ID)
+		} else {
+			index, ok = j.placeAmong(ctx, candidates)
+		}
+		if !ok {
+			continue
+		}
+		if choice := j.g.fleet.Begin(candidates[index], time.Now()); choice != nil {
+			return choice
+		}
 		// The target has left while the request was placed.
 		j.finishPlace(occupancy.Inconclusive)
-		return j.g.fleet.Choose(r, time.Now())
+		r.Affinity = ""
+	}
+}
+
+// placeAmong places the request at one of the candidates and returns its index. It returns
+// false if their rate limits leave no room.
+func (j *job) placeAmong(ctx context.Context, candidates []fleet.Member) (int, bool) {
+	defer since(&j.times.place, time.Now())
+	j.place = j.g.placement.Place(ctx, PlaceRequest{
+		Candidates:   candidates,
+		CachedTokens: j.call.PrivateTokens,
+		TTL:          time.Until(j.deadline()),
+		Level:        j.level(),
+	})
+	if j.place.IsDenied {
+		j.denials++
+		j.place = Place{}
+		return 0, false
 	}
-	return choice
+	return j.place.Index, true
 }
 
 // finishPlace reports how the dispatch of a placed request ended, at the first call.
@@ -172,6 +197,14 @@
 // waitForCapacity waits for fullRetryInterval after all targets have refused the
 // request. It returns false after it has ended the request.
 func (j *job) waitForCapacity(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		j.finishUnanswered(ctx)
+		return false
+	}
+	if retryAfter, ok := j.limitRetryAfter(); ok && len(j.ranAt) == 0 && len(j.excluded) == 0 {
+		j.refuseLimited(retryAfter)
+		return false
+	}
 	if len(j.excluded) == 0 {
 		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no_target", retryAfter: noTargetRetryAfter})
 		return false
@@ -254,6 +287,14 @@
 		j.recordRun(choice.ID)
 	}
 	r := notRun
+	if !j.permit(ctx, choice.ID) {
+		j.cause = &RateLimitedError{Service: j.service}
+		choice.End(time.Now(), fleet.Abandoned, 0)
+		if mayHaveRun {
+			return outcomeUnknown
+		}
+		return notRun
+	}
 	conn, err := j.connect(ctx, choice, true)
 	if err != nil {
 		j.cause = err
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -296,3 +296,7 @@
 func (firstPlace) Place(context.Context, gateway.PlaceRequest) gateway.Place {
 	return gateway.Place{Finish: func(occupancy.Result) {}}
 }
+
+func (firstPlace) Permit(context.Context, string, int) bool { return true }
+
+func (firstPlace) LimitChanged(string) {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,9 @@
 	// Asked is how many candidates were compared, InProgress how many other requests
 	// of all hosts the chosen one had.
 	Asked, InProgress int
+	// IsDenied is set if the rate limits of all candidates leave no room for the request.
+	// The other fields mean nothing then.
+	IsDenied bool
 	// Finish reports how the dispatch ended. It must be called once.
 	Finish func(occupancy.Result)
 }
@@ -105,12 +108,20 @@
 	CachedTokens int64
 	// TTL is the longest duration of the dispatch.
 	TTL time.Duration
+	// Level is the urgency of the request; 0 is the most urgent.
+	Level int
 }
 
 // Placement spreads the requests of all hosts over targets.
 type Placement interface {
 	// Place chooses one of the candidates.
 	Place(ctx context.Context, r PlaceRequest) Place
+	// Permit reports whether the rate limit of a target leaves room for a request. level is
+	// its urgency; 0 is the most urgent.
+	Permit(ctx context.Context, target string, level int) bool
+	// LimitChanged reports that an answer has changed what is known of a target's rate
+	// limit.
+	LimitChanged(target string)
 }
 
 // Quarantine records content that crashes the targets that run it. Methods that
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -38,6 +38,8 @@
 	reservation Reservation
 	eventTokens int64
 
+	// denials counts how often rate limits left no room at a target.
+	denials int
 	// excluded lists the targets that are excluded from further attempts.
 	excluded []string
 	// ranAt lists the targets that may have begun to run the request.
@@ -143,7 +145,7 @@
 		"config", j.version, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target,
 		"expected_ms", cost.Milliseconds(), "in_flight", before, "prompt_tokens", j.call.PromptTokens, "private_tokens", j.call.PrivateTokens,
 		"in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
-		"runs", len(j.ranAt), "refused_by", len(j.excluded), "framing", j.framing, "events", j.events,
+		"runs", len(j.ranAt), "refused_by", len(j.excluded), "denials", j.denials, "framing", j.framing, "events", j.events,
 		"previous_turn", j.call.PreviousTurn, "earlier_turns", len(j.chain),
 		"body_ms", j.times.body.Milliseconds(), "reserve_ms", j.times.reserve.Milliseconds(), "lookup_ms", j.times.lookup.Milliseconds(),
 		"place_ms", j.times.place.Milliseconds(), "connect_ms", j.times.connect.Milliseconds(), "wait_ms", j.times.wait.Milliseconds(),
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -100,3 +100,7 @@
 	waitFor(t, func() bool { return len(placement.ended()) == 1 })
 	is.Equal(placement.ended()[0], occupancy.Inconclusive)
 }
+
+func (p *lastPlace) Permit(context.Context, string, int) bool { return true }
+
+func (p *lastPlace) LimitChanged(string) {}
--- a/internal/occupancy/metrics.go
+++ b/internal/occupancy/metrics.go
@@ -10,6 +10,12 @@
 	// unanswered counts requests for admission that no coordinator answered,
 	// unreported ends of requests that no coordinator was told of.
 	unanswered, unreported tally.Counter
+	// granted counts requests that this host has granted under rate limits, denied those
+	// of its own that coordinators have denied, uncoordinated those that no coordinator
+	// decided on.
+	granted, denied, uncoordinated tally.Counter
+	// learnedLimits counts changes of rate limits that other hosts have told.
+	learnedLimits tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -18,5 +24,10 @@
 		overBound:  scope.Counter("over_bound"),
 		unanswered: scope.Counter("unanswered"),
 		unreported: scope.Counter("unreported"),
+
+		granted:       scope.Counter("granted"),
+		denied:        scope.Counter("denied"),
+		uncoordinated: scope.Counter("uncoordinated"),
+		learnedLimits: scope.Counter("learned_limits"),
 	}
 }
--- a/internal/occupancy/service.go
+++ b/internal/occupancy/service.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,9 +44,13 @@
 
 // Params are the dependencies of a Service.
 type Params struct {
-	Peers  port.OccupancyPeers
-	Logger logr.Logger
-	Scope  tally.Scope
+	Peers port.OccupancyPeers
+	// Limits holds what this host knows of the rate limits of targets.
+	Limits Limits
+	// RenewedAt returns when this host last renewed its record, by which others know it.
+	RenewedAt func() time.Time
+	Logger    logr.Logger
+	Scope     tally.Scope
 }
 
 // Service places requests and counts those at the targets of which this host is the
@@ -65,6 +70,16 @@
 	// bounds holds the bound of each service.
 	bounds map[string]*occupancy.Bound
 	paused pause.Hosts
+	// quotas holds the quotas of targets that have named a rate limit and of which this
+	// host is a coordinator.
+	quotas map[string]*quota
+	// known are the other hosts, departed when hosts have left that were known lately.
+	known    []string
+	departed map[string]time.Time
+
+	limits    Limits
+	renewedAt func() time.Time
+	startedAt time.Time
 
 	ctx  context.Context
 	stop context.CancelFunc
@@ -87,6 +102,12 @@
 		reports:  make(chan struct{}, maxReports),
 		counters: make(map[string]*occupancy.Counter),
 		bounds:   make(map[string]*occupancy.Bound),
+		quotas:   make(map[string]*quota),
+		departed: make(map[string]time.Time),
+
+		limits:    p.Limits,
+		renewedAt: p.RenewedAt,
+		startedAt: time.Now(),
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s
@@ -127,20 +148,25 @@
 			delete(s.counters, target)
 		}
 	}
+	s.dropIdleQuotas(now)
 	s.paused.Retain(s.peers.Hosts())
 }
 
 // Place implements gateway.Placement.
 func (s *Service) Place(ctx context.Context, r gateway.PlaceRequest) gateway.Place {
 	lease := rand.Uint64()
+	var compared []int
 	replies := make([]occupancy.Reply, 0, maxAsked)
 	for i, m := range r.Candidates[:min(maxAsked, len(r.Candidates))] {
 		cached := r.CachedTokens
 		if i > 0 {
 			cached = 0
 		}
-		reply, ok := s.admit(ctx, port.AdmitRequest{Target: m.ID, Lease: lease, Limit: s.limit(m, cached), TTL: r.TTL})
-		if !ok {
+		reply, result := s.ask(ctx, port.AdmitRequest{Target: m.ID, Lease: lease, Limit: s.limit(m, cached), TTL: r.TTL, Level: r.Level})
+		switch result {
+		case denied:
+			continue
+		case unanswered:
 			// The coordinator does not answer, so that the host's own preference decides.
 			return gateway.Place{Index: i, Asked: i + 1, Finish: func(occupancy.Result) {}}
 		}
@@ -149,15 +175,22 @@
 		}
 		if reply.Admitted {
 			s.metrics.admitted.Inc(1)
-			return s.place(r.Candidates, i, i+1, lease, reply)
+			return s.place(r.Candidates, i, i+1, lease, reply.Reply)
+		}
+		compared, replies = append(compared, i), append(replies, reply.Reply)
+	}
+	for len(replies) > 0 {
+		best := occupancy.LeastOccupied(replies)
+		index, reply := compared[best], replies[best]
+		s.metrics.overBound.Inc(1)
+		// Without a limit the request is admitted, unless the rate limit forbids it or the
+		// coordinator has just ended.
+		if _, result := s.ask(ctx, port.AdmitRequest{Target: r.Candidates[index].ID, Lease: lease, TTL: r.TTL, Level: r.Level}); result != denied {
+			return s.place(r.Candidates, index, len(replies), lease, reply)
 		}
-		replies = append(replies, reply)
+		compared, replies = slices.Delete(compared, best, best+1), slices.Delete(replies, best, best+1)
 	}
-	best := occupancy.LeastOccupied(replies)
-	s.metrics.overBound.Inc(1)
-	// Without a limit the request is admitted, or the coordinator has just ended.
-	s.admit(ctx, port.AdmitRequest{Target: r.Candidates[best].ID, Lease: lease, TTL: r.TTL})
-	return s.place(r.Candidates, best, len(replies), lease, replies[best])
+	return gateway.Place{IsDenied: true, Asked: len(r.Candidates)}
 }
 
 // place returns the place of a request that its coordinator counts.
@@ -213,12 +246,19 @@
 
 // admit asks the coordinator of a target to count a request. It returns false if the
 // coordinator does not answer.
-func (s *Service) admit(ctx context.Context, r port.AdmitRequest) (occupancy.Reply, bool) {
+func (s *Service) admit(ctx context.Context, r port.AdmitRequest) (port.AdmitReply, bool) {
 	host, ok := s.coordinator(r.Target)
 	if !ok {
 		s.metrics.unanswered.Inc(1)
-		return occupancy.Reply{}, false
+		return port.AdmitReply{}, false
 	}
+	return s.admitAt(ctx, host, r)
+}
+
+// admitAt asks a host to count a request.
+func (s *Service) admitAt(ctx context.Context, host string, r port.AdmitRequest) (port.AdmitReply, bool) {
+	r.Host = s.host
+	r.RateLimit = s.limits.Limit(r.Target)
 	if host == s.peers.Self() {
 		return s.AdmitLocal(r), true
 	}
@@ -226,9 +266,12 @@
 	defer cancel()
 	reply, err := s.peers.Admit(callCtx, host, r)
 	if ctx.Err() != nil {
-		return occupancy.Reply{}, false
+		return port.AdmitReply{}, false
 	}
 	s.recordAnswer(host, r.Target, err)
+	if err == nil {
+		s.learn(host, reply.RateLimits)
+	}
 	return reply, err == nil
 }
 
@@ -250,6 +293,7 @@
 // finish reports in the background how a request ended. It does nothing if maxReports
 // reports are in progress: the coordinator then counts the request until its lease ends.
 func (s *Service) finish(r port.FinishRequest) {
+	r.RateLimit = s.limits.Limit(r.Target)
 	host, ok := s.coordinator(r.Target)
 	if !ok {
 		return
@@ -276,16 +320,31 @@
 }
 
 // AdmitLocal implements port.OccupancyServer.
-func (s *Service) AdmitLocal(r port.AdmitRequest) occupancy.Reply {
+func (s *Service) AdmitLocal(r port.AdmitRequest) port.AdmitReply {
+	now := time.Now()
+	standing := s.standing(r.Target, now)
+	s.learn("", []fleet.TargetLimit{r.RateLimit})
+	known := s.limits.Limit(r.Target)
+	reply := port.AdmitReply{KnowsRateLimits: true, RateLimits: s.limits.Limits(maxSharedLimits)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.counter(r.Target).Admit(r.Lease, r.Limit, r.TTL, time.Now())
+	reply.Admitted = true
+	if r.TTL > 0 {
+		reply.Reply = s.counter(r.Target).Admit(r.Lease, r.Limit, r.TTL, now)
+	}
+	s.grant(&reply, r, known, standing, now)
+	if !reply.Admitted && r.TTL > 0 {
+		s.counter(r.Target).Finish(r.Lease, r.Host, occupancy.Inconclusive, now)
+	}
+	return reply
 }
 
 // FinishLocal implements port.OccupancyServer.
 func (s *Service) FinishLocal(r port.FinishRequest) {
+	s.learn("", []fleet.TargetLimit{r.RateLimit})
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.observeLimit(r.Target, r.RateLimit)
 	s.counter(r.Target).Finish(r.Lease, r.Host, r.Result, time.Now())
 }
 
--- a/internal/occupancy/service_test.go
+++ b/internal/occupancy/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,27 +23,44 @@
 type hosts struct {
 	names    []string
 	services map[string]*Service
+	// fleets are the hosts' views of the targets.
+	fleets map[string]*fleet.Fleet
+	// views are the other hosts as a host knows them, if not all.
+	views map[string][]string
 	// silent hosts accept requests and do not answer.
 	silent map[string]bool
 }
 
 func newHosts(t *testing.T, n int) *hosts {
 	t.Helper()
-	h := &hosts{services: make(map[string]*Service), silent: make(map[string]bool)}
+	h := &hosts{services: make(map[string]*Service), fleets: make(map[string]*fleet.Fleet), silent: make(map[string]bool)}
 	for i := range n {
 		h.names = append(h.names, fmt.Sprint("host-", i))
 	}
 	for _, name := range h.names {
-		s := New(Params{Peers: peers{hosts: h, self: name}, Logger: logr.Discard(), Scope: tally.NoopScope})
-		if err := s.Start(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		h.services[name] = s
-		t.Cleanup(func() { _ = s.Stop(context.Background()) })
+		h.start(t, name)
 	}
 	return h
 }
 
+func (h *hosts) start(t *testing.T, name string) {
+	t.Helper()
+	s := New(Params{Peers: peers{hosts: h, self: name}, Limits: h.fleetOf(name), RenewedAt: time.Now, Logger: logr.Discard(), Scope: tally.NoopScope})
+	if err := s.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	h.services[name] = s
+	t.Cleanup(func() { _ = s.Stop(context.Background()) })
+}
+
+// fleetOf returns a host's view of the targets.
+func (h *hosts) fleetOf(name string) *fleet.Fleet {
+	if h.fleets[name] == nil {
+		h.fleets[name] = fleet.New("here", 1)
+	}
+	return h.fleets[name]
+}
+
 // peers implements port.OccupancyPeers.
 type peers struct {
 	hosts *hosts
@@ -52,6 +70,9 @@
 func (p peers) Self() string { return p.self }
 
 func (p peers) Hosts() []string {
+	if view, ok := p.hosts.views[p.self]; ok {
+		return slices.Clone(view)
+	}
 	var others []string
 	for _, name := range p.hosts.names {
 		if name != p.self {
@@ -72,10 +93,10 @@
 	return p.hosts.services[host], nil
 }
 
-func (p peers) Admit(ctx context.Context, host string, r port.AdmitRequest) (occupancy.Reply, error) {
+func (p peers) Admit(ctx context.Context, host string, r port.AdmitRequest) (port.AdmitReply, error) {
 	s, err := p.reach(ctx, host)
 	if err != nil {
-		return occupancy.Reply{}, err
+		return port.AdmitReply{}, err
 	}
 	return s.AdmitLocal(r), nil
 }
--- a/internal/port/occupancy.go
+++ b/internal/port/occupancy.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/occupancy"
 )
 
@@ -15,8 +16,28 @@
 	// Limit is the number of requests in progress from which on the request is not
 	// admitted; zero admits it in any case.
 	Limit int
-	// TTL is how long the request counts if it is never finished.
+	// TTL is how long the request counts if it is never finished; zero if it is not to be
+	// counted at all.
 	TTL time.Duration
+	// Host identifies the process that asks; zero if it sends the request whatever the
+	// answer.
+	Host uint64
+	// RateLimit is the newest that the host knows about the target's rate limit.
+	RateLimit fleet.TargetLimit
+	// Level is the urgency of the request; 0 is the most urgent.
+	Level int
+}
+
+// AdmitReply is the answer of a coordinator.
+type AdmitReply struct {
+	occupancy.Reply
+	// KnowsRateLimits is set if the coordinator regards rate limits. If IsDenied is set,
+	// that of the target leaves no room for the request before RetryAfter has passed.
+	KnowsRateLimits bool
+	IsDenied        bool
+	RetryAfter      time.Duration
+	// RateLimits are that of the target and some of other targets.
+	RateLimits []fleet.TargetLimit
 }
 
 // FinishRequest reports how an admitted request ended.
@@ -26,6 +47,8 @@
 	// Host identifies the process that reports.
 	Host   uint64
 	Result occupancy.Result
+	// RateLimit is the newest that the host knows about the target's rate limit.
+	RateLimit fleet.TargetLimit
 }
 
 // OccupancyPeers is the client that reaches the coordinators of targets.
@@ -34,13 +57,13 @@
 	Self() string
 	Hosts() []string
 	// Admit and Finish return an error if the host could not be reached.
-	Admit(ctx context.Context, host string, r AdmitRequest) (occupancy.Reply, error)
+	Admit(ctx context.Context, host string, r AdmitRequest) (AdmitReply, error)
 	Finish(ctx context.Context, host string, r FinishRequest) error
 }
 
 // OccupancyServer serves the hosts that send requests to targets of which this host is
 // the coordinator.
 type OccupancyServer interface {
-	AdmitLocal(r AdmitRequest) occupancy.Reply
+	AdmitLocal(r AdmitRequest) AdmitReply
 	FinishLocal(r FinishRequest)
 }
