gateway, upstream: an earlier refusal on a kept connection is not taken for the answer

Reported by operators of systems like this one: callers were told 'not run' for requests that a target ran, or such a request ran at a second target.

Cause: an answer belongs to a request if it states its ID, or none. A refusal without an ID that a target writes once more was taken for the answer to the next request; and one with the ID of the same request, which had been refused on that very connection and was sent there again after a wait.

Ruled out: refusals of other requests (skipped by their ID), and those that arrive while the connection is idle (the connection is closed).

Why it works: an answer on a reused connection that states no request ID has an unknown owner, so that the outcome of the request is unknown; on a new connection it can only be its own. A request never goes to a connection that has carried it before.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -313,6 +313,7 @@
 // exchange sends the request on a connection. The connection fails if ctx ends while
 // the answer is read.
 func (j *job) exchange(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, sent time.Time) (*http.Response, error) {
+	j.used = append(j.used, conn)
 	j.stopCancel()
 	j.stopCancel = conn.CancelOnDone(ctx)
 	return conn.Exchange(ctx, j.request(choice, sent), j.isOwn)
@@ -363,9 +364,13 @@
 	if !j.route.IsIdempotent() {
 		maxIdle = maxIdleNonIdempotent
 	}
-	return j.g.pool.Connect(ctx, target, maxIdle)
+	return j.g.pool.Connect(ctx, target, maxIdle, j.hasUsed)
 }
 
+// hasUsed reports whether the request was sent on a connection before. A target may write
+// the refusal that it gave there once more.
+func (j *job) hasUsed(c *upstream.Conn) bool { return slices.Contains(j.used, c) }
+
 // canResend reports whether a request that got no answer on a reused connection may
 // be sent to the same target again.
 func (j *job) canResend(err error) bool {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -44,6 +44,8 @@
 	excluded []string
 	// ranAt lists the targets that may have begun to run the request.
 	ranAt []string
+	// used are the connections on which the request was sent.
+	used []*upstream.Conn
 	// crashes counts those of ranAt that ended while they ran the request.
 	crashes int
 	// stopCancel detaches the connection in use from the context of its exchange.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,8 @@
 	// limitChanges counts changes of the rate limits that targets name, invalidLimits
 	// answers with a limit that is not a number or out of range.
 	limitChanges, invalidLimits tally.Counter
+	// unattributable counts answers that may belong to another request.
+	unattributable tally.Counter
 	// unexplainedEnds counts requests that ended at a target without a complete answer
 	// and without a probe of the target.
 	unexplainedEnds tally.Counter
@@ -46,6 +48,7 @@
 		crashedAnswers:   scope.Counter("crashed_answers"),
 		limitChanges:     scope.Counter("limit_changes"),
 		invalidLimits:    scope.Counter("invalid_limits"),
+		unattributable:   scope.Counter("unattributable_answers"),
 		unexplainedEnds:  scope.Counter("unexplained_ends"),
 		leavingTargets:   scope.Counter("leaving_targets"),
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,6 +33,9 @@
 	if answer.IsLeaving {
 		j.recordLeaving(choice)
 	}
+	if conn.Reused && answer.RequestID == "" && j.call.RequestID != "" {
+		return j.recordUnattributable(choice, conn)
+	}
 	if answer.IsRefused {
 		return j.recordRefusal(choice, conn, response, answer)
 	}
@@ -52,6 +55,20 @@
 	return j.relayAnswer(ctx, choice, conn, response, sent)
 }
 
+// errUnattributable reports an answer that states no request on a connection that has
+// carried other requests, so that it may be that of one of these.
+var errUnattributable = errors.New("answer on a reused connection states no request ID")
+
+// recordUnattributable handles an answer that may belong to another request.
+func (j *job) recordUnattributable(choice *fleet.Choice, conn *upstream.Conn) result {
+	j.recordRun(choice.ID)
+	j.cause = errUnattributable
+	j.g.metrics.unattributable.Inc(1)
+	conn.Abort()
+	choice.End(time.Now(), fleet.Broken, 0)
+	return outcomeUnknown
+}
+
 // recordFailedResume handles a failure of the target that was to continue a stream. Its
 // body does not belong to the stream.
 func (j *job) recordFailedResume(choice *fleet.Choice, conn *upstream.Conn, response *http.Response) result {
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -73,6 +73,14 @@
 	// LeavingUnframed says that the replica is leaving, in an answer without a length,
 	// and ends the replica after it.
 	LeavingUnframed
+	// FullAgain runs the request and first sends an earlier refusal of it on the same
+	// connection once more, if there was one. FullAgainAnonymous sends a refusal without
+	// an ID if any request was refused on the connection, FullAgainOther one with the ID
+	// of another request, MisdirectedAgainAnonymous one of a request for another replica.
+	FullAgain
+	FullAgainAnonymous
+	FullAgainOther
+	MisdirectedAgainAnonymous
 )
 
 // Options set up a replica. Zero values mean no limits and no time.
@@ -202,12 +210,13 @@
 		_ = c.Close()
 	}()
 	reader := bufio.NewReader(c)
+	refused := make(map[string]bool)
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		if !r.answer(c, reader, request) {
+		if !r.answer(c, reader, request, refused) {
 			return
 		}
 	}
@@ -221,11 +230,13 @@
 	fault   Fault
 	// limit is the rate limit that the answer names; empty for none.
 	limit string
+	// refused holds the IDs of the requests that were refused on the connection.
+	refused map[string]bool
 }
 
 // answer serves one request. It returns false if the connection has ended.
-func (r *Replica) answer(c net.Conn, reader *bufio.Reader, request *http.Request) bool {
-	x := &exchange{conn: c, request: request, fault: r.nextFault(), limit: r.arrive()}
+func (r *Replica) answer(c net.Conn, reader *bufio.Reader, request *http.Request, refused map[string]bool) bool {
+	x := &exchange{conn: c, request: request, fault: r.nextFault(), limit: r.arrive(), refused: refused}
 	if want := request.Header.Get("Expect-Instance"); want != "" && want != r.options.ID {
 		_, _ = io.Copy(io.Discard, request.Body)
 		return x.head(http.StatusMisdirectedRequest, "Instance: "+r.options.ID, "Content-Length: 0")
@@ -235,10 +246,14 @@
 		return x.head(http.StatusServiceUnavailable, "Not-Run: 1", "Transfer-Encoding: chunked") && r.flood(x, "5\r\nfull \r\n")
 	}
 	if x.fault == Full || !r.begin(x) {
+		refused[request.Header.Get("Request-Id")] = true
 		_, _ = io.Copy(io.Discard, request.Body)
 		return x.head(http.StatusServiceUnavailable, "Not-Run: 1", "Content-Length: 0")
 	}
 	defer r.end()
+	if !x.repeatRefusal() {
+		return false
+	}
 	if x.fault == Early {
 		if !x.plain("early") {
 			return false
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -93,10 +94,10 @@
 	writeErr  error
 }
 
-// Connect returns a pooled connection that was idle for no longer than maxIdle, or a new
-// one. Its error is a *DialError.
-func (p *Pool) Connect(ctx context.Context, target Target, maxIdle time.Duration) (*Conn, error) {
-	if c := p.takeIdle(target, maxIdle); c != nil {
+// Connect returns a pooled connection that was idle for no longer than maxIdle and for
+// which isExcluded returns false, or a new one. Its error is a *DialError.
+func (p *Pool) Connect(ctx context.Context, target Target, maxIdle time.Duration, isExcluded func(*Conn) bool) (*Conn, error) {
+	if c := p.takeIdle(target, maxIdle, isExcluded); c != nil {
 		p.reused.Inc(1)
 		c.Reused = true
 		return c, nil
@@ -137,10 +138,10 @@
 	return &Conn{Conn: c, reader: bufio.NewReaderSize(source, readBufferBytes), source: source, pool: p, target: target, idleTimeout: defaultIdleTimeout}, nil
 }
 
-func (p *Pool) takeIdle(target Target, maxIdle time.Duration) *Conn {
+func (p *Pool) takeIdle(target Target, maxIdle time.Duration, isExcluded func(*Conn) bool) *Conn {
 	now := time.Now()
 	for {
-		c := p.popIdle(target, now.Add(-maxIdle))
+		c := p.popIdle(target, now.Add(-maxIdle), isExcluded)
 		if c == nil {
 			return nil
 		}
@@ -151,19 +152,20 @@
 	}
 }
 
-// popIdle removes and returns the most recently used connection unless it was last used
-// before since. An older one stays in the pool for requests that accept a longer idle
-// time.
-func (p *Pool) popIdle(target Target, since time.Time) *Conn {
+// popIdle removes and returns the most recently used connection that is not excluded,
+// unless it was last used before since. An older one stays in the pool for requests that
+// accept a longer idle time.
+func (p *Pool) popIdle(target Target, since time.Time, isExcluded func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[target]
-	if len(list) == 0 || list[len(list)-1].idleSince.Before(since) {
-		return nil
+	for i := len(list) - 1; i >= 0 && !list[i].idleSince.Before(since); i-- {
+		if c := list[i]; !isExcluded(c) {
+			p.idle[target] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[target] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) discard(c *Conn) {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -14,6 +14,8 @@
 	"yuccausher/internal/standin/replica"
 )
 
+func anyConn(*Conn) bool { return false }
+
 // exchange sends a request on a connection and releases the connection.
 func exchange(is *is.I, c *Conn, id string) {
 	is.Helper()
@@ -37,14 +39,14 @@
 	p := NewPool(tally.NoopScope)
 	defer p.Close()
 	target := Target{ID: "r", Address: r.Address()}
-	c, err := p.Connect(context.Background(), target, time.Minute)
+	c, err := p.Connect(context.Background(), target, time.Minute, anyConn)
 	is.NoErr(err)
 	exchange(is, c, "a")
 	time.Sleep(2 * time.Millisecond)
-	fresh, err := p.Connect(context.Background(), target, time.Millisecond)
+	fresh, err := p.Connect(context.Background(), target, time.Millisecond, anyConn)
 	is.NoErr(err)
 	is.True(!fresh.Reused)
-	old, err := p.Connect(context.Background(), target, time.Minute)
+	old, err := p.Connect(context.Background(), target, time.Minute, anyConn)
 	is.NoErr(err)
 	is.True(old.Reused)
 	exchange(is, old, "b")
