gateway: what is no rest of a stream is not passed on as one

Reported by operators of systems like this one: callers found the text of an error, at times its whole head, in the middle of their stream, or the stream ended as if it were complete.

Cause: after a stream had broken off, any answer with status 200 of the next target was read as its rest; and any block that ended with a blank line was passed on as an event.

JSON, 204 and failures were stopped already. TestErrorInsideAStreamIsNotPassedOn: head and text of an error were passed on in the middle of an unframed stream. Ruled out: errors in the middle of streams in chunks, which break their framing.

Why it works: the rest of a stream is a stream of events whose IDs go on after the last one that the caller has; a block consists of comments and named fields. An unframed rest without any event shows nothing. In all these cases the stream has been broken off: it goes on at another target or is cut, visibly.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/juju/errors"
 )
@@ -29,9 +30,13 @@
 	return &eventReader{reader: bufio.NewReaderSize(r, 1<<10)}
 }
 
+// errNotAnEvent reports a block of a stream that is no event, such as an error that a
+// target has written into the stream.
+var errNotAnEvent = errors.New("stream contains a block that is not an event")
+
 // next returns the next complete event. Its bytes are valid until the next call. It
-// returns io.EOF at the end of the stream and io.ErrUnexpectedEOF if the stream ends
-// inside an event.
+// returns io.EOF at the end of the stream, io.ErrUnexpectedEOF if the stream ends
+// inside an event and errNotAnEvent for a block that is none.
 func (r *eventReader) next() (event, error) {
 	r.raw = r.raw[:0]
 	var e event
@@ -54,6 +59,9 @@
 		}
 		if len(text) == 0 && len(line) > 0 && isFullLine(r.raw, line) {
 			e.raw = r.raw
+			if !e.isWellFormed() {
+				return event{}, errNotAnEvent
+			}
 			return e, nil
 		}
 	}
@@ -66,6 +74,42 @@
 	return before == 0 || raw[before-1] == '\n'
 }
 
+// isWellFormed reports whether the block consists of comments and named fields. Fields
+// without a value must be those of the format, as any text is such a field otherwise.
+func (e event) isWellFormed() bool {
+	for line := range bytes.Lines(e.raw) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 || line[0] == ':' {
+			continue
+		}
+		name, _, hasValue := bytes.Cut(line, []byte(":"))
+		if !hasValue && !isFormatField(name) || bytes.ContainsFunc(name, isNotInFieldName) {
+			return false
+		}
+	}
+	return true
+}
+
+func isFormatField(name []byte) bool {
+	switch string(name) {
+	case "data", "event", "id", "retry":
+		return true
+	}
+	return false
+}
+
+func isNotInFieldName(r rune) bool {
+	return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '-' && r != '_'
+}
+
+// isAfter reports whether the event may follow the one with the ID last. IDs that are
+// numbers increase.
+func (e event) isAfter(last string) bool {
+	id, err := strconv.ParseUint(e.id, 10, 64)
+	before, lastErr := strconv.ParseUint(last, 10, 64)
+	return err != nil || lastErr != nil || id > before
+}
+
 // data returns the values of the event's data fields, joined by line feeds. It returns
 // false for blocks without data fields, which are not events.
 func (e event) data() ([]byte, bool) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -46,10 +47,11 @@
 		choice.End(time.Now(), fleet.Broken, 0)
 		return outcomeUnknown
 	}
-	if j.headerSent && response.StatusCode != http.StatusOK {
+	isStream := j.route.Kind == route.Stream && response.StatusCode == http.StatusOK && isEventStream(response)
+	if j.headerSent && !isStream {
 		return j.recordFailedResume(choice, conn, response)
 	}
-	if j.route.Kind == route.Stream && response.StatusCode == http.StatusOK {
+	if isStream {
 		return j.relayStream(ctx, choice, conn, response, sent)
 	}
 	return j.relayAnswer(ctx, choice, conn, response, sent)
@@ -69,6 +71,17 @@
 	return outcomeUnknown
 }
 
+// eventStreamType is the media type of streams.
+const eventStreamType = "text/event-stream"
+
+// isEventStream reports whether an answer is a stream of events, or does not state what it
+// is.
+func isEventStream(response *http.Response) bool {
+	contentType := response.Header.Get("Content-Type")
+	media, _, err := mime.ParseMediaType(contentType)
+	return contentType == "" || err == nil && media == eventStreamType
+}
+
 // recordFailedResume handles a failure of the target that was to continue a stream. Its
 // body does not belong to the stream.
 func (j *job) recordFailedResume(choice *fleet.Choice, conn *upstream.Conn, response *http.Response) result {
@@ -186,14 +199,37 @@
 	j.status = response.StatusCode
 }
 
+var (
+	// errRepeatedEvent reports an event that does not follow those before it.
+	errRepeatedEvent = errors.New("event does not follow those that the caller has")
+	// errNoRest reports that a stream was to go on at a target that closed the connection
+	// without an event, which does not show that there are none.
+	errNoRest = errors.New("target closed the connection without the rest of the stream")
+)
+
+// resumePoint returns the ID of the last event that the caller has; empty if none.
+func (j *job) resumePoint() string {
+	if j.lastEvent == "" && j.route.Resumable {
+		return j.call.ResumeAfter
+	}
+	return j.lastEvent
+}
+
 // relayStream relays a stream event by event.
 func (j *job) relayStream(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, response *http.Response, sent time.Time) result {
 	j.sendHeader(response)
 	flusher := http.NewResponseController(j.w)
 	events := newEventReader(response.Body)
 	first := time.Duration(0)
+	isResumed := j.events > 0
 	for {
 		e, err := events.next()
+		switch {
+		case err == nil && !e.isAfter(j.resumePoint()):
+			err = errRepeatedEvent
+		case errors.Is(err, io.EOF) && isResumed && first == 0 && j.framing == upstream.Unframed:
+			err = errNoRest
+		}
 		if err == nil {
 			err = j.appendOutput(e)
 		}
