--- a/internal/core/ratelimit/quota_test.go
+++ b/internal/core/ratelimit/quota_test.go
@@ -121,3 +121,11 @@
 		is.Equal(s.Role(), Standby)
 	}
 }
+
+func BenchmarkTake(b *testing.B) {
+	var q Quota
+	b.ReportAllocs()
+	for i := range b.N {
+		q.Take(5, Leader, i%4, at(i))
+	}
+}
--- a/internal/occupancy/limits.go
+++ b/internal/occupancy/limits.go
@@ -15,7 +15,7 @@
 	// maxSharedLimits is how many rate limits of other targets an answer carries, drawn
 	// at random, so that hosts learn limits that they have not met. It bounds the bytes
 	// of an answer.
-	maxSharedLimits = 6
+	maxSharedLimits = 2
 	// unansweredDenial is how long a target with a rate limit gets no requests of a host
 	// that reaches none of its coordinators.
 	unansweredDenial = 200 * time.Millisecond
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -40,6 +40,7 @@
 		{"path to target", j.pathToTarget},
 		{"target fails", j.targetFails},
 		{"target crashes", j.targetCrashes},
+		{"target limits its rate", j.limitRate},
 		{"host killed", j.kill},
 		{"host paused", j.pause},
 		{"host stopped", j.stop},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,6 +51,7 @@
 	examinationStream = 2000
 	talkerStream      = 3000
 	deadlyStream      = 4000
+	limitStream       = 5000
 )
 
 func TestSoak(t *testing.T) {
@@ -124,6 +125,7 @@
 	j.run(faulty)
 	healedAt := time.Now()
 	time.Sleep(healed)
+	w.examineLimits(t, rand.New(rand.NewPCG(seed, limitStream)))
 	slack := time.Duration(1)
 	if *seedFlag == 0 {
 		slack = ciSlack
