occupancy: a rate limit ends with the run of its target; the way of other requests costs nothing more

Callers saw: nothing; found by reading. A coordinator kept the quota of a run that had ended until an answer of the next run named a limit, so that turns that prefer the target went elsewhere, and it looked through all targets for limits with each request for admission.

Evidence: TestRateLimitEndsWithTheRunOfItsTarget: the turn was placed at its second target before, at its first now.

Retry-After is honest up to 10 s.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -25,6 +25,8 @@
 	// they are leaving, and when. The entries outlive the targets' records, which
 	// may lapse and be restored.
 	leavingRuns map[run]time.Time
+	// limited holds the targets that limit their rate.
+	limited map[string]*Target
 	// seed gives each host its own order of equivalent targets.
 	seed uint64
 }
@@ -37,6 +39,7 @@
 		byID:        make(map[string]*Target),
 		services:    make(map[string][]*Target),
 		leavingRuns: make(map[run]time.Time),
+		limited:     make(map[string]*Target),
 		seed:        seed,
 	}
 }
@@ -131,6 +134,7 @@
 
 func (f *Fleet) drop(t *Target) {
 	delete(f.byID, t.ID)
+	delete(f.limited, t.ID)
 	list := f.services[t.Service]
 	if i := slices.Index(list, t); i >= 0 {
 		// Readers of the list hold the lock, so it may change in place.
--- a/internal/core/fleet/limits.go
+++ b/internal/core/fleet/limits.go
@@ -24,6 +24,11 @@
 		return false
 	}
 	t.deniedUntil = time.Time{}
+	if t.isLimited() {
+		f.limited[t.ID] = t
+	} else {
+		delete(f.limited, t.ID)
+	}
 	return true
 }
 
@@ -43,13 +48,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []TargetLimit
-	for id, t := range f.byID { // in random order
+	for id, t := range f.limited { // in random order
 		if len(list) == most {
 			break
 		}
-		if t.isLimited() {
-			list = append(list, TargetLimit{ID: id, StartedAt: t.StartedAt, Statement: t.limit.Newest()})
-		}
+		list = append(list, TargetLimit{ID: id, StartedAt: t.StartedAt, Statement: t.limit.Newest()})
 	}
 	return list
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -17,7 +17,7 @@
 	// minLimitRetryAfter and maxLimitRetryAfter limit the advice on when to retry a
 	// request that rate limits left no room for.
 	minLimitRetryAfter = 50 * time.Millisecond
-	maxLimitRetryAfter = 2 * time.Second
+	maxLimitRetryAfter = 10 * time.Second
 )
 
 // recordLimit records what an answer states about the rate limit of its target.
--- a/internal/occupancy/limits.go
+++ b/internal/occupancy/limits.go
@@ -128,6 +128,11 @@
 func (s *Service) observeLimit(target string, l fleet.TargetLimit) *quota {
 	q := s.quotas[target]
 	if l.ReceivedAt.IsZero() {
+		if q != nil && q.startedAt < l.StartedAt {
+			// A later run of the target has named no limit.
+			delete(s.quotas, target)
+			return nil
+		}
 		return q
 	}
 	if q == nil || q.startedAt < l.StartedAt {
@@ -145,9 +150,9 @@
 
 // grant decides under the target's rate limit whether an admitted request may be sent. The
 // caller holds s.mu.
-func (s *Service) grant(reply *port.AdmitReply, r port.AdmitRequest, known fleet.TargetLimit, standing ratelimit.Standing, now time.Time) {
-	s.observeLimit(r.Target, known)
-	q := s.observeLimit(r.Target, r.RateLimit)
+func (s *Service) grant(reply *port.AdmitReply, r port.AdmitRequest, known fleet.TargetLimit, now time.Time) {
+	s.observeLimit(r.Target, r.RateLimit)
+	q := s.observeLimit(r.Target, known)
 	if q == nil {
 		return
 	}
@@ -160,7 +165,7 @@
 		q.granted.Debit()
 		return
 	}
-	s.setRole(r.Target, q, standing)
+	s.setRole(r.Target, q, s.standing(r.Target, now))
 	d := q.granted.Take(rate, q.role, r.Level, now)
 	if d.IsGranted {
 		s.metrics.granted.Inc(1)
@@ -179,16 +184,14 @@
 		"rank", standing.Rank, "is_first_of_recent", standing.IsFirstOfRecent, "age_ms", standing.Age.Milliseconds(), "since_renewal_ms", standing.SinceRenewal.Milliseconds())
 }
 
-// standing returns what this host knows of its place in the order of a target.
+// standing returns what this host knows of its place in the order of a target. The caller
+// holds s.mu.
 func (s *Service) standing(target string, now time.Time) ratelimit.Standing {
 	self := s.peers.Self()
 	others := s.peers.Hosts()
 	order := s.order.Order(target, append(others, self))
-	renewedAt := s.renewedAt()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.recordDeparted(others, now)
-	standing := ratelimit.Standing{Rank: slices.Index(order, self), Age: now.Sub(s.startedAt), SinceRenewal: now.Sub(renewedAt)}
+	standing := ratelimit.Standing{Rank: slices.Index(order, self), Age: now.Sub(s.startedAt), SinceRenewal: now.Sub(s.renewedAt())}
 	if len(others) == 0 && standing.Age < ratelimit.RecentTime {
 		// The list of hosts may not have been read yet.
 		standing.Rank = -1
--- a/internal/occupancy/limits_test.go
+++ b/internal/occupancy/limits_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/core/occupancy"
 	"yuccausher/internal/core/ratelimit"
 	"yuccausher/internal/core/rendezvous"
 )
@@ -255,6 +256,26 @@
 	})
 }
 
+// A target that has started anew has named no limit: turns that prefer it go there.
+func TestRateLimitEndsWithTheRunOfItsTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newLimitCluster(t, 4, 0, 2)
+		c.run(20, 5*time.Second)
+		is.True(c.refused > 50)
+		next := fleet.Member{ID: limited, Service: "app", Slots: 4, DataCentre: "here", Address: "a", StartedAt: 9}
+		for _, name := range c.names {
+			c.fleetOf(name).Put(next)
+		}
+		for _, name := range c.names {
+			p := c.services[name].Place(t.Context(), request([]fleet.Member{next, {ID: "other", Service: "app", Slots: 4}}))
+			is.Equal(p.Index, 0)
+			p.Finish(occupancy.Answered)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // A host that has not met the limit learns it from answers of coordinators.
 func TestHostsLearnLimitsThatTheyHaveNotMet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/occupancy/service.go
+++ b/internal/occupancy/service.go
@@ -149,6 +149,7 @@
 		}
 	}
 	s.dropIdleQuotas(now)
+	s.recordDeparted(s.peers.Hosts(), now)
 	s.paused.Retain(s.peers.Hosts())
 }
 
@@ -322,7 +323,6 @@
 // AdmitLocal implements port.OccupancyServer.
 func (s *Service) AdmitLocal(r port.AdmitRequest) port.AdmitReply {
 	now := time.Now()
-	standing := s.standing(r.Target, now)
 	s.learn("", []fleet.TargetLimit{r.RateLimit})
 	known := s.limits.Limit(r.Target)
 	reply := port.AdmitReply{KnowsRateLimits: true, RateLimits: s.limits.Limits(maxSharedLimits)}
@@ -332,7 +332,7 @@
 	if r.TTL > 0 {
 		reply.Reply = s.counter(r.Target).Admit(r.Lease, r.Limit, r.TTL, now)
 	}
-	s.grant(&reply, r, known, standing, now)
+	s.grant(&reply, r, known, now)
 	if !reply.Admitted && r.TTL > 0 {
 		s.counter(r.Target).Finish(r.Lease, r.Host, occupancy.Inconclusive, now)
 	}
