--- a/cmd/yuccausher/fleet_test.go
+++ b/cmd/yuccausher/fleet_test.go
@@ -221,6 +221,17 @@
 	return -1
 }
 
+// awaitOwner waits until a host has read who owns a program, and returns the owner's index.
+func (f *fleet) awaitOwner(programID string, seenBy int) int {
+	f.t.Helper()
+	owner := -1
+	f.until("the owner of "+programID, func() bool {
+		owner = f.owner(programID, seenBy)
+		return owner >= 0
+	})
+	return owner
+}
+
 func (f *fleet) index(id string) int {
 	for i, h := range f.hosts {
 		if h.id == id {
--- a/cmd/yuccausher/main_test.go
+++ b/cmd/yuccausher/main_test.go
@@ -34,8 +34,7 @@
 	p := f.open("survivor", 0)
 	p.ask(0)
 	p.post(1)
-	killed := f.owner(p.id, 0)
-	is.True(killed >= 0) // the owner is known
+	killed := f.awaitOwner(p.id, 0)
 	f.hosts[killed].kill()
 	p.ask(killed)
 	p.post(killed)
--- a/cmd/yuccausher/posting_test.go
+++ b/cmd/yuccausher/posting_test.go
@@ -20,8 +20,7 @@
 	is := is.New(f.t)
 	p := f.open(f.t.Name(), 0)
 	is.True(p != nil)
-	owner := f.owner(p.id, 0)
-	is.True(owner >= 0) // the owner is known
+	owner := f.awaitOwner(p.id, 0)
 	once, long := 1, int64(hangMS)
 	f.inject(standin.FaultRequest{
 		Kind: standin.FaultServiceHang, Service: standin.ServiceLedger, Count: &once, DurationMS: &long,
