ratelimit: the end of a limit is told again with each later answer that names none

Callers saw: nothing; found by reading. Statements travel with ages, so that one without a limit seems younger than it is by the time on the way and could end a limit that was named meanwhile; with a margin for that, the only report of the end could come too early to count, and a coordinator went on placing turns elsewhere.

A statement without a limit counts as 100 ms older on arrival, and each later answer without one renews it, so that the requests for admission that follow end the limit (TestLimitFollowsTheNewestAnswer).

--- a/internal/adapter/occupancyrpc/ratelimits.go
+++ b/internal/adapter/occupancyrpc/ratelimits.go
@@ -9,6 +9,10 @@
 	"yuccausher/internal/gen/occupancy"
 )
 
+// maxTransit is the longest time that a message is expected to take. A statement without a
+// limit must not seem to be of a request that was sent later than it was.
+const maxTransit = 100 * time.Millisecond
+
 // toWire returns the message of a rate limit, with ages in place of times, as clocks of
 // hosts differ. It returns nil if nothing is known.
 func toWire(l fleet.TargetLimit, now time.Time) *occupancy.RateLimit {
@@ -29,13 +33,17 @@
 	if m == nil {
 		return fleet.TargetLimit{}
 	}
+	sentAt := now.Add(-milliseconds(m.SentAgeMs))
+	if !m.IsLimited {
+		sentAt = sentAt.Add(-maxTransit)
+	}
 	return fleet.TargetLimit{
 		ID:        string(m.Target),
 		StartedAt: m.StartedAt,
 		Statement: ratelimit.Statement{
 			Rate:       m.PerSecond,
 			IsLimited:  m.IsLimited,
-			SentAt:     now.Add(-milliseconds(m.SentAgeMs)),
+			SentAt:     sentAt,
 			ReceivedAt: now.Add(-milliseconds(m.ReceivedAgeMs)),
 		},
 	}
--- a/internal/core/ratelimit/limit.go
+++ b/internal/core/ratelimit/limit.go
@@ -40,7 +40,11 @@
 	switch {
 	case s.IsLimited && s.ReceivedAt.Before(before.ReceivedAt):
 		return false
-	case !s.IsLimited && (!before.IsLimited || !s.SentAt.After(before.ReceivedAt)):
+	case !s.IsLimited && before.ReceivedAt.IsZero():
+		return false // there was no limit yet
+	case !s.IsLimited && before.IsLimited && !s.SentAt.After(before.ReceivedAt):
+		return false
+	case !s.IsLimited && !before.IsLimited && !s.SentAt.After(before.SentAt):
 		return false
 	}
 	l.newest = s
--- a/internal/core/ratelimit/limit_test.go
+++ b/internal/core/ratelimit/limit_test.go
@@ -41,6 +41,8 @@
 	is.Equal(rate(), -1.0)
 	is.True(!l.Observe(named(2, 50, 65))) // told late by another host
 	is.Equal(rate(), -1.0)
+	is.True(!l.Observe(unnamed(75, 85)))
+	is.Equal(l.Newest(), unnamed(75, 85)) // a newer one, for hosts that did not believe the first
 	is.True(l.Observe(named(0, 80, 90)))
 	is.Equal(rate(), 0.0)
 }
