--- a/internal/occupancy/limits_test.go
+++ b/internal/occupancy/limits_test.go
@@ -46,7 +46,7 @@
 
 func newLimitCluster(t *testing.T, n int, rate float64, seed uint64) *limitCluster {
 	c := &limitCluster{hosts: newHosts(t, n), t: t, random: rand.New(rand.NewPCG(seed, 5)), rate: rate, toldAt: make(map[string]time.Time)}
-	c.views = make(map[string][]string)
+	c.change(func() { c.views = make(map[string][]string) })
 	for _, name := range c.names {
 		c.join(name)
 	}
@@ -124,9 +124,13 @@
 	return most
 }
 
+// silence makes a host accept requests and answer none.
+func (c *limitCluster) silence(name string) { c.change(func() { c.silent[name] = true }) }
+
 // view sets the other hosts that a host knows.
 func (c *limitCluster) view(name string, known []string) {
-	c.views[name] = slices.DeleteFunc(slices.Clone(known), func(other string) bool { return other == name })
+	others := slices.DeleteFunc(slices.Clone(known), func(other string) bool { return other == name })
+	c.change(func() { c.views[name] = others })
 }
 
 // The sum over all hosts stays within the bound, also at 410 hosts, of which each sends the
@@ -158,17 +162,20 @@
 func TestRateLimitHoldsWhileCoordinatorsChange(t *testing.T) {
 	const rate = 6.0
 	changes := map[string]func(c *limitCluster){
-		"the first falls silent": func(c *limitCluster) { c.silent[c.order()[0]] = true },
+		"the first falls silent": func(c *limitCluster) { c.silence(c.order()[0]) },
 		"the first is silent for half of the hosts, which ask the second": func(c *limitCluster) {
 			for i, name := range c.names {
 				if i%2 == 0 {
-					c.services[name].paused.Failed(c.order()[0], time.Now())
+					s := c.services[name]
+					s.mu.Lock()
+					s.paused.Failed(c.order()[0], time.Now())
+					s.mu.Unlock()
 				}
 			}
 		},
 		"the first has ended, as half of the hosts know": func(c *limitCluster) {
 			gone := c.order()[0]
-			c.silent[gone] = true
+			c.silence(gone)
 			rest := slices.DeleteFunc(slices.Clone(c.names), func(name string) bool { return name == gone })
 			for i, name := range c.names {
 				if i%2 == 0 {
@@ -180,7 +187,7 @@
 			old := slices.Clone(c.names)
 			for n := 0; ; n++ {
 				newcomer := fmt.Sprint("new-", n)
-				c.names = append(slices.Clone(old), newcomer)
+				c.change(func() { c.names = append(slices.Clone(old), newcomer) })
 				if c.order()[0] == newcomer {
 					break
 				}
@@ -197,7 +204,7 @@
 		},
 		"both coordinators fall silent": func(c *limitCluster) {
 			for _, name := range c.order()[:2] {
-				c.silent[name] = true
+				c.silence(name)
 			}
 		},
 	}
--- a/internal/occupancy/service_test.go
+++ b/internal/occupancy/service_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,8 @@
 
 // hosts is a number of hosts that reach each other within a millisecond.
 type hosts struct {
+	// mu guards what peers read: the services read the hosts in the background.
+	mu       sync.Mutex
 	names    []string
 	services map[string]*Service
 	// fleets are the hosts' views of the targets.
@@ -49,10 +52,17 @@
 	if err := s.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	h.services[name] = s
+	h.change(func() { h.services[name] = s })
 	t.Cleanup(func() { _ = s.Stop(context.Background()) })
 }
 
+// change changes what peers read.
+func (h *hosts) change(set func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	set()
+}
+
 // fleetOf returns a host's view of the targets.
 func (h *hosts) fleetOf(name string) *fleet.Fleet {
 	if h.fleets[name] == nil {
@@ -70,6 +80,8 @@
 func (p peers) Self() string { return p.self }
 
 func (p peers) Hosts() []string {
+	p.hosts.mu.Lock()
+	defer p.hosts.mu.Unlock()
 	if view, ok := p.hosts.views[p.self]; ok {
 		return slices.Clone(view)
 	}
@@ -86,11 +98,14 @@
 
 func (p peers) reach(ctx context.Context, host string) (*Service, error) {
 	time.Sleep(time.Millisecond)
-	if p.hosts.silent[host] || p.hosts.silent[p.self] {
+	p.hosts.mu.Lock()
+	isSilent, service := p.hosts.silent[host] || p.hosts.silent[p.self], p.hosts.services[host]
+	p.hosts.mu.Unlock()
+	if isSilent {
 		<-ctx.Done()
 		return nil, errSilent
 	}
-	return p.hosts.services[host], nil
+	return service, nil
 }
 
 func (p peers) Admit(ctx context.Context, host string, r port.AdmitRequest) (port.AdmitReply, error) {
@@ -156,7 +171,7 @@
 		is := is.New(t)
 		h := newHosts(t, 5)
 		for _, name := range h.names[1:] {
-			h.silent[name] = true
+			h.change(func() { h.silent[name] = true })
 		}
 		self := h.services[h.names[0]]
 		started := time.Now()
