fleet, gateway: requests that wait ask full targets now and then, not each for itself

Ruled out: rate limits themselves; limited targets got what they name.

Why it works: a refusal as full concerns all requests of the host. The pause is one request's time and doubles to 240 ms while refusals go on; an answer ends it. Requests go on waiting up to the objective.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -315,8 +315,9 @@
 
 // Candidates returns up to limit targets for a dispatch, the best one first, the others
 // in the order in which programs with the same affinity prefer them; without affinity
-// only the best one. Targets that are paused after a failure, or that recently refused a
-// request as full, are only returned if there are no others.
+// only the best one. Targets that are paused after a failure are only returned if there are
+// no others, those that recently refused a request as full not at all: while all targets
+// are full, each host asks each of them now and then, however many requests wait.
 func (f *Fleet) Candidates(r Request, limit int, now time.Time) []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -346,7 +347,8 @@
 	for _, t := range f.services[r.Service] {
 		switch {
 		case slices.Contains(r.Exclude, t.ID) || !t.isUsable(now) || t.isDenied(now) || r.SkipLimited && t.isLimited():
-		case !t.isPauseOver(now) || now.Before(t.fullUntil):
+		case t.isFull(now):
+		case !t.isPauseOver(now):
 			paused = append(paused, t)
 		default:
 			available = append(available, t)
@@ -358,6 +360,13 @@
 	return available
 }
 
+// IsFull reports whether some target of a service recently refused a request as full.
+func (f *Fleet) IsFull(service string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.services[service], func(t *Target) bool { return t.isUsable(now) && t.isFull(now) })
+}
+
 // Begin records a dispatch to a target. It returns nil if the target has ended or is
 // leaving.
 func (f *Fleet) Begin(m Member, now time.Time) *Choice {
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -43,9 +43,11 @@
 	// maxFailurePause.
 	failurePause    = 200 * time.Millisecond
 	maxFailurePause = 3 * time.Second
-	// fullPause is how long a target that refused a request as full is avoided
-	// while others have free slots. It is about the time of one request.
-	fullPause = 60 * time.Millisecond
+	// fullPause is how long a target that refused a request as full gets no requests. It
+	// is about the time of one request. It doubles with each further refusal up to
+	// maxFullPause.
+	fullPause    = 60 * time.Millisecond
+	maxFullPause = 240 * time.Millisecond
 	// failureCost is the delay that a failed request causes its caller, in
 	// seconds: a pause of up to 0.4 s, and the time of another request.
 	failureCost = 0.5
@@ -77,7 +79,10 @@
 	failures int
 	// pausedUntil is when the target may be chosen again after failures.
 	pausedUntil time.Time
-	fullUntil   time.Time
+	// refusals counts consecutive refusals as full; fullUntil is when the pause after
+	// them ends.
+	refusals  int
+	fullUntil time.Time
 	// limit is the rate limit that the target has named.
 	limit ratelimit.Limit
 	// deniedUntil is when the target may get a request again under its rate limit.
@@ -135,6 +140,8 @@
 	return t.unloadedCost(now)*(1+loadCost*load) + failureCost*t.failed.Value(now)
 }
 
+func (t *Target) isFull(now time.Time) bool { return now.Before(t.fullUntil) }
+
 func (t *Target) isPauseOver(now time.Time) bool { return now.After(t.pausedUntil) }
 
 // isUsable reports whether the target may get requests at all.
@@ -188,10 +195,11 @@
 	}
 	switch o {
 	case Answered:
-		t.failures = 0
+		t.failures, t.refusals = 0, 0
 		t.failed.RecordSuccess(now)
 	case Full:
-		t.fullUntil = now.Add(fullPause)
+		t.fullUntil = now.Add(min(fullPause<<min(t.refusals, 8), maxFullPause))
+		t.refusals++
 	case Failed:
 		t.failures = 0
 		t.failed.RecordFailure(now)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -194,26 +194,23 @@
 // as attempts.
 const maxUncountedCrashes = 2
 
-// waitForCapacity waits for fullRetryInterval after all targets have refused the
-// request. It returns false after it has ended the request.
+// waitForCapacity waits for fullRetryInterval while all targets are full. It returns false
+// after it has ended the request.
 func (j *job) waitForCapacity(ctx context.Context) bool {
 	if ctx.Err() != nil {
 		j.finishUnanswered(ctx)
 		return false
 	}
-	if retryAfter, ok := j.limitRetryAfter(); ok && len(j.ranAt) == 0 && len(j.excluded) == 0 {
-		j.refuseLimited(retryAfter)
-		return false
-	}
-	if len(j.excluded) == 0 {
-		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no_target", retryAfter: noTargetRetryAfter})
-		return false
-	}
-	if len(j.ranAt) > 0 {
-		j.finishUnanswered(ctx)
+	isFull := len(j.excluded) > len(j.ranAt) || j.g.fleet.IsFull(j.service, time.Now())
+	if !isFull {
+		j.finishWithoutTarget(ctx)
 		return false
 	}
 	if time.Since(j.started) > j.route.Objective {
+		if len(j.ranAt) > 0 {
+			j.finishUnanswered(ctx)
+			return false
+		}
 		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targets_full", retryAfter: fullRetryAfter})
 		return false
 	}
@@ -222,7 +219,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		j.excluded = j.excluded[:0]
+		j.excluded = append(j.excluded[:0], j.ranAt...)
 		return true
 	case <-ctx.Done():
 		j.finishUnanswered(ctx)
@@ -230,6 +227,19 @@
 	}
 }
 
+// finishWithoutTarget ends a request for which there is no target now.
+func (j *job) finishWithoutTarget(ctx context.Context) {
+	if len(j.ranAt) > 0 {
+		j.finishUnanswered(ctx)
+		return
+	}
+	if retryAfter, ok := j.limitRetryAfter(); ok {
+		j.refuseLimited(retryAfter)
+		return
+	}
+	j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no_target", retryAfter: noTargetRetryAfter})
+}
+
 // finishUnanswered ends a request that no target has answered completely.
 func (j *job) finishUnanswered(ctx context.Context) {
 	switch {
