--- a/internal/core/ratelimit/quota_test.go
+++ b/internal/core/ratelimit/quota_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"yuccausher/internal/testutil"
 )
 
 const (
@@ -16,18 +18,6 @@
 	slack  = 5
 )
 
-// mostInWindow returns the highest number of times within a window.
-func mostInWindow(times []time.Time) int {
-	most, first := 0, 0
-	for i, t := range times {
-		for t.Sub(times[first]) > window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // A leader and a standby that grant at the same time stay within the users' bound, whatever
 // the limit and the pattern of requests.
 func TestLeaderAndStandbyTogetherStayWithinTheBound(t *testing.T) {
@@ -46,7 +36,7 @@
 				granted = append(granted, now)
 			}
 		}
-		if most := mostInWindow(granted); float64(most) > factor*window.Seconds()*rate+slack {
+		if most := testutil.MostWithin(granted, window); float64(most) > factor*window.Seconds()*rate+slack {
 			t.Fatalf("%d granted within %v at a limit of %v", most, window, rate)
 		}
 	})
@@ -102,7 +92,7 @@
 		}
 	}
 	is.True(len(granted) >= 10)
-	is.True(mostInWindow(granted) <= slack)
+	is.True(testutil.MostWithin(granted, window) <= slack)
 }
 
 func TestRoleFollowsWhatAllHostsKnow(t *testing.T) {
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 	"yuccausher/internal/port"
 	"yuccausher/internal/standin/metastore"
 	"yuccausher/internal/standin/replica"
+	"yuccausher/internal/testutil"
 )
 
 const (
@@ -25,24 +27,6 @@
 	limitSlack  = 5
 )
 
-// mostInWindow returns the highest number of times after from within limitWindow.
-func mostInWindow(times []time.Time, from time.Time) int {
-	most := 0
-	for i, first := range times {
-		if first.Before(from) {
-			continue
-		}
-		n := 0
-		for _, at := range times[i:] {
-			if at.Sub(first) <= limitWindow {
-				n++
-			}
-		}
-		most = max(most, n)
-	}
-	return most
-}
-
 // Three hosts together send a target no more than one and a half times the rate limit that
 // it names. They sent it their share of the load, whatever the limit.
 func TestTargetGetsNoMoreThanItsLimitFromAllHosts(t *testing.T) {
@@ -74,7 +58,7 @@
 	begun := time.Now()
 	failed := sendSteadily(urls, 40*time.Millisecond, 3*time.Second+limitWindow+time.Second)
 	is.Equal(failed, 0) // the other target has room
-	most := mostInWindow(targets[0].Arrivals(), begun.Add(3*time.Second))
+	most := testutil.MostWithin(after(targets[0].Arrivals(), begun.Add(3*time.Second)), limitWindow)
 	t.Logf("%d requests at the limited target, %d at the other, at most %d in a window", len(targets[0].Arrivals()), len(targets[1].Arrivals()), most)
 	is.True(float64(most) <= limitFactor*limitWindow.Seconds()*limit+limitSlack)
 	is.True(most >= int(limitWindow.Seconds())*limit/2) // it is used
@@ -86,6 +70,11 @@
 	}
 }
 
+// after returns the times from a moment on.
+func after(times []time.Time, from time.Time) []time.Time {
+	return slices.DeleteFunc(times, func(t time.Time) bool { return t.Before(from) })
+}
+
 // startPeer starts a host that other hosts on the store know.
 func startPeer(t *testing.T, store *metastore.Store, name string) (*Front, Options) {
 	t.Helper()
--- a/internal/occupancy/limits_test.go
+++ b/internal/occupancy/limits_test.go
@@ -14,6 +14,7 @@
 	"yuccausher/internal/core/occupancy"
 	"yuccausher/internal/core/ratelimit"
 	"yuccausher/internal/core/rendezvous"
+	"yuccausher/internal/testutil"
 )
 
 // The users' bound: stableTime after a target first named a limit it gets in no window more
@@ -108,22 +109,11 @@
 			times = append(times, at)
 		}
 	}
-	if most := mostInWindow(times); float64(most) > factor*window.Seconds()*rate+slack {
+	if most := testutil.MostWithin(times, window); float64(most) > factor*window.Seconds()*rate+slack {
 		c.t.Errorf("%s: %d requests within %v at a limit of %v", what, most, window, rate)
 	}
 }
 
-func mostInWindow(times []time.Time) int {
-	most, first := 0, 0
-	for i, t := range times {
-		for t.Sub(times[first]) > window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // silence makes a host accept requests and answer none.
 func (c *limitCluster) silence(name string) { c.change(func() { c.silent[name] = true }) }
 
--- a/internal/standin/replica/death.go
+++ b/internal/standin/replica/death.go
@@ -59,13 +59,9 @@
 }
 
 func (r *Replica) crash() {
+	r.vanish()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.isDown {
-		close(r.down)
-	}
-	r.isDown = true
-	_ = r.listener.Close()
 	for c := range r.conns {
 		reset(c)
 	}
