--- a/internal/core/ratelimit/quota.go
+++ b/internal/core/ratelimit/quota.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// Role is the part that a host has in granting requests to a target. The shares of all
-// hosts that may grant at the same time add up to the tolerated one and a half limits at
-// most, whatever hosts believe of each other.
+// Role is the part that a host has in granting requests to a target. A leader and a
+// standby that both grant stay below one and a half limits; while the first host of a target
+// changes, there may be a second standby.
 type Role int
 
 // The roles.
