occupancy: the quota of a target that has gone is dropped

Callers saw: nothing; found by reading the change. Class: a table without a bound.

Cause: quotas were dropped only after the target had ceased to name a limit. A target that goes while it limits its rate never does, so that a coordinator kept one quota for each such run for good.

Ruled out: the fleet's own table, from which the target's removal takes it.

Why it works: a quota that no host has asked for within a minute is dropped. One that is needed again begins empty, as that of a host that starts.

--- a/internal/occupancy/limits.go
+++ b/internal/occupancy/limits.go
@@ -19,7 +19,8 @@
 	// unansweredDenial is how long a target with a rate limit gets no requests of a host
 	// that reaches none of its coordinators.
 	unansweredDenial = 200 * time.Millisecond
-	// quotaTTL is how long the quota of a target is kept that names no limit any more.
+	// quotaTTL is how long the quota of a target is kept that no host asks for, as that of
+	// a target that has gone.
 	quotaTTL = time.Minute
 )
 
@@ -40,6 +41,8 @@
 	limit     ratelimit.Limit
 	granted   ratelimit.Quota
 	role      ratelimit.Role
+	// usedAt is when a host last told of the limit or asked for a grant.
+	usedAt time.Time
 }
 
 // askResult is how a coordinator answered a request for admission.
@@ -145,6 +148,7 @@
 	if q.startedAt == l.StartedAt {
 		q.limit.Observe(l.Statement)
 	}
+	q.usedAt = time.Now()
 	return q
 }
 
@@ -156,6 +160,7 @@
 	if q == nil {
 		return
 	}
+	q.usedAt = now
 	reply.RateLimits = append(reply.RateLimits, fleet.TargetLimit{ID: r.Target, StartedAt: q.startedAt, Statement: q.limit.Newest()})
 	rate, isLimited := q.limit.Rate()
 	switch {
@@ -221,11 +226,10 @@
 	}
 }
 
-// dropIdleQuotas drops the quotas of targets that name no limit any more. The caller holds
-// s.mu.
+// dropIdleQuotas drops the quotas that no host has asked for lately. The caller holds s.mu.
 func (s *Service) dropIdleQuotas(now time.Time) {
 	for target, q := range s.quotas {
-		if _, isLimited := q.limit.Rate(); !isLimited && now.Sub(q.limit.Newest().ReceivedAt) > quotaTTL {
+		if now.Sub(q.usedAt) > quotaTTL {
 			delete(s.quotas, target)
 		}
 	}
--- a/internal/occupancy/limits_test.go
+++ b/internal/occupancy/limits_test.go
@@ -326,3 +326,22 @@
 		is.True(p.IsDenied)
 	})
 }
+
+// The quota of a target that has gone while it limited its rate was kept for good.
+func TestQuotasOfGoneTargetsAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newLimitCluster(t, 3, 2, 1)
+		c.run(20, 5*time.Second)
+		for _, name := range c.names {
+			c.fleetOf(name).Remove(limited)
+		}
+		time.Sleep(quotaTTL + 2*sweepInterval)
+		for _, name := range c.names {
+			s := c.services[name]
+			s.mu.Lock()
+			is.Equal(len(s.quotas), 0)
+			s.mu.Unlock()
+		}
+	})
+}
