gateway: the coordinator is told when a rate limit begins and ends, not at each other figure

Callers saw: nothing; found by reading the change. Class: messages that grow with answers.

Cause: each answer that named another limit than the one before made the host send the coordinator a message, though the next request for a grant carries the limit anyway.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,8 +119,8 @@
 	// Permit reports whether the rate limit of a target leaves room for a request. level is
 	// its urgency; 0 is the most urgent.
 	Permit(ctx context.Context, target string, level int) bool
-	// LimitChanged reports that an answer has changed what is known of a target's rate
-	// limit.
+	// LimitChanged reports that an answer shows that a target has begun or ceased to limit
+	// its rate.
 	LimitChanged(target string)
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -26,6 +26,7 @@
 		j.g.metrics.invalidLimits.Inc(1)
 		return
 	}
+	wasLimited := j.g.fleet.Limit(choice.ID).IsLimited
 	s := ratelimit.Statement{Rate: a.Rate, IsLimited: a.HasRate, SentAt: sent, ReceivedAt: time.Now()}
 	if !j.g.fleet.ObserveLimit(fleet.TargetLimit{ID: choice.ID, StartedAt: choice.StartedAt, Statement: s}) {
 		return
@@ -33,7 +34,10 @@
 	j.g.metrics.limitChanges.Inc(1)
 	j.g.log.Info("Rate limit of a target changed.", "request", j.call.RequestID, "target", choice.ID, "is_limited", s.IsLimited, "per_second", s.Rate,
 		"answer_ms", s.ReceivedAt.Sub(sent).Milliseconds(), "by", "answer")
-	j.g.placement.LimitChanged(choice.ID)
+	// Another limit is told with the next request for a grant.
+	if s.IsLimited != wasLimited {
+		j.g.placement.LimitChanged(choice.ID)
+	}
 }
 
 // level returns the urgency of the request under rate limits: by its route, and behind
