--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -52,9 +52,9 @@
 		return j.recordFailedResume(choice, conn, response)
 	}
 	if isStream {
-		return j.relayStream(ctx, choice, conn, response, sent)
+		return j.relayStream(ctx, choice, conn, response, sent, answer.IsLeaving)
 	}
-	return j.relayAnswer(ctx, choice, conn, response, sent)
+	return j.relayAnswer(ctx, choice, conn, response, sent, answer.IsLeaving)
 }
 
 // errUnattributable reports an answer that states no request on a connection that has
@@ -135,8 +135,9 @@
 	return "target " + e.Target + " refused with status " + strconv.Itoa(e.Status)
 }
 
-// relayAnswer relays an answer that is not a stream of events.
-func (j *job) relayAnswer(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, response *http.Response, sent time.Time) result {
+// relayAnswer relays an answer that is not a stream of events. isLeaving is set if the
+// target states in it that it is leaving.
+func (j *job) relayAnswer(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, response *http.Response, sent time.Time, isLeaving bool) result {
 	first := time.Since(sent)
 	head, err := io.ReadAll(io.LimitReader(response.Body, bufferedAnswerBytes))
 	if err != nil {
@@ -145,7 +146,6 @@
 		choice.End(time.Now(), failureOutcome(ctx, fleet.Broken), 0)
 		return outcomeUnknown
 	}
-	isLeaving := j.isLeaving(response)
 	if len(head) < bufferedAnswerBytes && j.hasCrashed(ctx, choice, isLeaving) {
 		conn.Abort()
 		choice.End(time.Now(), fleet.Broken, first)
@@ -178,10 +178,6 @@
 	return completed
 }
 
-func (j *job) isLeaving(response *http.Response) bool {
-	return j.g.protocol.ParseAnswer(response.StatusCode, response.Header).IsLeaving
-}
-
 // sendHeader sends the header of the first answer to the caller.
 func (j *job) sendHeader(response *http.Response) {
 	if j.headerSent {
@@ -215,8 +211,9 @@
 	return j.lastEvent
 }
 
-// relayStream relays a stream event by event.
-func (j *job) relayStream(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, response *http.Response, sent time.Time) result {
+// relayStream relays a stream event by event. isLeaving is set if the target states in its
+// header that it is leaving.
+func (j *job) relayStream(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, response *http.Response, sent time.Time, isLeaving bool) result {
 	j.sendHeader(response)
 	flusher := http.NewResponseController(j.w)
 	events := newEventReader(response.Body)
@@ -233,7 +230,7 @@
 		if err == nil {
 			err = j.appendOutput(e)
 		}
-		if errors.Is(err, io.EOF) && j.hasCrashed(ctx, choice, j.isLeaving(response)) {
+		if errors.Is(err, io.EOF) && j.hasCrashed(ctx, choice, isLeaving) {
 			conn.Abort()
 			choice.End(time.Now(), fleet.Broken, first)
 			return interrupted
