gateway, follow: lines and a counter that tell the version a stream goes on at

'Target continues a stream.' names the request that the caller takes up, the event after which it goes on, the target's version and those that the caller has events from; 'Request ended.' and 'Target changed.' carry versions too; resumed_streams counts by caller and by host. The hypotheses for the joined streams could not be told apart without them.

No host that began one was left to tell its version.

--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -16,6 +16,8 @@
 	Service    string
 	Address    string
 	DataCentre string
+	// Version is that of the target's software. Versions have no order.
+	Version string
 	// Slots is how many requests the target runs at once.
 	Slots int
 	// Leaving targets finish their running requests and accept no new ones.
--- a/internal/follow/targets.go
+++ b/internal/follow/targets.go
@@ -70,7 +70,7 @@
 	}
 	if change != fleet.Unchanged {
 		t.log.Info("Target changed.", "target", m.ID, "change", change.String(), "service", m.Service,
-			"address", m.Address, "offset", r.Offset)
+			"version", m.Version, "address", m.Address, "offset", r.Offset)
 	}
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -53,6 +53,9 @@
 	// lastEvent is the ID of the last event that was sent to the caller.
 	lastEvent string
 	events    int
+	// eventVersions are the software versions of the targets that the caller has events
+	// from, each as often as the stream has changed to it.
+	eventVersions []string
 	// headerSent is set once the header of an answer was sent to the caller.
 	headerSent bool
 
@@ -148,6 +151,7 @@
 		"expected_ms", cost.Milliseconds(), "in_flight", before, "prompt_tokens", j.call.PromptTokens, "private_tokens", j.call.PrivateTokens,
 		"in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
 		"runs", len(j.ranAt), "refused_by", len(j.excluded), "denials", j.denials, "framing", j.framing, "events", j.events,
+		"resumes", j.call.Resumes, "resume_after", j.call.ResumeAfter, "event_versions", j.eventVersions,
 		"previous_turn", j.call.PreviousTurn, "earlier_turns", len(j.chain),
 		"body_ms", j.times.body.Milliseconds(), "reserve_ms", j.times.reserve.Milliseconds(), "lookup_ms", j.times.lookup.Milliseconds(),
 		"place_ms", j.times.place.Milliseconds(), "connect_ms", j.times.connect.Milliseconds(), "wait_ms", j.times.wait.Milliseconds(),
@@ -181,9 +185,12 @@
 	return false
 }
 
-// countEvent counts an event for the caller and spends its tokens.
-func (j *job) countEvent() {
+// countEvent counts an event of a target for the caller and spends its tokens.
+func (j *job) countEvent(choice *fleet.Choice) {
 	j.events++
+	if n := len(j.eventVersions); n == 0 || j.eventVersions[n-1] != choice.Version {
+		j.eventVersions = append(j.eventVersions, choice.Version)
+	}
 	if j.reservation != nil {
 		j.reservation.Spend(j.eventTokens)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -71,6 +71,16 @@
 	m.scope.Tagged(map[string]string{"framing": string(f)}).Counter("answers").Inc(1)
 }
 
+// countResumption counts a stream that a target continues, by whether the caller had asked
+// for it or the host did so by itself.
+func (m *metrics) countResumption(isSameRequest bool) {
+	by := "caller"
+	if isSameRequest {
+		by = "host"
+	}
+	m.scope.Tagged(map[string]string{"by": by}).Counter("resumed_streams").Inc(1)
+}
+
 // recordRefusal counts a dispatch that a target did not run.
 func (m *metrics) recordRefusal(o fleet.Outcome) {
 	m.scope.Tagged(map[string]string{"reason": o.String()}).Counter("retries").Inc(1)
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -37,6 +37,9 @@
 	// ResumeAfter is the ID of the last event that the caller has received; empty if
 	// the request starts from the beginning.
 	ResumeAfter string
+	// Resumes is the ID of the request that brought the first event of the stream that
+	// the caller takes up again; empty if not stated.
+	Resumes string
 }
 
 // Dispatch holds what the host adds to a request for a target.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -211,6 +211,17 @@
 	return j.lastEvent
 }
 
+// recordResumption records that a target continues a stream. isSameRequest is set if the
+// events before came in the same request of the caller.
+func (j *job) recordResumption(choice *fleet.Choice, isSameRequest bool) {
+	if j.resumePoint() == "" {
+		return
+	}
+	j.g.metrics.countResumption(isSameRequest)
+	j.g.log.Info("Target continues a stream.", "request", j.call.RequestID, "resumes", j.call.Resumes, "after", j.resumePoint(), "same_request", isSameRequest,
+		"target", choice.ID, "version", choice.Version, "event_versions", j.eventVersions, "targets_age_ms", j.g.targetsAge().Milliseconds())
+}
+
 // relayStream relays a stream event by event. isLeaving is set if the target states in its
 // header that it is leaving.
 func (j *job) relayStream(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, response *http.Response, sent time.Time, isLeaving bool) result {
@@ -219,6 +230,7 @@
 	events := newEventReader(response.Body)
 	first := time.Duration(0)
 	isResumed := j.events > 0
+	j.recordResumption(choice, isResumed)
 	for {
 		e, err := events.next()
 		switch {
@@ -258,7 +270,7 @@
 		}
 		choice.Received(time.Now())
 		// An event that may have reached the caller counts as spent.
-		j.countEvent()
+		j.countEvent(choice)
 		if _, err = j.w.Write(e.raw); err == nil {
 			err = flusher.Flush()
 		}
