gateway: a stream that breaks off goes on only at its software version

Callers got one answer with events of two software versions: when a stream broke off, the host went on with it at any target of the service.

Cause: nothing in the choice of a target knew the version of the one before. A target's version was decoded only to reject foreign records.

Now a target's record keeps its version, a request is bound to the version of its first event, and candidates, full targets and rate limits are looked at among that version alone. If none of its targets is left, the answer is cut at once, so that the caller sees that it is incomplete.

Take-ups by callers are not mended by this.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -222,8 +222,15 @@
 	Exclude []string
 	// SkipLimited excludes all targets that limit their rate.
 	SkipLimited bool
+	// Version is the only software version that may run the request. It applies if
+	// IsVersionBound is set.
+	Version        string
+	IsVersionBound bool
 }
 
+// allows reports whether a target has a software version that may run the request.
+func (r Request) allows(t *Target) bool { return !r.IsVersionBound || t.Version == r.Version }
+
 // Choice is the target chosen for one dispatch. End must be called once.
 type Choice struct {
 	Member
@@ -346,7 +353,7 @@
 	paused := make([]*Target, 0, 4)
 	for _, t := range f.services[r.Service] {
 		switch {
-		case slices.Contains(r.Exclude, t.ID) || !t.isUsable(now) || t.isDenied(now) || r.SkipLimited && t.isLimited():
+		case !r.allows(t) || slices.Contains(r.Exclude, t.ID) || !t.isUsable(now) || t.isDenied(now) || r.SkipLimited && t.isLimited():
 		case t.isFull(now):
 		case !t.isPauseOver(now):
 			paused = append(paused, t)
@@ -360,11 +367,20 @@
 	return available
 }
 
-// IsFull reports whether some target of a service recently refused a request as full.
-func (f *Fleet) IsFull(service string, now time.Time) bool {
+// IsFull reports whether some target for a request recently refused another one as full.
+func (f *Fleet) IsFull(r Request, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.services[r.Service], func(t *Target) bool { return r.allows(t) && t.isUsable(now) && t.isFull(now) })
+}
+
+// HasTarget reports whether any target may run a request, now or after a pause.
+func (f *Fleet) HasTarget(r Request, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.ContainsFunc(f.services[service], func(t *Target) bool { return t.isUsable(now) && t.isFull(now) })
+	return slices.ContainsFunc(f.services[r.Service], func(t *Target) bool {
+		return r.allows(t) && t.isUsable(now) && !slices.Contains(r.Exclude, t.ID)
+	})
 }
 
 // Begin records a dispatch to a target. It returns nil if the target has ended or is
--- a/internal/core/fleet/limits.go
+++ b/internal/core/fleet/limits.go
@@ -73,7 +73,7 @@
 	defer f.mu.Unlock()
 	var first time.Time
 	for _, t := range f.services[r.Service] {
-		if t.isUsable(now) && t.isDenied(now) && (first.IsZero() || t.deniedUntil.Before(first)) {
+		if r.allows(t) && t.isUsable(now) && t.isDenied(now) && (first.IsZero() || t.deniedUntil.Before(first)) {
 			first = t.deniedUntil
 		}
 	}
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -28,7 +28,7 @@
 
 // isSameRun reports whether two records belong to the same run of a target.
 func (m Member) isSameRun(o Member) bool {
-	return m.ID == o.ID && m.StartedAt == o.StartedAt && m.Address == o.Address && m.Service == o.Service
+	return m.ID == o.ID && m.StartedAt == o.StartedAt && m.Address == o.Address && m.Service == o.Service && m.Version == o.Version
 }
 
 const (
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -103,7 +103,8 @@
 // a prompt are placed among the targets that they prefer. Targets whose rate limits leave no
 // room are passed over.
 func (j *job) choose(ctx context.Context) *fleet.Choice {
-	r := fleet.Request{Service: j.service, Affinity: j.prefixKey(), PromptTokens: j.call.PromptTokens, Exclude: j.excluded}
+	r := j.targetRequest()
+	r.Affinity, r.PromptTokens = j.prefixKey(), j.call.PromptTokens
 	for denials := j.denials; ; {
 		// Targets without a rate limit need not be asked for.
 		r.SkipLimited = j.denials-denials >= maxDenials
@@ -129,6 +130,11 @@
 	}
 }
 
+// targetRequest returns what determines which targets may run the request.
+func (j *job) targetRequest() fleet.Request {
+	return fleet.Request{Service: j.service, Exclude: j.excluded, Version: j.version, IsVersionBound: j.isVersionBound}
+}
+
 // placeAmong places the request at one of the candidates and returns its index. It returns
 // false if their rate limits leave no room.
 func (j *job) placeAmong(ctx context.Context, candidates []fleet.Member) (int, bool) {
@@ -201,8 +207,8 @@
 		j.finishUnanswered(ctx)
 		return false
 	}
-	isFull := len(j.excluded) > len(j.ranAt) || j.g.fleet.IsFull(j.service, time.Now())
-	if !isFull {
+	isFull := len(j.excluded) > len(j.ranAt) || j.g.fleet.IsFull(j.targetRequest(), time.Now())
+	if !isFull || j.isVersionBound && !j.mayGetTarget() {
 		j.finishWithoutTarget(ctx)
 		return false
 	}
@@ -227,6 +233,13 @@
 	}
 }
 
+// mayGetTarget reports whether a target that has not run the request may do so later.
+func (j *job) mayGetTarget() bool {
+	r := j.targetRequest()
+	r.Exclude = j.ranAt
+	return j.g.fleet.HasTarget(r, time.Now())
+}
+
 // finishWithoutTarget ends a request for which there is no target now.
 func (j *job) finishWithoutTarget(ctx context.Context) {
 	if len(j.ranAt) > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,7 +249,7 @@
 		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "unconfigured", retryAfter: unconfiguredRetryAfter})
 		return
 	}
-	j.version = table.Version
+	j.tableVersion = table.Version
 	j.route = table.Match(r.Host, r.URL.EscapedPath())
 	if j.route == nil {
 		j.refuse(refusal{status: http.StatusNotFound, reason: "no_route"})
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -21,10 +21,11 @@
 	r       *http.Request
 	started time.Time
 	call    Call
-	version int64
-	route   *route.Route
-	service string
-	body    []byte
+	// tableVersion is that of the configuration.
+	tableVersion int64
+	route        *route.Route
+	service      string
+	body         []byte
 	// prompt is the body sent to targets: the turns that the request continues,
 	// followed by the caller's body.
 	prompt []byte
@@ -53,6 +54,10 @@
 	// lastEvent is the ID of the last event that was sent to the caller.
 	lastEvent string
 	events    int
+	// version is the software version of the target that began the stream; only targets
+	// with it may continue the stream. It applies if isVersionBound is set.
+	version        string
+	isVersionBound bool
 	// eventVersions are the software versions of the targets that the caller has events
 	// from, each as often as the stream has changed to it.
 	eventVersions []string
@@ -147,7 +152,7 @@
 		cost, before = j.choice.Cost, j.choice.InFlight
 	}
 	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "route", name,
-		"config", j.version, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target,
+		"config", j.tableVersion, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target,
 		"expected_ms", cost.Milliseconds(), "in_flight", before, "prompt_tokens", j.call.PromptTokens, "private_tokens", j.call.PrivateTokens,
 		"in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
 		"runs", len(j.ranAt), "refused_by", len(j.excluded), "denials", j.denials, "framing", j.framing, "events", j.events,
@@ -185,9 +190,13 @@
 	return false
 }
 
+// bindVersion makes the stream go on at targets with a software version only.
+func (j *job) bindVersion(version string) { j.version, j.isVersionBound = version, true }
+
 // countEvent counts an event of a target for the caller and spends its tokens.
 func (j *job) countEvent(choice *fleet.Choice) {
 	j.events++
+	j.bindVersion(choice.Version)
 	if n := len(j.eventVersions); n == 0 || j.eventVersions[n-1] != choice.Version {
 		j.eventVersions = append(j.eventVersions, choice.Version)
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -63,7 +63,7 @@
 // It returns false if no target is kept back by its rate limit.
 func (j *job) limitRetryAfter() (time.Duration, bool) {
 	now := time.Now()
-	until, ok := j.g.fleet.DeniedUntil(fleet.Request{Service: j.service}, now)
+	until, ok := j.g.fleet.DeniedUntil(j.targetRequest(), now)
 	if !ok {
 		return 0, false
 	}
