reach, handover: a host without a path to any target passes its requests on

Cause: each request found out for itself, target by target, that its host reached none, while other hosts reached all.

A host now examines its path when two targets have accepted no connection, or when requests wait and no target sends anything: it dials three targets, and believes to be cut off if none accepts and no data arrives. A request then goes to another host, which first says that it takes it; only then is the body sent, so that a host that declines, an old one, or one that has fallen leaves it not run. A request that was handed over is never handed over again. The other host reserves tokens, looks up the stream's origin and quarantine as for its own callers; durations in the header count from now on, and the request ends with its caller. An idempotent request that waits for an answer as the host is cut off for certain, and a stream in its middle, go on there; a posting does not. If nobody takes a request, it is refused at once with a time to come back.

--- a/internal/adapter/budgetrpc/client.go
+++ b/internal/adapter/budgetrpc/client.go
@@ -52,11 +52,14 @@
 var _ port.BudgetPeers = (*Client)(nil)
 
 // NewClient returns a client for the hosts of a directory.
-func NewClient(d Directory) *Client {
+func NewClient(d Directory) *Client { return NewClientWithIdle(d, idlePerHost) }
+
+// NewClientWithIdle returns a client that keeps up to idle unused connections per host.
+func NewClientWithIdle(d Directory, idle int) *Client {
 	return &Client{
 		Directory: d,
 		dialer:    net.Dialer{Timeout: dialTimeout, Control: socket.DetectDeadPeer},
-		pool:      drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: idlePerHost}),
+		pool:      drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: idle}),
 		downUntil: make(map[string]time.Time),
 	}
 }
--- /dev/null
+++ b/internal/adapter/handoverrpc/client.go
@@ -0,0 +1,180 @@
+// Package handoverrpc passes requests of callers on between hosts over drpc.
+package handoverrpc
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+	"storj.io/drpc"
+
+	pb "yuccausher/internal/gen/handover"
+	"yuccausher/internal/port"
+)
+
+// bodyPartBytes limits the body in one message.
+const bodyPartBytes = 64 << 10
+
+// Dialer connects to other hosts.
+type Dialer interface {
+	Hosts() []string
+	Connect(ctx context.Context, host string) (drpc.Conn, error)
+}
+
+// Client passes requests on to other hosts. It implements port.HandoverPeers.
+type Client struct {
+	Dialer
+	// Host is the name of this host.
+	Host string
+}
+
+var _ port.HandoverPeers = Client{}
+
+// Offer implements port.HandoverPeers.
+func (c Client) Offer(ctx context.Context, host string, r port.HandoverRequest) (port.HandoverOffer, error) {
+	conn, err := c.Connect(ctx, host)
+	if err != nil {
+		return port.HandoverOffer{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stream, err := pb.NewDRPCHandoverClient(conn).Serve(ctx)
+	if err != nil {
+		cancel()
+		_ = conn.Close()
+		return port.HandoverOffer{}, errors.Annotatef(err, "offer a request to host %s", host)
+	}
+	a := &answer{stream: stream, conn: conn, cancel: cancel, request: r}
+	head := &pb.RequestHead{Method: r.Method, Uri: r.URI, Host: r.Host, Fields: encodeFields(r.Header), From: c.Host}
+	err = stream.Send(&pb.RequestPart{Head: head})
+	var first *pb.AnswerPart
+	if err == nil {
+		first, err = stream.Recv()
+	}
+	if err != nil {
+		a.Close()
+		return port.HandoverOffer{}, errors.Annotatef(err, "offer a request to host %s", host)
+	}
+	if d := decodeDecision(first.GetDecision()); d != port.HandoverTaken {
+		a.finish()
+		a.Close()
+		return port.HandoverOffer{Decision: d}, nil
+	}
+	return port.HandoverOffer{Decision: port.HandoverTaken, Answer: a}, nil
+}
+
+func decodeDecision(d pb.Decision) port.HandoverDecision {
+	switch d {
+	case pb.Decision_DECISION_TAKEN:
+		return port.HandoverTaken
+	case pb.Decision_DECISION_CUT_OFF:
+		return port.HandoverCutOff
+	case pb.Decision_DECISION_BUSY:
+		return port.HandoverBusy
+	}
+	return port.HandoverLeaving
+}
+
+// answer is the answer to a request that another host has taken.
+type answer struct {
+	stream pb.DRPCHandover_ServeClient
+	conn   drpc.Conn
+	// cancel ends the stream, and with it the connection if the stream has not finished.
+	cancel  context.CancelFunc
+	request port.HandoverRequest
+	// rest is the body in the part that held the head.
+	rest       []byte
+	isComplete bool
+}
+
+// Start implements port.HandoverAnswer.
+func (a *answer) Start() (int, http.Header, error) {
+	body := a.request.Body
+	for {
+		n := min(len(body), bodyPartBytes)
+		part := &pb.RequestPart{Body: body[:n], Last: n == len(body)}
+		if err := a.stream.Send(part); err != nil {
+			return 0, nil, errors.Annotate(err, "send the body")
+		}
+		if part.Last {
+			break
+		}
+		body = body[n:]
+	}
+	part, err := a.stream.Recv()
+	if err != nil {
+		return 0, nil, errors.Annotate(err, "receive the head of the answer")
+	}
+	if part.GetHead() == nil {
+		return 0, nil, errors.New("answer without a head")
+	}
+	a.rest, a.isComplete = part.GetBody(), part.GetComplete()
+	return int(part.GetHead().GetStatus()), decodeFields(part.GetHead().GetFields()), nil
+}
+
+// Next implements port.HandoverAnswer.
+func (a *answer) Next() ([]byte, error) {
+	if len(a.rest) > 0 {
+		rest := a.rest
+		a.rest = nil
+		return rest, nil
+	}
+	if a.isComplete {
+		a.finish()
+		return nil, io.EOF
+	}
+	part, err := a.stream.Recv()
+	if err != nil {
+		return nil, errors.Annotate(noEOF(err), "receive the answer")
+	}
+	a.isComplete = part.GetComplete()
+	if len(part.GetBody()) == 0 && a.isComplete {
+		a.finish()
+		return nil, io.EOF
+	}
+	return part.GetBody(), nil
+}
+
+// finish waits for the end of the stream, which follows the last part at once, so that the
+// connection can be used again.
+func (a *answer) finish() {
+	// Whatever the result, the connection is not used for this stream any more.
+	_, _ = a.stream.Recv()
+}
+
+// noEOF replaces io.EOF: an answer ends with a part that says so.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Close implements port.HandoverAnswer.
+func (a *answer) Close() {
+	a.cancel()
+	// Closing a connection of a pool only returns it.
+	_ = a.conn.Close()
+}
+
+func encodeFields(h http.Header) []*pb.Field {
+	list := make([]*pb.Field, 0, len(h))
+	for name, values := range h {
+		f := &pb.Field{Name: name}
+		for _, v := range values {
+			f.Values = append(f.Values, []byte(v))
+		}
+		list = append(list, f)
+	}
+	return list
+}
+
+func decodeFields(list []*pb.Field) http.Header {
+	h := make(http.Header, len(list))
+	for _, f := range list {
+		for _, v := range f.GetValues() {
+			h[f.GetName()] = append(h[f.GetName()], string(v))
+		}
+	}
+	return h
+}
--- /dev/null
+++ b/internal/adapter/handoverrpc/handover_test.go
@@ -0,0 +1,203 @@
+package handoverrpc
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"yuccausher/internal/port"
+)
+
+// server answers requests of other hosts by a function.
+type server struct {
+	decision port.HandoverDecision
+	serve    http.HandlerFunc
+	released chan struct{}
+}
+
+func (s *server) Admit(string) (port.HandoverDecision, func()) {
+	return s.decision, func() { close(s.released) }
+}
+
+func (s *server) ServeHandover(w http.ResponseWriter, r *http.Request, _ string) { s.serve(w, r) }
+
+// dialer connects to one server, whatever the host.
+type dialer struct {
+	t      *testing.T
+	server *drpcserver.Server
+}
+
+func (d dialer) Hosts() []string { return []string{"b"} }
+
+func (d dialer) Connect(context.Context, string) (drpc.Conn, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.t.Cleanup(cancel)
+	go func() { _ = d.server.Serve(ctx, l) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(conn), nil
+}
+
+func newClient(t *testing.T, s *server) Client {
+	t.Helper()
+	s.released = make(chan struct{})
+	mux := drpcmux.New()
+	if err := Register(mux, s); err != nil {
+		t.Fatal(err)
+	}
+	return Client{Dialer: dialer{t, drpcserver.New(mux)}, Host: "a"}
+}
+
+func request(body []byte) port.HandoverRequest {
+	return port.HandoverRequest{Method: http.MethodPost, URI: "/x/y%20z?q=1", Host: "a.example", Header: http.Header{"Request-Id": {"7"}, "Many": {"1", "2"}}, Body: body}
+}
+
+func readAll(a port.HandoverAnswer) ([]byte, error) {
+	var all []byte
+	for {
+		part, err := a.Next()
+		if errors.Is(err, io.EOF) {
+			return all, nil
+		}
+		if err != nil {
+			return all, err
+		}
+		all = append(all, part...)
+	}
+}
+
+func TestRequestAndAnswerArriveUnchanged(t *testing.T) {
+	is := is.New(t)
+	body := bytes.Repeat([]byte("0123456789"), 20_000)
+	s := &server{serve: func(w http.ResponseWriter, r *http.Request) {
+		got, err := io.ReadAll(r.Body)
+		is.NoErr(err)
+		is.Equal(got, body)
+		is.Equal(r.Method, http.MethodPost)
+		is.Equal(r.RequestURI, "/x/y%20z?q=1")
+		is.Equal(r.URL.EscapedPath(), "/x/y%20z")
+		is.Equal(r.Host, "a.example")
+		is.Equal(r.Header["Many"], []string{"1", "2"})
+		w.Header()["Server-Stamp"] = []string{"s"}
+		w.WriteHeader(http.StatusAccepted)
+		_, err = w.Write(got)
+		is.NoErr(err)
+		is.NoErr(http.NewResponseController(w).Flush())
+	}}
+	offer, err := newClient(t, s).Offer(t.Context(), "b", request(body))
+	is.NoErr(err)
+	is.Equal(offer.Decision, port.HandoverTaken)
+	status, header, err := offer.Answer.Start()
+	is.NoErr(err)
+	is.Equal(status, http.StatusAccepted)
+	is.Equal(header["Server-Stamp"], []string{"s"})
+	got, err := readAll(offer.Answer)
+	is.NoErr(err)
+	is.Equal(got, body)
+	offer.Answer.Close()
+	<-s.released
+}
+
+func TestAnswerWithoutABodyIsComplete(t *testing.T) {
+	is := is.New(t)
+	s := &server{serve: func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusNoContent) }}
+	offer, err := newClient(t, s).Offer(t.Context(), "b", request(nil))
+	is.NoErr(err)
+	status, _, err := offer.Answer.Start()
+	is.NoErr(err)
+	is.Equal(status, http.StatusNoContent)
+	got, err := readAll(offer.Answer)
+	is.NoErr(err)
+	is.Equal(len(got), 0)
+	offer.Answer.Close()
+}
+
+// A request that is not taken has not run.
+func TestRequestThatIsNotTakenDoesNotRun(t *testing.T) {
+	for _, decision := range []port.HandoverDecision{port.HandoverCutOff, port.HandoverBusy, port.HandoverLeaving} {
+		t.Run(decision.String(), func(t *testing.T) {
+			is := is.New(t)
+			s := &server{decision: decision, serve: func(http.ResponseWriter, *http.Request) { t.Error("ran") }}
+			offer, err := newClient(t, s).Offer(t.Context(), "b", request([]byte("x")))
+			is.NoErr(err)
+			is.Equal(offer.Decision, decision)
+			<-s.released
+		})
+	}
+}
+
+// An answer that breaks off does not look complete.
+func TestAnswerThatBreaksOffIsAnError(t *testing.T) {
+	is := is.New(t)
+	s := &server{serve: func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "half of the ans")
+		panic(http.ErrAbortHandler)
+	}}
+	offer, err := newClient(t, s).Offer(t.Context(), "b", request(nil))
+	is.NoErr(err)
+	_, _, err = offer.Answer.Start()
+	is.NoErr(err)
+	got, err := readAll(offer.Answer)
+	is.True(err != nil)
+	is.Equal(string(got), "half of the ans")
+	offer.Answer.Close()
+	<-s.released
+}
+
+// The request ends when the host that passed it on closes its answer or its caller leaves.
+func TestRequestEndsWithItsCaller(t *testing.T) {
+	for name, isClosed := range map[string]bool{"answer closed": true, "caller gone": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ended := make(chan struct{})
+			s := &server{serve: func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(w, "first")
+				<-r.Context().Done()
+				close(ended)
+			}}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			offer, err := newClient(t, s).Offer(ctx, "b", request(nil))
+			is.NoErr(err)
+			_, _, err = offer.Answer.Start()
+			is.NoErr(err)
+			if isClosed {
+				offer.Answer.Close()
+			} else {
+				cancel()
+			}
+			select {
+			case <-ended:
+			case <-time.After(10 * time.Second):
+				t.Fatal("request goes on")
+			}
+			<-s.released
+		})
+	}
+}
+
+// A host without the service gives no decision.
+func TestOldHostGivesNoDecision(t *testing.T) {
+	is := is.New(t)
+	c := Client{Dialer: dialer{t, drpcserver.New(drpcmux.New())}, Host: "a"}
+	_, err := c.Offer(t.Context(), "b", request([]byte("x")))
+	is.True(err != nil)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"yuccausher/internal/adapter/budgetrpc"
 	"yuccausher/internal/adapter/conversationrpc"
 	"yuccausher/internal/adapter/crashrpc"
+	"yuccausher/internal/adapter/handoverrpc"
 	"yuccausher/internal/adapter/metrics"
 	"yuccausher/internal/adapter/occupancyrpc"
 	"yuccausher/internal/conversation"
@@ -24,10 +25,12 @@
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/follow"
 	"yuccausher/internal/gateway"
+	"yuccausher/internal/handover"
 	"yuccausher/internal/occupancy"
 	"yuccausher/internal/origin"
 	"yuccausher/internal/port"
 	"yuccausher/internal/quarantine"
+	"yuccausher/internal/reach"
 	"yuccausher/internal/spending"
 	"yuccausher/internal/upstream"
 )
@@ -113,7 +116,7 @@
 	f.fx = fx.New(
 		fx.Supply(o),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newCrashLog, newPeers, newLog, newSpending, newConversations, newOccupancy, newOrigins, newPeerServer, newPool, newQuarantine, newGateway, newServers),
+		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newCrashLog, newPeers, newLog, newSpending, newConversations, newOccupancy, newOrigins, newReach, newHandoverPeers, newHandover, newHandoverServer, newReadiness, newPeerServer, newPool, newQuarantine, newGateway, newServers),
 		fx.Provide(func() *route.Holder { return &route.Holder{} }),
 		fx.Populate(&f.servers),
 		fx.Invoke(func(*follow.CrashLog) {}),
@@ -217,8 +220,11 @@
 	return s
 }
 
-func newPeerServer(s *spending.Service, c *conversation.Service, q *quarantine.Service, u *occupancy.Service, o Options) (*budgetrpc.Server, error) {
+func newPeerServer(s *spending.Service, c *conversation.Service, q *quarantine.Service, u *occupancy.Service, h *handover.Server, o Options) (*budgetrpc.Server, error) {
 	register := func(mux drpc.Mux) error {
+		if err := handoverrpc.Register(mux, h); err != nil {
+			return err
+		}
 		if err := crashrpc.Register(mux, q); err != nil {
 			return err
 		}
@@ -289,6 +295,34 @@
 	return s
 }
 
+func newReach(lc fx.Lifecycle, o Options, targets *fleet.Fleet, p *upstream.Pool, scope tally.Scope) *reach.Service {
+	s := reach.New(reach.Params{Fleet: targets, Probe: p.Probe, Logger: o.Logger, Scope: scope})
+	p.SetObserver(s)
+	lc.Append(fx.Hook{OnStart: s.Start, OnStop: s.Stop})
+	return s
+}
+
+// handoverPeers are the connections to other hosts for requests that are handed over. They
+// carry one request at a time.
+type handoverPeers struct{ *budgetrpc.Client }
+
+func newHandoverPeers(lc fx.Lifecycle, h *follow.Hosts) handoverPeers {
+	c := budgetrpc.NewClientWithIdle(h, handoverIdlePerHost)
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { return c.Close() }})
+	return handoverPeers{c}
+}
+
+// handoverIdlePerHost is how many unused connections for requests are kept per host.
+const handoverIdlePerHost = 16
+
+func newHandover(o Options, peers handoverPeers, scope tally.Scope) *handover.Client {
+	return handover.NewClient(handoverrpc.Client{Dialer: peers, Host: o.HostName}, o.Logger, scope)
+}
+
+func newHandoverServer(o Options, g *gateway.Gateway, r *reach.Service, s *readiness, scope tally.Scope) *handover.Server {
+	return handover.NewServer(handover.ServerParams{State: r.State, IsReady: s.isReady, Serve: g.ServeHandover, Logger: o.Logger, Scope: scope})
+}
+
 func newPool(lc fx.Lifecycle, scope tally.Scope) *upstream.Pool {
 	p := upstream.NewPool(scope)
 	lc.Append(fx.Hook{OnStop: func(context.Context) error { p.Close(); return nil }})
@@ -343,6 +377,8 @@
 	Quarantine *quarantine.Service
 	Occupancy  *occupancy.Service
 	Origins    *origin.Service
+	Reach      *reach.Service
+	Handover   *handover.Client
 	Scope      tally.Scope
 }
 
@@ -356,6 +392,8 @@
 		Placement:     p.Occupancy,
 		Conversations: p.Turns,
 		Origins:       p.Origins,
+		Reach:         p.Reach,
+		Handover:      p.Handover,
 		Quarantine:    p.Quarantine,
 		TargetsReadAt: p.Follower.TargetsReadAt,
 		Log:           p.Options.Logger,
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -14,9 +14,7 @@
 	"yuccausher/internal/adapter/budgetrpc"
 	"yuccausher/internal/adapter/metrics"
 	"yuccausher/internal/core/fleet"
-	"yuccausher/internal/core/route"
 	"yuccausher/internal/fault"
-	"yuccausher/internal/follow"
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/socket"
 	"yuccausher/internal/spending"
@@ -41,10 +39,8 @@
 type servers struct {
 	options    Options
 	gateway    *gateway.Gateway
-	follower   *follow.Follower
-	hosts      *follow.Hosts
+	readiness  *readiness
 	spending   *spending.Service
-	tables     *route.Holder
 	fleet      *fleet.Fleet
 	pool       *upstream.Pool
 	peerServer *budgetrpc.Server
@@ -52,7 +48,6 @@
 	// callers is the server for callers. It is also in httpServers.
 	callers     *http.Server
 	httpServers []httpServer
-	leaving     atomic.Bool
 	ready       atomic.Bool
 	stop        context.CancelFunc
 }
@@ -68,10 +63,8 @@
 	Lifecycle  fx.Lifecycle
 	Options    Options
 	Gateway    *gateway.Gateway
-	Follower   *follow.Follower
-	Hosts      *follow.Hosts
+	Readiness  *readiness
 	Spending   *spending.Service
-	Tables     *route.Holder
 	Fleet      *fleet.Fleet
 	Pool       *upstream.Pool
 	PeerServer *budgetrpc.Server
@@ -82,10 +75,8 @@
 	s := &servers{
 		options:    p.Options,
 		gateway:    p.Gateway,
-		follower:   p.Follower,
-		hosts:      p.Hosts,
+		readiness:  p.Readiness,
 		spending:   p.Spending,
-		tables:     p.Tables,
 		fleet:      p.Fleet,
 		pool:       p.Pool,
 		peerServer: p.PeerServer,
@@ -163,7 +154,7 @@
 
 // updateReady reports whether the host can serve callers, and logs changes.
 func (s *servers) updateReady() bool {
-	reason := s.notReadyReason()
+	reason := s.readiness.notReadyReason()
 	ready := reason == ""
 	if s.ready.Swap(ready) != ready {
 		s.log.Info("Readiness changed.", "ready", ready, "reason", reason)
@@ -174,23 +165,6 @@
 	return ready
 }
 
-// notReadyReason returns the reason why the host can't serve callers; empty if it can.
-func (s *servers) notReadyReason() string {
-	switch {
-	case s.leaving.Load():
-		return "leaving"
-	case s.tables.Current() == nil:
-		return "no configuration"
-	case s.follower.TargetsReadAt().IsZero():
-		return "targets not read"
-	case !s.hosts.IsKnown():
-		return "hosts not read"
-	case s.spending.IsIsolated():
-		return "store and other hosts unreachable"
-	}
-	return ""
-}
-
 // sweepIdleConnections closes expired idle connections and those to targets that take
 // no more requests, every sweepInterval until ctx ends.
 func (s *servers) sweepIdleConnections(ctx context.Context) {
@@ -232,7 +206,7 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, s.options.StopTime-stopReserve)
 	defer cancel()
-	s.leaving.Store(true)
+	s.readiness.leaving.Store(true)
 	s.spending.StopLending()
 	s.updateReady()
 	timer := time.NewTimer(rotationDelay)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -56,6 +56,10 @@
 			j.finishQuarantined(ctx)
 			return
 		}
+		if j.mustHandOver(ctx) {
+			j.handOver(ctx)
+			return
+		}
 		choice := j.choose(ctx)
 		if choice == nil {
 			if !j.waitForCapacity(ctx) {
@@ -66,7 +70,11 @@
 		j.target, j.choice = choice.ID, choice
 		r := j.dispatch(ctx, choice)
 		j.finishPlace(j.placeResult(ctx, choice, r))
-		j.recordContentResult(ctx, choice, r)
+		if j.isCutOff(r) {
+			j.recordCutOff(choice)
+		} else {
+			j.recordContentResult(ctx, choice, r)
+		}
 		switch r {
 		case completed:
 			return
@@ -198,7 +206,7 @@
 	if j.route.Kind == route.Stream && j.events > 0 && j.lastEvent == "" {
 		return false
 	}
-	return len(j.ranAt)-j.crashes < j.route.Attempts
+	return len(j.ranAt)-j.crashes-j.unreachable < j.route.Attempts
 }
 
 // maxUncountedCrashes is the number of crashed targets per request that don't count
@@ -283,6 +291,10 @@
 func (j *job) dispatch(ctx context.Context, choice *fleet.Choice) result {
 	exchangeCtx, cancelExchange := context.WithCancel(ctx)
 	defer cancelExchange()
+	if j.route.IsIdempotent() && !j.isHandedOver {
+		stop := j.g.reach.OnCutOff(cancelExchange)
+		defer stop()
+	}
 	// Another request may be using the connection when cancelExchange is called.
 	defer func() { j.stopCancel() }()
 	sent := time.Now()
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -19,6 +19,7 @@
 	"yuccausher/internal/core/conversation"
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/occupancy"
+	"yuccausher/internal/core/reach"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/quarantine"
@@ -94,6 +95,7 @@
 		Budgets:       s.budgets,
 		Conversations: s.turnStore,
 		Origins:       noOrigins{},
+		Reach:         connected{},
 		Quarantine:    s.quarantine,
 		TargetsReadAt: time.Now,
 		Log:           logr.Discard(),
@@ -308,3 +310,10 @@
 func (noOrigins) Record(context.Context, string, fleet.Release) error { return nil }
 
 func (noOrigins) Lookup(context.Context, string, string) (string, error) { return "", nil }
+
+// connected always has a path to the targets.
+type connected struct{}
+
+func (connected) State() reach.State { return reach.Connected }
+
+func (connected) OnCutOff(func()) func() { return func() {} }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,6 +186,10 @@
 	Conversations Conversations
 	// Origins keeps streams at the software version that began them.
 	Origins Origins
+	// Reach knows whether the host has a path to the targets. While it has none, Handover passes
+	// requests on to other hosts.
+	Reach    Reach
+	Handover Handover
 	// Quarantine blocks content that crashes targets.
 	Quarantine Quarantine
 	// TargetsReadAt returns when the fleet was last updated; the zero time if never.
@@ -204,6 +208,8 @@
 	placement     Placement
 	conversations Conversations
 	origins       Origins
+	reach         Reach
+	handover      Handover
 	quarantine    Quarantine
 	targetsReadAt func() time.Time
 	log           logr.Logger
@@ -226,6 +232,8 @@
 		placement:     p.Placement,
 		conversations: p.Conversations,
 		origins:       p.Origins,
+		reach:         p.Reach,
+		handover:      p.Handover,
 		quarantine:    p.Quarantine,
 		targetsReadAt: p.TargetsReadAt,
 		log:           p.Log.WithName("gateway"),
@@ -266,13 +274,16 @@
 )
 
 // ServeHTTP implements http.Handler.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r, false) }
+
+// serve answers a request. isHandedOver is set if another host has passed it on.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, isHandedOver bool) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	if g.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{g: g, w: w, r: r, started: time.Now(), call: g.protocol.ParseCall(r.Header), stopCancel: func() {}}
+	j := &job{g: g, w: w, r: r, isHandedOver: isHandedOver, started: time.Now(), call: g.protocol.ParseCall(r.Header), stopCancel: func() {}}
 	defer j.report()
 	table := g.tables.Current()
 	if table == nil {
@@ -303,6 +314,10 @@
 		j.refuseQuarantined()
 		return
 	}
+	if j.mustHandOver(ctx) {
+		j.handOver(ctx)
+		return
+	}
 	if !j.bindOrigin(ctx) {
 		return
 	}
@@ -311,7 +326,7 @@
 		if !j.reserve(ctx) {
 			return
 		}
-		defer j.reservation.Release()
+		defer j.releaseReservation()
 	}
 	if !j.prependConversation(lookup) {
 		return
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -21,6 +21,8 @@
 	r       *http.Request
 	started time.Time
 	call    Call
+	// isHandedOver is set if another host has passed the request on.
+	isHandedOver bool
 	// tableVersion is that of the configuration.
 	tableVersion int64
 	route        *route.Route
@@ -47,8 +49,9 @@
 	ranAt []string
 	// used are the connections on which the request was sent.
 	used []*upstream.Conn
-	// crashes counts those of ranAt that ended while they ran the request.
-	crashes int
+	// crashes counts those of ranAt that ended while they ran the request, unreachable those
+	// that this host was cut off from meanwhile.
+	crashes, unreachable int
 	// stopCancel detaches the connection in use from the context of its exchange.
 	stopCancel func()
 	// lastEvent is the ID of the last event that was sent to the caller.
@@ -67,6 +70,8 @@
 	headerSent bool
 
 	// Fields for the log line of the request.
+	// handedTo is the host that has taken the request.
+	handedTo  string
 	target    string
 	choice    *fleet.Choice
 	place     Place
@@ -156,7 +161,7 @@
 		cost, before = j.choice.Cost, j.choice.InFlight
 	}
 	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "route", name,
-		"config", j.tableVersion, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target,
+		"config", j.tableVersion, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target, "handed_to", j.handedTo, "is_handed_over", j.isHandedOver,
 		"expected_ms", cost.Milliseconds(), "in_flight", before, "prompt_tokens", j.call.PromptTokens, "private_tokens", j.call.PrivateTokens,
 		"in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
 		"runs", len(j.ranAt), "refused_by", len(j.excluded), "denials", j.denials, "framing", j.framing, "events", j.events,
@@ -194,6 +199,14 @@
 	return false
 }
 
+// releaseReservation returns the unspent tokens to the program's budget.
+func (j *job) releaseReservation() {
+	if j.reservation != nil {
+		j.reservation.Release()
+		j.reservation = nil
+	}
+}
+
 // countEvent counts an event of a target for the caller and spends its tokens.
 func (j *job) countEvent(choice *fleet.Choice) {
 	j.events++
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,8 @@
 	// unexplainedEnds counts requests that ended at a target without a complete answer
 	// and without a probe of the target.
 	unexplainedEnds tally.Counter
+	// cutOffRuns counts requests at targets that this host was cut off from meanwhile.
+	cutOffRuns tally.Counter
 	// leavingTargets counts targets that announced in an answer that they are leaving.
 	leavingTargets tally.Counter
 }
@@ -50,6 +52,7 @@
 		invalidLimits:    scope.Counter("invalid_limits"),
 		unattributable:   scope.Counter("unattributable_answers"),
 		unexplainedEnds:  scope.Counter("unexplained_ends"),
+		cutOffRuns:       scope.Counter("cut_off_runs"),
 		leavingTargets:   scope.Counter("leaving_targets"),
 	}
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -85,6 +85,9 @@
 	// DispatchHeader returns the header to send to a target for the header of a
 	// caller's request.
 	DispatchHeader(http.Header, Dispatch) http.Header
+	// HandoverHeader returns the header of a caller's request as it is handed over to another
+	// host.
+	HandoverHeader(http.Header, Progress) http.Header
 	// ParseAnswer parses the header of a target's answer.
 	ParseAnswer(status int, h http.Header) Answer
 	// AnswerHeader returns the header to send to the caller for the header of a
--- /dev/null
+++ b/internal/handover/server.go
@@ -0,0 +1,68 @@
+package handover
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"yuccausher/internal/core/reach"
+	"yuccausher/internal/port"
+)
+
+// maxTaken limits the requests of other hosts that a host serves at once. They take about 100 KB
+// each, a quarter of the memory of a small host in all.
+const maxTaken = 256
+
+// Server takes requests of other hosts. It implements port.HandoverServer.
+type Server struct {
+	params ServerParams
+	log    logr.Logger
+	scope  tally.Scope
+	taken  atomic.Int64
+}
+
+var _ port.HandoverServer = (*Server)(nil)
+
+// ServerParams are the dependencies of a Server.
+type ServerParams struct {
+	// State returns what the host believes of its path to the targets.
+	State func() reach.State
+	// IsReady reports whether the host serves callers.
+	IsReady func() bool
+	// Serve answers a request without passing it on.
+	Serve  http.HandlerFunc
+	Logger logr.Logger
+	Scope  tally.Scope
+}
+
+// NewServer returns a server.
+func NewServer(p ServerParams) *Server {
+	return &Server{params: p, log: p.Logger.WithName("handover"), scope: p.Scope.SubScope("handover")}
+}
+
+// Admit implements port.HandoverServer.
+func (s *Server) Admit(from string) (port.HandoverDecision, func()) {
+	taken := s.taken.Add(1)
+	release := func() { s.taken.Add(-1) }
+	decision := port.HandoverTaken
+	switch {
+	case !s.params.IsReady():
+		decision = port.HandoverLeaving
+	case s.params.State() != reach.Connected:
+		decision = port.HandoverCutOff
+	case taken > maxTaken:
+		decision = port.HandoverBusy
+	}
+	s.scope.Tagged(map[string]string{"decision": decision.String()}).Counter("asked").Inc(1)
+	if decision != port.HandoverTaken {
+		s.log.Info("Request of another host was not taken.", "host", from, "decision", decision.String(), "in_progress", taken-1)
+	}
+	return decision, release
+}
+
+// ServeHandover implements port.HandoverServer.
+func (s *Server) ServeHandover(w http.ResponseWriter, r *http.Request, _ string) {
+	s.params.Serve(w, r)
+}
--- /dev/null
+++ b/internal/port/handover.go
@@ -0,0 +1,72 @@
+package port
+
+import (
+	"context"
+	"net/http"
+)
+
+// HandoverDecision is the answer of a host that was asked to take a request.
+type HandoverDecision int
+
+// The decisions on a request.
+const (
+	// HandoverTaken means that the host takes the request.
+	HandoverTaken HandoverDecision = iota
+	// HandoverCutOff means that the host has no path to the targets either.
+	HandoverCutOff
+	// HandoverBusy means that the host serves as many requests of other hosts as it can.
+	HandoverBusy
+	// HandoverLeaving means that the host is about to stop, or has not started yet.
+	HandoverLeaving
+)
+
+// String returns the decision in lower case.
+func (d HandoverDecision) String() string {
+	return [...]string{"taken", "cut off", "busy", "leaving"}[d]
+}
+
+// HandoverRequest is a caller's request that a host passes on to another.
+type HandoverRequest struct {
+	Method string
+	// URI is the path and query as the caller sent them.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// HandoverOffer is the result of asking a host to take a request. Answer is set if it does.
+type HandoverOffer struct {
+	Decision HandoverDecision
+	Answer   HandoverAnswer
+}
+
+// HandoverAnswer is the answer to a request that another host has taken. Close must be called
+// once.
+type HandoverAnswer interface {
+	// Start lets the request run and returns the head of its answer. Before the call it has
+	// not run. After an error it may have.
+	Start() (status int, header http.Header, _ error)
+	// Next returns the next part of the body, io.EOF after the last one, and another error if
+	// the answer has broken off.
+	Next() ([]byte, error)
+	Close()
+}
+
+// HandoverPeers are the hosts that may take requests.
+type HandoverPeers interface {
+	// Hosts returns the addresses of the other hosts.
+	Hosts() []string
+	// Offer asks a host to take a request, which it does not run yet. An error means that
+	// it gave no decision. The request ends with ctx.
+	Offer(ctx context.Context, host string, r HandoverRequest) (HandoverOffer, error)
+}
+
+// HandoverServer takes requests of other hosts.
+type HandoverServer interface {
+	// Admit decides on a request of a host. release must be called once the request has ended
+	// or was not taken.
+	Admit(from string) (_ HandoverDecision, release func())
+	// ServeHandover answers a request that was taken.
+	ServeHandover(w http.ResponseWriter, r *http.Request, from string)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -51,7 +51,9 @@
 	} else {
 		go c.write(data, written)
 	}
+	answered := c.pool.observer.Waiting()
 	response, garbled, err := c.receive(r.Method, isOwn)
+	answered()
 	if err == nil {
 		return response, nil
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -12,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
 	"yuccausher/internal/core/retry"
@@ -47,11 +49,31 @@
 	StartedAt int64
 }
 
+// Observer observes the path to the targets.
+type Observer interface {
+	// Connected and ConnectFailed report whether a target has accepted a connection.
+	Connected(Target)
+	ConnectFailed(Target)
+	// Received reports that data has arrived from a target.
+	Received()
+	// Waiting reports that a request waits for its answer until answered is called.
+	Waiting() (answered func())
+}
+
+// noObserver is the observer of a pool without one.
+type noObserver struct{}
+
+func (noObserver) Connected(Target)     {}
+func (noObserver) ConnectFailed(Target) {}
+func (noObserver) Received()            {}
+func (noObserver) Waiting() func()      { return func() {} }
+
 // Pool holds the idle connections to targets. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[Target][]*Conn
+	dialer   net.Dialer
+	observer Observer
+	mu       sync.Mutex
+	idle     map[Target][]*Conn
 	// timeout is that of connections for requests. It is guarded by mu.
 	timeout retry.Timeout
 	opened  tally.Counter
@@ -63,15 +85,20 @@
 func NewPool(scope tally.Scope) *Pool {
 	s := scope.SubScope("upstream")
 	return &Pool{
-		dialer:  net.Dialer{Control: socket.DetectDeadPeer},
-		idle:    make(map[Target][]*Conn),
-		timeout: retry.Timeout{Min: minDialTimeout, Max: maxDialTimeout},
-		opened:  s.Counter("connections_opened"),
-		reused:  s.Counter("connections_reused"),
-		dropped: s.Counter("connections_dropped"),
+		dialer:   net.Dialer{Control: socket.DetectDeadPeer},
+		observer: noObserver{},
+		idle:     make(map[Target][]*Conn),
+		timeout:  retry.Timeout{Min: minDialTimeout, Max: maxDialTimeout},
+		opened:   s.Counter("connections_opened"),
+		reused:   s.Counter("connections_reused"),
+		dropped:  s.Counter("connections_dropped"),
 	}
 }
 
+// SetObserver sets the observer of the path to the targets. It must be called before the pool is
+// used.
+func (p *Pool) SetObserver(o Observer) { p.observer = o }
+
 // Conn is a connection to a target that carries one request at a time.
 type Conn struct {
 	net.Conn
@@ -132,12 +159,31 @@
 	defer cancel()
 	c, err := p.dialer.DialContext(ctx, "tcp", target.Address)
 	if err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			p.observer.ConnectFailed(target)
+		}
 		return nil, &DialError{Target: target.ID, Cause: err}
 	}
-	source := &limitedReader{Reader: c}
+	p.observer.Connected(target)
+	source := &limitedReader{Reader: observedReader{Reader: c, observer: p.observer}}
 	return &Conn{Conn: c, reader: bufio.NewReaderSize(source, readBufferBytes), source: source, pool: p, target: target, idleTimeout: defaultIdleTimeout}, nil
 }
 
+// observedReader reports the data that it reads.
+type observedReader struct {
+	io.Reader
+	observer Observer
+}
+
+// Read implements io.Reader.
+func (r observedReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if n > 0 {
+		r.observer.Received()
+	}
+	return n, err
+}
+
 func (p *Pool) takeIdle(target Target, maxIdle time.Duration, isExcluded func(*Conn) bool) *Conn {
 	now := time.Now()
 	for {
