quarantine: a host that reaches no target reports no crashes

Content counts as deadly after three such marks, and callers would have been refused.

Cause: a target that accepts no connection after an interruption was taken to have crashed, whoever's path had failed.

A failed probe now counts only if the host reaches another target. If the target has crashed after all, its next run shows it as before. TestHostWithoutTargetsReportsNoCrashes failed before (1 and 3 records in the shared log), 0 now.

--- a/internal/front/cut_off_test.go
+++ b/internal/front/cut_off_test.go
@@ -370,3 +370,26 @@
 	a, _, _ := c.both()
 	is.Equal(c.sendMany(a, "old-", 30), 30)
 }
+
+// A host that is cut off can't tell whether a target has crashed. It told the others that all targets
+// had crashed under its requests, so that sound content came close to quarantine.
+func TestHostWithoutTargetsReportsNoCrashes(t *testing.T) {
+	for name, how := range map[string]cut{"silent": silent, "reset": reset} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newSlowCutFleet(t, replica.Options{Events: 9, Work: 300 * time.Millisecond})
+			c.start("b")
+			_, a := c.start("a")
+			done := make(chan int)
+			go func() { done <- c.sendMany(a, "running-", 24) }()
+			time.Sleep(150 * time.Millisecond)
+			c.cut("a", how)
+			<-done
+			time.Sleep(3 * time.Second) // longer than a probe may take
+			records, _, err := c.store.Client("reader").Keyed("keyed.crashes").Newest(t.Context())
+			is.NoErr(err)
+			is.Equal(len(records), 0)
+		})
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -329,8 +329,15 @@
 	return p
 }
 
-func newQuarantine(lc fx.Lifecycle, o Options, pool *upstream.Pool, scope tally.Scope) *quarantine.Service {
-	q := quarantine.New(quarantine.Params{Probe: pool.Probe, Logger: o.Logger, Scope: scope})
+func newQuarantine(lc fx.Lifecycle, o Options, pool *upstream.Pool, r *reach.Service, scope tally.Scope) *quarantine.Service {
+	probe := func(ctx context.Context, t upstream.Target) error {
+		err := pool.Probe(ctx, t)
+		if err == nil || r.ReachesOthers(context.WithoutCancel(ctx), t) {
+			return err
+		}
+		return &quarantine.InconclusiveError{Cause: err}
+	}
+	q := quarantine.New(quarantine.Params{Probe: probe, Logger: o.Logger, Scope: scope})
 	lc.Append(fx.Hook{OnStop: q.Stop})
 	return q
 }
--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -188,6 +188,10 @@
 	delete(s.probing, target)
 	switch {
 	case s.ctx.Err() != nil:
+	case isInconclusive(err):
+		// If the target has crashed, its next run will show it.
+		s.metrics.countProbe("inconclusive")
+		s.log.Info("Target can't be probed after requests were interrupted.", "target", target.ID, "started_at", target.StartedAt, "cause", err.Error())
 	case err != nil:
 		s.markCrashed(target, err, func(b interruption) bool { return b.isCrash(err) })
 	default:
@@ -195,6 +199,11 @@
 	}
 }
 
+func isInconclusive(err error) bool {
+	var inconclusive *InconclusiveError
+	return errors.As(err, &inconclusive)
+}
+
 // foundAlive records that a target accepted a connection after interruptions. The
 // caller holds the lock.
 func (s *Service) foundAlive(target upstream.Target, probeTime time.Duration) {
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -59,12 +59,20 @@
 
 // Params are the dependencies of a service.
 type Params struct {
-	// Probe returns nil if the target accepts connections, and the cause otherwise.
+	// Probe returns nil if the target accepts connections, and the cause otherwise. It returns
+	// an *InconclusiveError if this host can't tell.
 	Probe  func(context.Context, upstream.Target) error
 	Logger logr.Logger
 	Scope  tally.Scope
 }
 
+// InconclusiveError reports that a target accepted no connection from a host that reaches no other
+// target either. It does not show that the target has crashed.
+type InconclusiveError struct{ Cause error }
+
+// Error implements error.
+func (e *InconclusiveError) Error() string { return "no target is reached: " + e.Cause.Error() }
+
 // Service finds content that crashes targets. It is safe for concurrent use.
 type Service struct {
 	probe   func(context.Context, upstream.Target) error
