socket: probes of silent connections work, and outlast a silence of a second

The library sets the options for probes once more when a connection is established, idle time and interval of 15 s, over those that were set before. And TCP_USER_TIMEOUT (1.2 s), which also ends probing, was shorter than the probes: with probes that work, a sound target that falls silent for little more than a second would have lost its connections.

The library now sets the probes, and the timeout for acknowledgements is the time that all of them take, 2 s: streams are abandoned by their callers after a gap of two.

--- a/internal/adapter/budgetrpc/client.go
+++ b/internal/adapter/budgetrpc/client.go
@@ -58,7 +58,7 @@
 func NewClientWithIdle(d Directory, idle int) *Client {
 	return &Client{
 		Directory: d,
-		dialer:    net.Dialer{Timeout: dialTimeout, Control: socket.DetectDeadPeer},
+		dialer:    socket.Dialer(dialTimeout),
 		pool:      drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: idle}),
 		downUntil: make(map[string]time.Time),
 	}
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -107,7 +106,7 @@
 }
 
 func (s *servers) start(ctx context.Context) error {
-	config := net.ListenConfig{Control: socket.DetectDeadPeer}
+	config := socket.ListenConfig()
 	for _, v := range s.httpServers {
 		l, err := config.Listen(ctx, "tcp", v.address)
 		if err != nil {
--- a/internal/socket/deadpeer.go
+++ b/internal/socket/deadpeer.go
@@ -1,7 +1,8 @@
-// Package socket sets TCP options for which the standard library has no API.
+// Package socket opens TCP connections that fail soon after their peers become unreachable.
 package socket
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -10,36 +11,39 @@
 )
 
 const (
-	// ackTimeout is how long sent bytes may stay unacknowledged before the connection
-	// fails. Round trips within a region take milliseconds.
-	ackTimeout = 1200 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveProbes make the kernel probe a
-	// connection that is waiting for an answer, so that it fails 3 s after the peer
-	// has become unreachable.
+	// keepAliveIdle, keepAliveInterval and keepAliveProbes make the kernel probe a connection
+	// that is waiting for an answer, so that it fails 2 s after the peer has become unreachable.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveProbes   = 2
+	keepAliveProbes   = 1
+	// ackTimeout is how long sent bytes may stay unacknowledged before the connection fails.
+	// The kernel also ends probing after it, so that it must not be shorter than all probes
+	// take. A sound peer may be silent for little more than a second.
+	ackTimeout = keepAliveIdle + keepAliveProbes*keepAliveInterval
 )
 
-// DetectDeadPeer makes a connection fail soon after its peer stops acknowledging. It has
-// the signature of net.Dialer.Control and net.ListenConfig.Control.
-func DetectDeadPeer(_, _ string, c syscall.RawConn) error {
+// keepAlive replaces the probes that the library sets up by itself.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
+
+// Dialer returns a dialer whose connections fail soon after their peers become unreachable.
+// timeout limits connecting; zero means no limit.
+func Dialer(timeout time.Duration) net.Dialer {
+	return net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setAckTimeout}
+}
+
+// ListenConfig returns a configuration for listening with the same effect on accepted connections.
+func ListenConfig() net.ListenConfig {
+	return net.ListenConfig{KeepAliveConfig: keepAlive, Control: setAckTimeout}
+}
+
+// setAckTimeout has the signature of net.Dialer.Control and net.ListenConfig.Control.
+func setAckTimeout(_, _ string, c syscall.RawConn) error {
 	var failed error
-	set := func(fd int, level, option, value int) {
-		if err := unix.SetsockoptInt(fd, level, option, value); err != nil && failed == nil {
-			failed = errors.Annotatef(err, "set socket option %d", option)
-		}
-	}
 	err := c.Control(func(fd uintptr) {
-		s := int(fd)
-		set(s, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-		set(s, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1)
-		set(s, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(keepAliveIdle.Seconds()))
-		set(s, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(keepAliveInterval.Seconds()))
-		set(s, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, keepAliveProbes)
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return failed
+	return errors.Annotate(failed, "set the timeout for acknowledgements")
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -85,7 +85,7 @@
 func NewPool(scope tally.Scope) *Pool {
 	s := scope.SubScope("upstream")
 	return &Pool{
-		dialer:   net.Dialer{Control: socket.DetectDeadPeer},
+		dialer:   socket.Dialer(0),
 		observer: noObserver{},
 		idle:     make(map[Target][]*Conn),
 		timeout:  retry.Timeout{Min: minDialTimeout, Max: maxDialTimeout},
