gateway: test of answers whose heads break off

A further report: a target stopped in the middle of its answer's head and closed, and callers got a 200 that looked whole. Played here with a head cut at each of its bytes, for postings, lookups and streams: the caller gets 502, an idempotent request goes to another target. It does not happen here; no code changed.

--- a/internal/standin/replica/fault.go
+++ b/internal/standin/replica/fault.go
@@ -65,6 +65,8 @@
 	FullAgainAnonymous
 	FullAgainOther
 	MisdirectedAgainAnonymous
+	// CutHead sends a part of the head and closes the connection in order.
+	CutHead
 	// The following concern streams that go on after an event.
 	//
 	// JSONResume answers with success and a body that is no stream, HTMLResume with
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -61,6 +61,8 @@
 	isDown  bool
 	// limit is the rate limit that the replica names in its answers; empty for none.
 	limit string
+	// headBytes is how much of a head CutHead sends.
+	headBytes int
 	// arrivals are when requests arrived, those that it refused as well.
 	arrivals []time.Time
 	down     chan struct{}
@@ -98,6 +100,13 @@
 	r.always = f
 }
 
+// CutHeads makes all requests meet CutHead after some bytes of the head.
+func (r *Replica) CutHeads(bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.always, r.headBytes = CutHead, bytes
+}
+
 // Runs returns the requests that the replica began to run.
 func (r *Replica) Runs() []Run {
 	r.mu.Lock()
@@ -210,6 +219,14 @@
 	if r.isAbandoned(x, reader) {
 		return false
 	}
+	if x.fault == CutHead {
+		r.mu.Lock()
+		n := r.headBytes
+		r.mu.Unlock()
+		head := Head(x.request.Header.Get("Request-Id"))
+		_, _ = io.WriteString(x.conn, head[:min(n, len(head))])
+		return false
+	}
 	if x.fault == EndlessHead {
 		return x.head(http.StatusOK, "Endless: ") && r.flood(x, "head")
 	}
@@ -285,6 +302,11 @@
 	return left
 }
 
+// Head returns the head of an answer of 9 bytes, as CutHead sends a part of it.
+func Head(requestID string) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + requestID + "\r\nServer-Stamp: stamp-" + requestID + "\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n\r\n"
+}
+
 // head writes the header of an answer. It returns false if that failed.
 func (x *exchange) head(status int, lines ...string) bool {
 	return x.headFor(x.request.Header.Get("Request-Id"), status, lines...)
