front: requests in progress at the end of a planned stop get a final answer

Cause: the drain waited for the HTTP server until shortly before the end, and the process then closed all connections. Nothing ended the requests themselves.

The gateway now gives requests up 0.2 s before the end of the drain: those that have not run get 503, others 504. TestRequestAtTheEndOfAPlannedStopIsAnswered failed before (connection closed).

--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -45,10 +46,12 @@
 	peerServer *budgetrpc.Server
 	log        logr.Logger
 	// callers is the server for callers. It is also in httpServers.
-	callers     *http.Server
-	httpServers []httpServer
-	ready       atomic.Bool
-	stop        context.CancelFunc
+	callers *http.Server
+	// callerListener accepts the connections of callers.
+	callerListener net.Listener
+	httpServers    []httpServer
+	ready          atomic.Bool
+	stop           context.CancelFunc
 }
 
 type httpServer struct {
@@ -112,8 +115,13 @@
 		if err != nil {
 			return errors.Annotatef(err, "listen at %s", v.address)
 		}
+		if v.server == s.callers {
+			s.callerListener = l
+		}
 		go func() {
-			if err := v.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			err := v.server.Serve(l)
+			isClosed := errors.Is(err, http.ErrServerClosed) || v.server == s.callers && s.readiness.leaving.Load()
+			if !isClosed {
 				s.log.Error(err, "HTTP server failed.", "address", v.address)
 			}
 		}()
@@ -197,8 +205,20 @@
 	rotationDelay = 2500 * time.Millisecond
 	// stopReserve is the part of StopTime reserved for what follows the drain.
 	stopReserve = 700 * time.Millisecond
+	// answerReserve is the last part of the drain, in which the requests that are still in
+	// progress get their final answers.
+	answerReserve = 200 * time.Millisecond
+	// inFlightPoll is how often the drain looks whether all requests have ended.
+	inFlightPoll = 20 * time.Millisecond
 )
 
+// closeCallerListener stops accepting connections of callers. Those that are open go on.
+func (s *servers) closeCallerListener() {
+	if err := s.callerListener.Close(); err != nil {
+		s.log.Info("Failed to close the listener for callers.", "cause", err.Error())
+	}
+}
+
 // drain reports that the host is not ready, continues to answer requests, and returns
 // when none is in progress or StopTime less stopReserve has passed.
 func (s *servers) drain(ctx context.Context) {
@@ -208,13 +228,18 @@
 	s.readiness.leaving.Store(true)
 	s.spending.StopLending()
 	s.updateReady()
+	s.gateway.StopAt(started.Add(s.options.StopTime-stopReserve-answerReserve))
 	timer := time.NewTimer(rotationDelay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	// Shutdown accepts no more connections, closes idle ones and waits for the others.
+	s.closeCallerListener()
+	// The server would drop requests that it reads during its shutdown, without an answer.
+	for s.gateway.InFlight() > 0 && ctx.Err() == nil {
+		time.Sleep(inFlightPoll)
+	}
 	err := s.callers.Shutdown(ctx)
 	s.log.Info("Drain ended.", "took", time.Since(started).String(), "in_flight", s.gateway.InFlight(), "cause", fault.Text(err))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,10 +220,11 @@
 	bodies  bodyBudget
 
 	silentRetries *silentRetryBudget
+	stopping      stopping
 }
 
 func New(p Params) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		protocol:      p.Protocol,
 		tables:        p.Tables,
 		fleet:         p.Fleet,
@@ -240,6 +241,8 @@
 		metrics:       newMetrics(p.Scope.SubScope("gateway")),
 		silentRetries: newSilentRetryBudget(),
 	}
+	g.stopping.givenUp, g.stopping.giveUp = context.WithCancel(context.Background())
+	return g
 }
 
 // targetsAge returns the age of the host's view of the targets; negative if the
@@ -310,6 +313,8 @@
 	j.setEventTokens(table)
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline())
 	defer cancel()
+	ctx, release := j.g.limitToStop(ctx)
+	defer release()
 	if j.g.quarantine.IsQuarantined(j.fingerprint) {
 		j.refuseQuarantined()
 		return
