gateway: a late request in a planned stop is served only if it ends in time

Cause: nothing asked whether a request fits into what is left of the grace.

A request that may last beyond the end of the drain is now refused at once, with 503 and no wait: it has not run, and another host serves it. While callers can't know of the stop yet, twice the objective must fit, which most requests need at most; after that the whole time that the request may take. TestLateRequestInAPlannedStopIsRefused failed before (read, and closed without an answer).

--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -228,7 +228,7 @@
 	s.readiness.leaving.Store(true)
 	s.spending.StopLending()
 	s.updateReady()
-	s.gateway.StopAt(started.Add(s.options.StopTime-stopReserve-answerReserve))
+	s.gateway.StopAt(started.Add(rotationDelay), started.Add(s.options.StopTime-stopReserve-answerReserve))
 	timer := time.NewTimer(rotationDelay)
 	defer timer.Stop()
 	select {
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -67,6 +67,34 @@
 	return response
 }
 
+// A request came late in a planned stop, on a connection that was opened before, while another
+// request was still in progress. It was read, and its connection closed without an answer, or it was
+// passed on and cut at the end of the stop.
+func TestLateRequestInAPlannedStopIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newStopFixture(t, time.Second, 4*time.Second)
+	posting, lookup := s.connect(), s.connect()
+	time.Sleep(50 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.host.Stop(context.Background()) }()
+	time.Sleep(2 * time.Second)
+	earlier := make(chan *http.Response, 1)
+	go func() { earlier <- s.send(s.connect(), "/posting/x", "earlier") }()
+	time.Sleep(rotationDelay - 2*time.Second + 300*time.Millisecond)
+	for c, path := range map[net.Conn]string{posting: "/posting/x", lookup: "/lookup/x"} {
+		started := time.Now()
+		answer := s.send(c, path, "late-"+path)
+		is.True(answer != nil)
+		is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
+		is.True(answer.Header.Get("Retry-After") != "")
+		is.True(answer.Close)
+		is.True(time.Since(started) < 500*time.Millisecond)
+	}
+	is.NoErr(<-stopped)
+	is.Equal((<-earlier).StatusCode, http.StatusOK)
+	is.Equal(len(s.target.Runs()), 1)
+}
+
 // A request that is still under way at the end of a planned stop gets a final answer. Its connection
 // was closed without one.
 func TestRequestAtTheEndOfAPlannedStopIsAnswered(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -315,6 +315,10 @@
 	defer cancel()
 	ctx, release := j.g.limitToStop(ctx)
 	defer release()
+	if !j.fitsBeforeStop(time.Now()) {
+		j.refuseStopping()
+		return
+	}
 	if j.g.quarantine.IsQuarantined(j.fingerprint) {
 		j.refuseQuarantined()
 		return
