soak: two software versions of targets, and hosts that are cut off from all targets

Replicas start with v1 and v2 by turns, also under the ID of one that has ended, and name their version in each event; callers name the stream that they take up, and no stream may hold events of two. Each host has paths of its own to the targets, which fall silent or refuse connections together.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -22,15 +22,17 @@
 
 // attempt is one request of a caller and what came of it.
 type attempt struct {
-	id      string
-	path    string
-	host    string
-	status  int
-	body    string
-	stamp   string
-	isWhole bool
-	at      time.Time
-	err     error
+	id     string
+	path   string
+	host   string
+	status int
+	body   string
+	// versions are those of the replicas that made the events.
+	versions []string
+	stamp    string
+	isWhole  bool
+	at       time.Time
+	err      error
 }
 
 // callers send programs to random hosts and keep what they saw.
@@ -84,14 +86,20 @@
 // request sends a request and, after a refusal that allows it, once more.
 func (c *callers) request(ctx context.Context, transport *http.Transport, random *rand.Rand, path, program string, budget int) int {
 	status := 0
-	last := ""
-	for range 2 {
+	last, first := "", ""
+	var versions []string
+	for range 3 {
 		h := c.world.hosts[random.IntN(len(c.world.hosts))]
-		a := c.send(ctx, transport, h, path, program, budget, strconv.FormatUint(random.Uint64(), 36), last)
+		a := c.send(ctx, transport, h, path, program, budget, strconv.FormatUint(random.Uint64(), 36), last, first)
 		status = a.status
 		if path == "/turns/x" {
+			versions = append(versions, a.versions...)
+			checkOneVersion(c.world.t, a.id, versions)
 			if n := strings.Count(a.body, "\n\n"); n > 0 && !a.isWhole {
 				last = strconv.Itoa(n + atoi(last))
+				if first == "" {
+					first = a.id
+				}
 				continue
 			}
 		}
@@ -114,12 +122,13 @@
 	return n
 }
 
-func (c *callers) send(ctx context.Context, transport *http.Transport, h *host, path, program string, budget int, id, last string) attempt {
+func (c *callers) send(ctx context.Context, transport *http.Transport, h *host, path, program string, budget int, id, last, first string) attempt {
 	header := http.Header{"Program": {program}}
 	if path == "/turns/x" {
 		header = turnHeader(program, budget)
 		if last != "" {
 			header.Set("Last-Event-Id", last)
+			header.Set("Resumes", first)
 		}
 	}
 	a := c.post(ctx, transport, h, path, id, "body of "+id, header)
@@ -160,7 +169,8 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	a.status, a.body, a.err = response.StatusCode, string(body), err
+	a.status, a.err = response.StatusCode, err
+	a.body, a.versions = splitVersions(string(body))
 	a.stamp = response.Header.Get("Server-Stamp")
 	a.isWhole = err == nil
 	return a
@@ -176,6 +186,30 @@
 	}
 }
 
+// splitVersions removes the versions from the events of a stream and returns them.
+func splitVersions(body string) (rest string, versions []string) {
+	var b strings.Builder
+	for line := range strings.Lines(body) {
+		if v, ok := strings.CutPrefix(line, "version: "); ok && strings.HasSuffix(v, "\n") {
+			versions = append(versions, strings.TrimSpace(v))
+			continue
+		}
+		b.WriteString(line)
+	}
+	return b.String(), versions
+}
+
+// checkOneVersion holds the events of a stream, over all its attempts, against its first one.
+func checkOneVersion(r reporter, id string, versions []string) {
+	r.Helper()
+	for _, v := range versions {
+		if v != versions[0] {
+			r.Errorf("attempt %s: events of versions %q in one stream", id, versions)
+			return
+		}
+	}
+}
+
 // checkEvents holds the events of a stream against those that follow last.
 func checkEvents(r reporter, id, body string, last int, isWhole bool) {
 	r.Helper()
--- a/internal/soak/calm_test.go
+++ b/internal/soak/calm_test.go
@@ -64,7 +64,7 @@
 func (e *examination) send(ctx context.Context, h *host, path string) attempt {
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
-	return e.callers.send(ctx, transport, h, path, "", 0, e.id(), "")
+	return e.callers.send(ctx, transport, h, path, "", 0, e.id(), "", "")
 }
 
 func (e *examination) run(r reporter) {
@@ -207,7 +207,7 @@
 		version := v.world.currentVersion() - versionStep*random.IntN(2)
 		process := h.incarnation()
 		sent := time.Now()
-		a := v.callers.send(ctx, transport, h, extraPath(version), "", 0, strconv.FormatUint(random.Uint64(), 36), "")
+		a := v.callers.send(ctx, transport, h, extraPath(version), "", 0, strconv.FormatUint(random.Uint64(), 36), "", "")
 		if a.status != http.StatusOK || h.incarnation() != process {
 			continue
 		}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -95,6 +95,8 @@
 		{"event missing", true, func(r reporter) { checkEvents(r, "a", events(1, 2)+events(4, 5), 0, false) }},
 		{"event twice", true, func(r reporter) { checkEvents(r, "a", events(2, 5), 2, false) }},
 		{"stream looks whole", true, func(r reporter) { checkEvents(r, "a", events(1, 3), 0, true) }},
+		{"one version", false, func(r reporter) { checkOneVersion(r, "a", []string{"v1", "v1"}) }},
+		{"two versions", true, func(r reporter) { checkOneVersion(r, "a", []string{"v1", "v2"}) }},
 		{"in force", false, func(r reporter) { checkInForce(r, "h", 6, http.StatusOK, http.StatusNotFound) }},
 		{"not in force", true, func(r reporter) { checkInForce(r, "h", 6, http.StatusNotFound, http.StatusNotFound) }},
 		{"old in force", true, func(r reporter) { checkInForce(r, "h", 6, http.StatusOK, http.StatusOK) }},
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -27,6 +27,10 @@
 	running sync.WaitGroup
 	// counts tells how many faults of each kind were injected.
 	counts map[string]int
+
+	mu sync.Mutex
+	// isCutOff holds the hosts that are cut off from all targets.
+	isCutOff map[int]bool
 }
 
 // run injects faults until ctx ends, and returns when all have passed.
@@ -38,6 +42,7 @@
 		{"store fails", j.storeFails},
 		{"path to store", j.pathToStore},
 		{"path to target", j.pathToTarget},
+		{"host cut off from targets", j.cutOff},
 		{"target fails", j.targetFails},
 		{"target crashes", j.targetCrashes},
 		{"target limits its rate", j.limitRate},
@@ -85,6 +90,47 @@
 
 func (j *injector) pathToTarget(d time.Duration) { j.harm(j.target().proxy, d) }
 
+// cutOff cuts a host off from all targets. The store and the other hosts still reach it.
+func (j *injector) cutOff(d time.Duration) {
+	host := j.random.IntN(len(j.world.hosts))
+	m := []mode{silent, open}[j.random.IntN(2)]
+	if !j.setCutOff(host, true) {
+		return
+	}
+	j.during(d, func() {
+		for _, t := range j.world.targets {
+			if m == silent {
+				t.paths[host].set(silent)
+				continue
+			}
+			t.paths[host].refuse()
+		}
+	}, func() {
+		for _, t := range j.world.targets {
+			if m == silent {
+				t.paths[host].reset()
+				t.paths[host].set(open)
+				continue
+			}
+			if err := t.paths[host].reopen(); err != nil {
+				j.world.t.Error(err)
+			}
+		}
+		j.setCutOff(host, false)
+	})
+}
+
+// setCutOff sets whether a host is cut off. It returns false if it was already.
+func (j *injector) setCutOff(host int, isCutOff bool) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.isCutOff[host] == isCutOff {
+		return false
+	}
+	j.isCutOff[host] = isCutOff
+	return true
+}
+
 func (j *injector) harm(p *proxy, d time.Duration) {
 	modes := []mode{slow, silent, oneWay, open}
 	m := modes[j.random.IntN(len(modes))]
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -46,17 +46,21 @@
 	}
 	p := &proxy{listener: l, conns: make(map[net.Conn]bool)}
 	p.server.Store(&server)
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
 
 func (p *proxy) set(m mode) { p.mode.Store(int32(m)) }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -144,6 +148,27 @@
 	}
 }
 
+// refuse resets all connections and refuses new ones until reopen is called.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	_ = p.listener.Close()
+	p.mu.Unlock()
+	p.reset()
+}
+
+// reopen ends refuse.
+func (p *proxy) reopen() error {
+	l, err := net.Listen("tcp", p.address())
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = l
+	p.mu.Unlock()
+	go p.accept(l)
+	return nil
+}
+
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.set(open)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -121,7 +121,7 @@
 	}
 	faulty, stopFaults := context.WithTimeout(context.Background(), *lengthFlag)
 	defer stopFaults()
-	j := &injector{world: w, random: rand.New(rand.NewPCG(seed, 0))}
+	j := &injector{world: w, random: rand.New(rand.NewPCG(seed, 0)), isCutOff: make(map[int]bool)}
 	j.run(faulty)
 	healedAt := time.Now()
 	time.Sleep(healed)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -41,7 +43,6 @@
 	binary  string
 	dir     string
 	store   *metastore.Store
-	server  *httptest.Server
 	hosts   []*host
 	stop    chan struct{}
 	beating sync.WaitGroup
@@ -62,6 +63,10 @@
 	service string
 	proxy   *proxy
 	replica *replica.Replica
+	// version is the replica's software version.
+	version string
+	// paths are those of the hosts to the proxy.
+	paths []*proxy
 	// startedAt is when the replica started.
 	startedAt time.Time
 	// isLeaving says that the replica wants no more requests.
@@ -73,6 +78,7 @@
 	name    string
 	address string
 	store   *proxy
+	server  *httptest.Server
 	command []string
 	log     *os.File
 
@@ -85,7 +91,6 @@
 	t.Helper()
 	w := &world{t: t, binary: binary, dir: t.TempDir(), store: metastore.New(), stop: make(chan struct{})}
 	w.store.Latency = storeLatency
-	w.server = httptest.NewServer(w.store.Handler())
 	for range modelTargets {
 		w.addTarget("models")
 	}
@@ -117,14 +122,17 @@
 		h.signal(syscall.SIGCONT)
 		h.signal(syscall.SIGKILL)
 		h.store.close()
+		h.server.CloseClientConnections()
+		h.server.Close()
 	}
 	w.dying.Wait()
 	for _, target := range w.targets {
+		for _, p := range target.paths {
+			p.close()
+		}
 		target.proxy.close()
 		target.replica.Close()
 	}
-	w.server.CloseClientConnections()
-	w.server.Close()
 }
 
 func (w *world) must(err error) {
@@ -142,30 +150,43 @@
 	return fmt.Sprintf("%s-%d", service, w.started)
 }
 
-func (w *world) newReplica(service, id string) *replica.Replica {
+// softwareVersions serve side by side.
+var softwareVersions = []string{"v1", "v2"}
+
+func (w *world) newVersion() string { return softwareVersions[w.started%len(softwareVersions)] }
+
+func (w *world) newReplica(service, id, version string) *replica.Replica {
 	work := usualWork
 	if service == "slow" {
 		work = slowWork
 	}
 	r, err := replica.Listen("127.0.0.1:0", replica.Options{
-		ID:     id,
-		Slots:  8,
-		Work:   work,
-		Events: streamEvents,
-		Pause:  5 * time.Millisecond,
-		Deadly: deadlyContent,
-		Death:  deaths[w.started%len(deaths)],
-		Ended:  func() { w.dying.Go(func() { w.died(id) }) },
+		ID:      id,
+		Version: version,
+		Slots:   8,
+		Work:    work,
+		Events:  streamEvents,
+		Pause:   5 * time.Millisecond,
+		Deadly:  deadlyContent,
+		Death:   deaths[w.started%len(deaths)],
+		Ended:   func() { w.dying.Go(func() { w.died(id) }) },
 	})
 	w.must(err)
 	return r
 }
 
 func (w *world) addTarget(service string) {
-	r := w.newReplica(service, w.newID(service))
+	id, version := w.newID(service), w.newVersion()
+	r := w.newReplica(service, id, version)
 	p, err := newProxy(r.Address())
 	w.must(err)
-	w.targets = append(w.targets, &target{service: service, proxy: p, replica: r, startedAt: time.Now()})
+	t := &target{service: service, proxy: p, replica: r, version: version, startedAt: time.Now()}
+	for range hosts {
+		path, err := newProxy(p.address())
+		w.must(err)
+		t.paths = append(t.paths, path)
+	}
+	w.targets = append(w.targets, t)
 }
 
 // restart crashes a target's replica and starts another after a while, every second time
@@ -189,7 +210,8 @@
 	time.Sleep(after)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t.replica, t.startedAt = w.newReplica(t.service, id), time.Now()
+	t.version = w.newVersion()
+	t.replica, t.startedAt = w.newReplica(t.service, id, t.version), time.Now()
 	address := t.replica.Address()
 	t.proxy.server.Store(&address)
 	w.register(t)
@@ -200,7 +222,7 @@
 	if t.isLeaving {
 		state = "draining"
 	}
-	record := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"here","slots":8,"state":%q,"seq":1,"born":%d}`, t.service, t.proxy.address(), state, t.startedAt.UnixMilli())
+	record := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"here","version":%q,"slots":8,"state":%q,"seq":1,"born":%d}`, t.service, t.proxy.address(), t.version, state, t.startedAt.UnixMilli())
 	w.store.Put("keyed.servers", t.replica.ID(), []byte(record))
 }
 
@@ -279,10 +301,24 @@
 	return w.version
 }
 
+// onPaths replaces the addresses of targets by those of a host's paths to them.
+func (w *world) onPaths(host int, data []byte) []byte {
+	for _, t := range w.targets {
+		data = bytes.ReplaceAll(data, []byte(`"addr":"`+t.proxy.address()+`"`), []byte(`"addr":"`+t.paths[host].address()+`"`))
+	}
+	return data
+}
+
 func (w *world) newHost(i int) *host {
-	p, err := newProxy(strings.TrimPrefix(w.server.URL, "http://"))
+	name, handler := fmt.Sprintf("host-%d", i), w.store.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		r.Header.Set(metastore.HostHeader, name)
+		handler.ServeHTTP(rw, r)
+	}))
+	w.store.SetView(name, func(data []byte) []byte { return w.onPaths(i, data) })
+	p, err := newProxy(strings.TrimPrefix(server.URL, "http://"))
 	w.must(err)
-	h := &host{name: fmt.Sprintf("host-%d", i), address: testutil.FreeAddress(w.t), store: p}
+	h := &host{name: name, address: testutil.FreeAddress(w.t), store: p, server: server}
 	inner := testutil.FreePorts(w.t, 1)
 	settings, err := json.Marshal(map[string]any{
 		"node": h.name, "ip": "127.0.0.1", "zone": "here", "zones": map[string]string{"here": "region"},
--- a/internal/standin/metastore/http.go
+++ b/internal/standin/metastore/http.go
@@ -21,9 +21,9 @@
 	maxCallBytes = 2 << 20
 )
 
-// hostHeader names the calling host, so that faults can be set for it. Callers
+// HostHeader names the calling host, so that faults can be set for it. Callers
 // without it are told apart by their IP address.
-const hostHeader = "Standin-Host"
+const HostHeader = "Standin-Host"
 
 // Handler returns the store's HTTP interface.
 func (s *Store) Handler() http.Handler {
@@ -42,7 +42,7 @@
 		c.JSON(http.StatusBadRequest, gin.H{"err": "topic and part are needed"})
 		return nil, port.Partition{}, false
 	}
-	host := c.GetHeader(hostHeader)
+	host := c.GetHeader(HostHeader)
 	if host == "" {
 		host = c.RemoteIP()
 	}
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -51,9 +51,11 @@
 
 	mu         sync.Mutex
 	partitions map[port.Partition]*partition
-	faults     map[string]Faults
-	calls      int
-	late       []func()
+	// views change the values that hosts read.
+	views  map[string]func(value []byte) []byte
+	faults map[string]Faults
+	calls  int
+	late   []func()
 }
 
 type partition struct {
@@ -65,7 +67,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{partitions: make(map[port.Partition]*partition), faults: make(map[string]Faults)}
+	return &Store{partitions: make(map[port.Partition]*partition), views: make(map[string]func([]byte) []byte), faults: make(map[string]Faults)}
 }
 
 // EveryHost names all hosts in SetFaults.
@@ -78,6 +80,24 @@
 	s.faults[host] = f
 }
 
+// SetView sets a function that changes the records and values that a host reads, so that it
+// reaches targets on paths of its own.
+func (s *Store) SetView(host string, view func(data []byte) []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.views[host] = view
+}
+
+// view returns what changes the data that a host reads.
+func (s *Store) view(host string) func([]byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v := s.views[host]; v != nil {
+		return v
+	}
+	return func(data []byte) []byte { return data }
+}
+
 // Flush makes the appends take effect that were made late.
 func (s *Store) Flush() {
 	s.mu.Lock()
@@ -321,6 +341,10 @@
 		if err != nil || len(page.Records) > 0 || r.Wait <= 0 {
 			page.Records = firstOf(page.Records, r.MaxBytes)
 			if err == nil {
+				view := c.store.view(c.host)
+				for i := range page.Records {
+					page.Records[i] = view(page.Records[i])
+				}
 				c.store.countRead(page.Records)
 				err = c.pause(ctx, "read", p, c.store.transfer(page.Records))
 			}
@@ -388,6 +412,10 @@
 		return nil, 0, err
 	}
 	records, end := c.store.newest(p)
+	view := c.store.view(c.host)
+	for i := range records {
+		records[i].Value = view(records[i].Value)
+	}
 	return records, end, nil
 }
 
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -26,6 +26,8 @@
 	// Events is how many events a stream has, Pause the time between them.
 	Events int
 	Pause  time.Duration
+	// Version is named in each event if it is set.
+	Version string
 	// Deadly is a body that takes the replica down when it begins to run; empty means
 	// none. Death is how: Crashing, Vanishing or CrashingUnframed; None means Crashing.
 	// Ended is called when one has.
@@ -435,7 +437,7 @@
 			reset(x.conn)
 			return false
 		}
-		if !x.chunk(fmt.Sprintf("id: %d\ndata: part %d\n\n", i, i)) {
+		if !x.chunk(r.event(i)) {
 			return false
 		}
 		select {
@@ -448,6 +450,14 @@
 	return err == nil
 }
 
+// event returns an event of a stream.
+func (r *Replica) event(i int) string {
+	if r.options.Version == "" {
+		return fmt.Sprintf("id: %d\ndata: part %d\n\n", i, i)
+	}
+	return fmt.Sprintf("id: %d\nversion: %s\ndata: part %d\n\n", i, r.options.Version, i)
+}
+
 func (x *exchange) chunk(data string) bool {
 	_, err := fmt.Fprintf(x.conn, "%x\r\n%s\r\n", len(data), data)
 	return err == nil
