gateway: a host without a path reports no failures of targets to coordinators

Its requests now end as inconclusive. TestHostWithoutAPathReportsNoFailures failed before (failed, in both cases).

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -10,6 +10,7 @@
 
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/occupancy"
+	"yuccausher/internal/core/reach"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/core/urgency"
 	"yuccausher/internal/fault"
@@ -178,6 +179,8 @@
 func (j *job) placeResult(ctx context.Context, choice *fleet.Choice, r result) occupancy.Result {
 	var unreachable *upstream.DialError
 	switch {
+	case r != completed && j.g.reach.State() != reach.Connected:
+		return occupancy.Inconclusive
 	case r == notRun && ctx.Err() == nil && errors.As(j.cause, &unreachable):
 		return occupancy.Failed
 	case r == notRun:
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,8 +52,10 @@
 	// quarantine is that of the gateway's host. No other host reports crashes to it,
 	// except through reportCrashes.
 	quarantine *quarantine.Service
-	server     *httptest.Server
-	replicas   map[string]*replica.Replica
+	// path is that of the host to its targets, connected unless it is set.
+	path     path
+	server   *httptest.Server
+	replicas map[string]*replica.Replica
 }
 
 func document() route.Document {
@@ -95,7 +98,7 @@
 		Budgets:       s.budgets,
 		Conversations: s.turnStore,
 		Origins:       noOrigins{},
-		Reach:         connected{},
+		Reach:         &s.path,
 		Quarantine:    s.quarantine,
 		TargetsReadAt: time.Now,
 		Log:           logr.Discard(),
@@ -311,9 +314,11 @@
 
 func (noOrigins) Lookup(context.Context, string, string) (string, error) { return "", nil }
 
-// connected always has a path to the targets.
-type connected struct{}
+// path is a path to the targets in a given state.
+type path struct{ state atomic.Int32 }
 
-func (connected) State() reach.State { return reach.Connected }
+func (p *path) State() reach.State { return reach.State(p.state.Load()) }
 
-func (connected) OnCutOff(func()) func() { return func() {} }
+func (p *path) set(s reach.State) { p.state.Store(int32(s)) }
+
+func (*path) OnCutOff(func()) func() { return func() {} }
--- a/internal/gateway/placement_test.go
+++ b/internal/gateway/placement_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"yuccausher/internal/core/occupancy"
+	"yuccausher/internal/core/reach"
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/standin/replica"
 )
@@ -104,3 +105,20 @@
 func (p *lastPlace) Permit(context.Context, string, int) bool { return true }
 
 func (p *lastPlace) LimitChanged(string) {}
+
+// A host without a path to its targets reported failures of all of them, so that other hosts
+// preferred others.
+func TestHostWithoutAPathReportsNoFailures(t *testing.T) {
+	for name, fault := range map[string]replica.Fault{"cut": replica.Cut, "lost": replica.Lost} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			placement := &lastPlace{}
+			s := newFixtureWithPlacement(t, placement)
+			s.add(models, replica.Options{ID: "m1", Events: 5}).FailAlways(fault)
+			s.path.set(reach.Refused)
+			_, _ = s.send(t.Context(), request{method: http.MethodPost, path: single, id: "a", header: turnHeader("p")})
+			waitFor(t, func() bool { return len(placement.ended()) > 0 })
+			is.Equal(placement.ended()[0], occupancy.Inconclusive)
+		})
+	}
+}
