gateway, follow: the targets are read again before a stream goes on

Cause: versions were compared with records that can be older than the target's start. A host now reads the targets at once, beside the look-up of the origin, before a take-up and before it goes on with a stream by itself; take-ups at one time share the read. A view older than 2 s means that the store does not answer, and is not waited for. TestStreamIsNotTakenUpByATargetThatHasChangedItsVersion failed before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -76,9 +76,10 @@
 		},
 	}
 	f.targets = &tail{
-		stream: p.Targets,
-		pause:  p.DrainTime / targetPolls,
-		log:    targetsLog,
+		stream:    p.Targets,
+		pause:     p.DrainTime / targetPolls,
+		log:       targetsLog,
+		refresher: newRefresher(),
 		handler: &targets{
 			decode:  p.DecodeTarget,
 			fleet:   p.Fleet,
@@ -113,5 +114,8 @@
 	return nil
 }
 
+// RefreshTargets reads the targets at once. It returns the error of the read, or that of ctx.
+func (f *Follower) RefreshTargets(ctx context.Context) error { return f.targets.refresher.wait(ctx) }
+
 // TargetsReadAt returns when the targets were last read; zero before the first read.
 func (f *Follower) TargetsReadAt() time.Time { return f.targets.readAt() }
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -44,6 +44,8 @@
 	wait  time.Duration
 	pause time.Duration
 	log   logr.Logger
+	// refresher makes the tail read at once; nil if nobody asks for that.
+	refresher *refresher
 
 	next int64
 	// isSynced is true after the newest record of each key has been read; next is then
@@ -59,18 +61,38 @@
 func (t *tail) run(ctx context.Context) {
 	retry := firstRetry
 	for ctx.Err() == nil {
-		err := t.step(ctx)
+		err := t.refreshingStep(ctx)
 		t.observe(ctx, err)
 		if err != nil {
-			sleep(ctx, retry)
+			t.sleep(ctx, retry)
 			retry = min(2*retry, maxRetry)
 			continue
 		}
 		retry = firstRetry
-		sleep(ctx, t.pause)
+		t.sleep(ctx, t.pause)
 	}
 }
 
+// refreshingStep makes a step and tells those who wait for it.
+func (t *tail) refreshingStep(ctx context.Context) error {
+	if t.refresher == nil {
+		return t.step(ctx)
+	}
+	end := t.refresher.begin()
+	err := t.step(ctx)
+	end(err)
+	return err
+}
+
+// sleep waits between two reads.
+func (t *tail) sleep(ctx context.Context, d time.Duration) {
+	if t.refresher == nil {
+		sleep(ctx, d)
+		return
+	}
+	t.refresher.sleep(ctx, d)
+}
+
 // step reads the newest record of each key, or the records that follow if the tail is
 // synced.
 func (t *tail) step(ctx context.Context) error {
@@ -150,5 +172,9 @@
 	if d <= 0 {
 		return
 	}
-	logtail.Sleep(ctx, time.Duration((0.9+0.2*rand.Float64())*float64(d)))
+	logtail.Sleep(ctx, jittered(d))
+}
+
+func jittered(d time.Duration) time.Duration {
+	return time.Duration((0.9 + 0.2*rand.Float64()) * float64(d))
 }
--- a/internal/front/stream_version_test.go
+++ b/internal/front/stream_version_test.go
@@ -23,13 +23,13 @@
 	t       *testing.T
 	store   *metastore.Store
 	engines map[string]*replica.Replica
-	// version holds the version of each engine.
-	version map[string]string
+	// version holds the version of each engine, began that of each stream that breakOff began.
+	version, began map[string]string
 }
 
 func newVersions(t *testing.T) *versions {
 	t.Helper()
-	v := &versions{t: t, store: metastore.New(), engines: make(map[string]*replica.Replica), version: make(map[string]string)}
+	v := &versions{t: t, store: metastore.New(), engines: make(map[string]*replica.Replica), version: make(map[string]string), began: make(map[string]string)}
 	v.store.Put("keyed.op", "config", []byte(streamConfiguration))
 	return v
 }
@@ -54,6 +54,24 @@
 	v.store.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"models","addr":%q,"zone":"here","version":%q,"slots":8,"state":%q}`, v.engines[id].Address(), v.version[id], state))
 }
 
+// restart restarts the engines of a version under their IDs and addresses with another one.
+func (v *versions) restart(from, to string) {
+	v.t.Helper()
+	for id, r := range v.engines {
+		if v.version[id] != from {
+			continue
+		}
+		r.Close()
+		next, err := replica.Listen(r.Address(), replica.Options{ID: id, Events: 9, Work: 20 * time.Millisecond})
+		if err != nil {
+			v.t.Fatal(err)
+		}
+		v.t.Cleanup(next.Close)
+		v.engines[id], v.version[id] = next, to
+		v.store.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"models","addr":%q,"zone":"here","version":%q,"slots":8,"state":"ready","born":%d}`, next.Address(), to, time.Now().UnixMilli()))
+	}
+}
+
 // remove removes the records of all engines of a version.
 func (v *versions) remove(version string) {
 	for id, r := range v.engines {
@@ -112,7 +130,7 @@
 // event; empty for a new stream.
 func (v *versions) send(o Options, id, resumes string) reply {
 	v.t.Helper()
-	r, err := http.NewRequest(http.MethodPost, "http://"+o.CallerAddress+"/turns/x", strings.NewReader("x"))
+	r, err := http.NewRequest(http.MethodPost, "http://"+o.CallerAddress+"/turns/x", strings.NewReader(id[strings.Index(id, "-"):]))
 	if err != nil {
 		v.t.Fatal(err)
 	}
@@ -157,6 +175,10 @@
 			v.t.Fatalf("stream %d did not break off after its fifth event: %+v", i, a)
 		}
 	}
+	for i := range streams {
+		id := fmt.Sprint("first-", i)
+		v.began[id] = v.versionOf(id)
+	}
 	v.failAll(replica.None)
 }
 
@@ -177,7 +199,7 @@
 			continue
 		}
 		went++
-		if ran != v.versionOf(fmt.Sprint("first-", i)) {
+		if ran != v.began[fmt.Sprint("first-", i)] {
 			joined++
 		}
 	}
@@ -268,3 +290,22 @@
 	is.Equal(joined, 0)
 	is.Equal(went, 0)
 }
+
+// Targets start again under their IDs and addresses with another version. A host that had read
+// their records shortly before took the streams of their old version up there.
+func TestStreamIsNotTakenUpByATargetThatHasChangedItsVersion(t *testing.T) {
+	is := is.New(t)
+	v := newVersions(t)
+	v.add("v1", 3)
+	v.add("v2", 3)
+	a, first := v.start("a")
+	b, second := v.start("b")
+	defer v.stop(a)
+	defer v.stop(b)
+	v.breakOff(first)
+	time.Sleep(second.DrainTime / 2) // the records were read since
+	v.restart("v1", "v2")
+	went, joined := v.takeUp(second)
+	is.Equal(joined, 0)
+	is.True(went < streams)
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -93,6 +93,9 @@
 				abortAnswer()
 			}
 			j.excludeTarget(choice, "cut")
+			if j.events > 0 {
+				j.refreshTargets(ctx)
+			}
 		}
 		if ctx.Err() != nil {
 			j.finishUnanswered(ctx)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -90,19 +90,20 @@
 	pool := upstream.NewPool(tally.NoopScope)
 	s.quarantine = quarantine.New(quarantine.Params{Probe: pool.Probe, Logger: logr.Discard(), Scope: tally.NoopScope})
 	s.gateway = gateway.New(gateway.Params{
-		Protocol:      platform.Headers{},
-		Tables:        s.tables,
-		Fleet:         s.fleet,
-		Pool:          pool,
-		Placement:     placement,
-		Budgets:       s.budgets,
-		Conversations: s.turnStore,
-		Origins:       noOrigins{},
-		Reach:         &s.path,
-		Quarantine:    s.quarantine,
-		TargetsReadAt: time.Now,
-		Log:           logr.Discard(),
-		Scope:         tally.NoopScope,
+		Protocol:       platform.Headers{},
+		Tables:         s.tables,
+		Fleet:          s.fleet,
+		Pool:           pool,
+		Placement:      placement,
+		Budgets:        s.budgets,
+		Conversations:  s.turnStore,
+		Origins:        noOrigins{},
+		Reach:          &s.path,
+		Quarantine:     s.quarantine,
+		TargetsReadAt:  time.Now,
+		RefreshTargets: func(context.Context) error { return nil },
+		Log:            logr.Discard(),
+		Scope:          tally.NoopScope,
 	})
 	s.tables.StoreIfNewer(route.NewTable(document()))
 	s.server = httptest.NewServer(s.gateway)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,8 +194,10 @@
 	Quarantine Quarantine
 	// TargetsReadAt returns when the fleet was last updated; the zero time if never.
 	TargetsReadAt func() time.Time
-	Log           logr.Logger
-	Scope         tally.Scope
+	// RefreshTargets reads the targets at once.
+	RefreshTargets func(context.Context) error
+	Log            logr.Logger
+	Scope          tally.Scope
 }
 
 // Gateway answers requests of callers. It implements http.Handler.
@@ -212,9 +214,11 @@
 	handover      Handover
 	quarantine    Quarantine
 	targetsReadAt func() time.Time
-	log           logr.Logger
-	metrics       *metrics
-	inFlight      atomic.Int64
+	// refreshTargets reads the targets at once.
+	refreshTargets func(context.Context) error
+	log            logr.Logger
+	metrics        *metrics
+	inFlight       atomic.Int64
 	// closing is set while every answer closes its connection.
 	closing atomic.Bool
 	bodies  bodyBudget
@@ -225,21 +229,22 @@
 
 func New(p Params) *Gateway {
 	g := &Gateway{
-		protocol:      p.Protocol,
-		tables:        p.Tables,
-		fleet:         p.Fleet,
-		pool:          p.Pool,
-		budgets:       p.Budgets,
-		placement:     p.Placement,
-		conversations: p.Conversations,
-		origins:       p.Origins,
-		reach:         p.Reach,
-		handover:      p.Handover,
-		quarantine:    p.Quarantine,
-		targetsReadAt: p.TargetsReadAt,
-		log:           p.Log.WithName("gateway"),
-		metrics:       newMetrics(p.Scope.SubScope("gateway")),
-		silentRetries: newSilentRetryBudget(),
+		protocol:       p.Protocol,
+		tables:         p.Tables,
+		fleet:          p.Fleet,
+		pool:           p.Pool,
+		budgets:        p.Budgets,
+		placement:      p.Placement,
+		conversations:  p.Conversations,
+		origins:        p.Origins,
+		reach:          p.Reach,
+		handover:       p.Handover,
+		quarantine:     p.Quarantine,
+		targetsReadAt:  p.TargetsReadAt,
+		refreshTargets: p.RefreshTargets,
+		log:            p.Log.WithName("gateway"),
+		metrics:        newMetrics(p.Scope.SubScope("gateway")),
+		silentRetries:  newSilentRetryBudget(),
 	}
 	g.stopping.givenUp, g.stopping.giveUp = context.WithCancel(context.Background())
 	return g
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -24,7 +24,13 @@
 		return true
 	}
 	defer since(&j.times.origin, time.Now())
+	refreshed := make(chan struct{})
+	go func() {
+		defer close(refreshed)
+		j.refreshTargets(ctx)
+	}()
 	version, err := j.g.origins.Lookup(ctx, j.service, j.call.Resumes)
+	<-refreshed
 	if err == nil {
 		j.bindVersion(version)
 		return true
@@ -42,6 +48,27 @@
 	return false
 }
 
+// maxRefreshTime limits a read of the targets before a stream goes on. The store takes
+// milliseconds, and 60 times as long when it is slow.
+const maxRefreshTime = 400 * time.Millisecond
+
+// maxRefreshAge is the age of the view of the targets from which on the store is taken to be
+// unavailable, so that waiting for it only delays the stream.
+const maxRefreshAge = 2 * time.Second
+
+// refreshTargets reads the targets before a stream goes on: a target may have started again with
+// another version under its ID.
+func (j *job) refreshTargets(ctx context.Context) {
+	if j.g.targetsAge() > maxRefreshAge {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxRefreshTime)
+	defer cancel()
+	if err := j.g.refreshTargets(ctx); err != nil {
+		j.g.log.Info("Targets could not be read before a stream goes on.", "request", j.call.RequestID, "targets_age_ms", j.g.targetsAge().Milliseconds(), "cause", err.Error())
+	}
+}
+
 // recordOrigin records that a target is about to run a resumable stream. It returns false if the
 // stream has to stay at the release that was recorded before.
 func (j *job) recordOrigin(ctx context.Context, m fleet.Member) bool {
