handover: connections between hosts are used again, and a slow host is asked again

An answer cancelled its stream as soon as it was complete, while the library was still finishing it; the library then closes the connection, which the pool had given to the next request.

An answer now waits for its stream to finish, an offer that failed on a connection that was closing is made once more, and with nobody else left a host that was slow is asked in spite of its pause.

--- a/internal/adapter/handoverrpc/client.go
+++ b/internal/adapter/handoverrpc/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 	"storj.io/drpc"
@@ -135,11 +136,17 @@
 	return part.GetBody(), nil
 }
 
-// finish waits for the end of the stream, which follows the last part at once, so that the
-// connection can be used again.
+// finishTimeout limits the wait for the end of a stream after its last part.
+const finishTimeout = 100 * time.Millisecond
+
+// finish waits for the end of the stream, which follows the last part at once. The connection is
+// then free for another request; cancelling the stream earlier would close it.
 func (a *answer) finish() {
+	timer := time.AfterFunc(finishTimeout, a.cancel)
+	defer timer.Stop()
 	// Whatever the result, the connection is not used for this stream any more.
 	_, _ = a.stream.Recv()
+	<-a.stream.Context().Done()
 }
 
 // noEOF replaces io.EOF: an answer ends with a part that says so.
--- a/internal/adapter/handoverrpc/handover_test.go
+++ b/internal/adapter/handoverrpc/handover_test.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
 
 	"yuccausher/internal/port"
@@ -201,3 +202,57 @@
 	_, err := c.Offer(t.Context(), "b", request([]byte("x")))
 	is.True(err != nil)
 }
+
+// A connection carries one request after the other. Cancelling one that had just ended closed the
+// connection under the next one.
+func TestConnectionIsUsedAgainAfterAnAnswer(t *testing.T) {
+	is := is.New(t)
+	s := &server{serve: func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "answer")
+	}}
+	s.released = make(chan struct{})
+	mux := drpcmux.New()
+	is.NoErr(Register(mux, reusable{s}))
+	d := dialer{t, drpcserver.New(mux)}
+	dials := 0
+	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{KeyCapacity: 1})
+	t.Cleanup(func() { _ = pool.Close() })
+	c := Client{Dialer: pooled{dialer: d, pool: pool, dials: &dials}, Host: "a"}
+	for range 300 {
+		offer, err := c.Offer(t.Context(), "b", request([]byte("x")))
+		is.NoErr(err)
+		_, _, err = offer.Answer.Start()
+		is.NoErr(err)
+		got, err := readAll(offer.Answer)
+		is.NoErr(err)
+		is.Equal(string(got), "answer")
+		offer.Answer.Close()
+	}
+	is.Equal(dials, 1)
+}
+
+// reusable is a server that may be released more than once.
+type reusable struct{ *server }
+
+func (reusable) Admit(string) (port.HandoverDecision, func()) {
+	return port.HandoverTaken, func() {}
+}
+
+// pooled keeps one connection.
+type pooled struct {
+	dialer
+	pool  *drpcpool.Pool[string, drpcpool.Conn]
+	dials *int
+}
+
+func (p pooled) Connect(ctx context.Context, host string) (drpc.Conn, error) {
+	return p.pool.Get(ctx, host, func(ctx context.Context, host string) (drpcpool.Conn, error) {
+		*p.dials++
+		conn, err := p.dialer.Connect(ctx, host)
+		if err != nil {
+			return nil, err
+		}
+		return conn.(*drpcconn.Conn), nil
+	}), nil
+}
--- a/internal/core/handover/peers.go
+++ b/internal/core/handover/peers.go
@@ -17,6 +17,9 @@
 	// gives one.
 	minUnreachableTTL = 200 * time.Millisecond
 	maxUnreachableTTL = 5 * time.Second
+	// maxTries is how many times in a row a host may give no decision before it is no longer
+	// asked while it is skipped.
+	maxTries = 3
 	// maxPreferred is how many hosts requests are spread over once they have taken some. It
 	// bounds the connections between hosts.
 	maxPreferred = 4
@@ -68,10 +71,28 @@
 			others = append(others, host)
 		}
 	}
-	if len(others) == 0 {
-		return best, isFound
+	switch {
+	case len(others) > 0:
+		return others[p.random(len(others))], true
+	case isFound:
+		return best, true
+	}
+	return p.leastSkipped(known, asked, now)
+}
+
+// leastSkipped returns the host that is skipped for the shortest time of those that have given no
+// decision lately: with nobody else left, one that was slow for a moment is worth a try.
+func (p *Peers) leastSkipped(known []string, asked func(string) bool, now time.Time) (string, bool) {
+	best := ""
+	for _, host := range known {
+		if asked(host) || p.failures[host] == 0 || p.failures[host] > maxTries || !p.isSkipped(host, now) {
+			continue
+		}
+		if best == "" || p.skippedUntil[host].Before(p.skippedUntil[best]) {
+			best = host
+		}
 	}
-	return others[p.random(len(others))], true
+	return best, best != ""
 }
 
 func contains(list []string, host string) bool {
--- a/internal/core/handover/peers_test.go
+++ b/internal/core/handover/peers_test.go
@@ -129,8 +129,14 @@
 		return ok
 	}
 	p.Unreachable("a", now)
+	is.True(isAsked(0)) // there is nobody else
+	host, ok := p.Choose([]string{"a", "b"}, none, now)
+	is.True(ok)
+	is.Equal(host, "b")
+	for range maxTries {
+		p.Unreachable("a", now)
+	}
 	is.True(!isAsked(0))
-	is.True(isAsked(minUnreachableTTL))
 	for range 10 {
 		p.Unreachable("a", now)
 	}
--- a/internal/handover/client.go
+++ b/internal/handover/client.go
@@ -59,6 +59,9 @@
 		}
 		asked[host] = true
 		offer, err := c.offer(ctx, host, r)
+		if isStale(err) && ctx.Err() == nil {
+			offer, err = c.offer(ctx, host, r)
+		}
 		c.record(host, offer, err)
 		c.log.Info("Request was offered to another host.", "request", requestID, "host", host, "decision", decisionOf(offer, err), "asked", len(asked),
 			"known", len(known), "ms", time.Since(started).Milliseconds(), "cause", fault.Text(err))
@@ -70,6 +73,13 @@
 	return gateway.Taken{}, &NotTakenError{Asked: len(asked), Known: len(known), Cause: cause}
 }
 
+// isStale reports whether an offer may have failed because its connection was closing: that of
+// a request that its caller has given up.
+func isStale(err error) bool {
+	var down *port.HostDownError
+	return err != nil && !errors.As(err, &down) && !errors.Is(err, errLate)
+}
+
 // NotTakenError reports that no host has taken a request, so that it has not run.
 type NotTakenError struct {
 	// Asked is the number of hosts that were asked, of Known that are known.
@@ -105,15 +115,20 @@
 	switch {
 	case err == nil && offer.Decision == port.HandoverTaken && isLate:
 		offer.Answer.Close()
-		return port.HandoverOffer{}, errors.New("host decided too late")
+		return port.HandoverOffer{}, errLate
 	case err == nil && offer.Decision == port.HandoverTaken:
 		offer.Answer = &countedAnswer{HandoverAnswer: offer.Answer, ended: cancel}
 		return offer, nil
+	case err != nil && isLate:
+		err = errLate
 	}
 	cancel()
 	return offer, err
 }
 
+// errLate reports that a host has not decided within offerTimeout.
+var errLate = errors.New("host has not decided in time")
+
 // record records the decision of a host.
 func (c *Client) record(host string, offer port.HandoverOffer, err error) {
 	c.scope.Tagged(map[string]string{"decision": decisionOf(offer, err)}).Counter("offers").Inc(1)
