handoverrpc: the caller's side ends its half of a stream

A stream finishes once both sides have ended their halves; the caller's side never did, so that each answer was cancelled, by its Close at first and after a tenth of a second then, and its connection closed under the next request.

The caller's side now ends its half with the last part of the body, and a stream that has finished is no longer cancelled with the request.

--- a/internal/adapter/handoverrpc/client.go
+++ b/internal/adapter/handoverrpc/client.go
@@ -38,14 +38,18 @@
 	if err != nil {
 		return port.HandoverOffer{}, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	stream, err := pb.NewDRPCHandoverClient(conn).Serve(ctx)
+	// The stream must not end with ctx once it has finished: the library may then close a
+	// connection that carries the next request.
+	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	detach := context.AfterFunc(ctx, cancel)
+	stream, err := pb.NewDRPCHandoverClient(conn).Serve(streamCtx)
 	if err != nil {
+		detach()
 		cancel()
 		_ = conn.Close()
 		return port.HandoverOffer{}, errors.Annotatef(err, "offer a request to host %s", host)
 	}
-	a := &answer{stream: stream, conn: conn, cancel: cancel, request: r}
+	a := &answer{stream: stream, conn: conn, cancel: cancel, detach: detach, request: r}
 	head := &pb.RequestHead{Method: r.Method, Uri: r.URI, Host: r.Host, Fields: encodeFields(r.Header), From: c.Host}
 	err = stream.Send(&pb.RequestPart{Head: head})
 	var first *pb.AnswerPart
@@ -57,7 +61,9 @@
 		return port.HandoverOffer{}, errors.Annotatef(err, "offer a request to host %s", host)
 	}
 	if d := decodeDecision(first.GetDecision()); d != port.HandoverTaken {
-		a.finish()
+		if err := stream.CloseSend(); err == nil {
+			a.finish()
+		}
 		a.Close()
 		return port.HandoverOffer{Decision: d}, nil
 	}
@@ -81,8 +87,12 @@
 	stream pb.DRPCHandover_ServeClient
 	conn   drpc.Conn
 	// cancel ends the stream, and with it the connection if the stream has not finished.
-	cancel  context.CancelFunc
-	request port.HandoverRequest
+	cancel context.CancelFunc
+	// detach keeps the stream from ending with the caller's request.
+	detach func() bool
+	// isFinished is set after the stream has ended in order.
+	isFinished bool
+	request    port.HandoverRequest
 	// rest is the body in the part that held the head.
 	rest       []byte
 	isComplete bool
@@ -102,6 +112,9 @@
 		}
 		body = body[n:]
 	}
+	if err := a.stream.CloseSend(); err != nil {
+		return 0, nil, errors.Annotate(err, "send the end of the request")
+	}
 	part, err := a.stream.Recv()
 	if err != nil {
 		return 0, nil, errors.Annotate(err, "receive the head of the answer")
@@ -140,13 +153,12 @@
 const finishTimeout = 100 * time.Millisecond
 
 // finish waits for the end of the stream, which follows the last part at once. The connection is
-// then free for another request; cancelling the stream earlier would close it.
+// then free for another request.
 func (a *answer) finish() {
 	timer := time.AfterFunc(finishTimeout, a.cancel)
-	defer timer.Stop()
-	// Whatever the result, the connection is not used for this stream any more.
-	_, _ = a.stream.Recv()
+	_, err := a.stream.Recv()
 	<-a.stream.Context().Done()
+	a.isFinished = timer.Stop() && errors.Is(err, io.EOF)
 }
 
 // noEOF replaces io.EOF: an answer ends with a part that says so.
@@ -159,7 +171,10 @@
 
 // Close implements port.HandoverAnswer.
 func (a *answer) Close() {
-	a.cancel()
+	a.detach()
+	if !a.isFinished {
+		a.cancel()
+	}
 	// Closing a connection of a pool only returns it.
 	_ = a.conn.Close()
 }
