--- a/internal/core/handover/peers.go
+++ b/internal/core/handover/peers.go
@@ -6,6 +6,7 @@
 package handover
 
 import (
+	"slices"
 	"time"
 )
 
@@ -51,7 +52,7 @@
 	var best string
 	isFound := false
 	for _, host := range p.preferred {
-		if asked(host) || p.isSkipped(host, now) || !contains(known, host) {
+		if asked(host) || p.isSkipped(host, now) || !slices.Contains(known, host) {
 			continue
 		}
 		if !isFound || p.inProgress[host] < p.inProgress[best] {
@@ -67,7 +68,7 @@
 	}
 	others := make([]string, 0, len(known))
 	for _, host := range known {
-		if !asked(host) && !p.isSkipped(host, now) && !contains(p.preferred, host) {
+		if !asked(host) && !p.isSkipped(host, now) && !slices.Contains(p.preferred, host) {
 			others = append(others, host)
 		}
 	}
@@ -95,22 +96,13 @@
 	return best, best != ""
 }
 
-func contains(list []string, host string) bool {
-	for _, h := range list {
-		if h == host {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *Peers) isSkipped(host string, now time.Time) bool { return now.Before(p.skippedUntil[host]) }
 
 // Taken records that a host has taken a request. Ended must be called when it has ended.
 func (p *Peers) Taken(host string) {
 	p.inProgress[host]++
 	delete(p.failures, host)
-	if !contains(p.preferred, host) {
+	if !slices.Contains(p.preferred, host) {
 		p.preferred = append(p.preferred, host)
 		if len(p.preferred) > maxPreferred {
 			p.preferred = p.preferred[1:]
@@ -145,10 +137,7 @@
 		}
 	}
 	p.skippedUntil[host] = now.Add(ttl)
-	for i, h := range p.preferred {
-		if h == host {
-			p.preferred = append(p.preferred[:i:i], p.preferred[i+1:]...)
-			return
-		}
+	if i := slices.Index(p.preferred, host); i >= 0 {
+		p.preferred = slices.Delete(p.preferred, i, i+1)
 	}
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -297,7 +297,7 @@
 func (j *job) dispatch(ctx context.Context, choice *fleet.Choice) result {
 	exchangeCtx, cancelExchange := context.WithCancel(ctx)
 	defer cancelExchange()
-	if j.route.IsIdempotent() && !j.isHandedOver {
+	if j.route.IsIdempotent() && !j.sender.isHost {
 		stop := j.g.reach.OnCutOff(cancelExchange)
 		defer stop()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -282,16 +282,16 @@
 )
 
 // ServeHTTP implements http.Handler.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r, false) }
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r, sender{}) }
 
-// serve answers a request. isHandedOver is set if another host has passed it on.
-func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, isHandedOver bool) {
+// serve answers a request.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, s sender) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	if g.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{g: g, w: w, r: r, isHandedOver: isHandedOver, started: time.Now(), call: g.protocol.ParseCall(r.Header), stopCancel: func() {}}
+	j := &job{g: g, w: w, r: r, sender: s, started: time.Now(), call: g.protocol.ParseCall(r.Header), stopCancel: func() {}}
 	defer j.report()
 	table := g.tables.Current()
 	if table == nil {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -45,14 +45,22 @@
 	Resumes, ResumeAfter string
 }
 
-// ServeHandover answers a request that another host has handed over. It is not handed over again,
-// so that requests do not circle between hosts.
-func (g *Gateway) ServeHandover(w http.ResponseWriter, r *http.Request) { g.serve(w, r, true) }
+// ServeHandover answers a request that the named host has handed over. It is not handed over
+// again, so that requests do not circle between hosts.
+func (g *Gateway) ServeHandover(w http.ResponseWriter, r *http.Request, from string) {
+	g.serve(w, r, sender{isHost: true, host: from})
+}
+
+// sender is who has sent a request to this host: a caller, or another host on its behalf.
+type sender struct {
+	isHost bool
+	host   string
+}
 
 // mustHandOver reports whether this host can't send the request to a target, and another host
 // may.
 func (j *job) mustHandOver(ctx context.Context) bool {
-	if j.isHandedOver || len(j.ranAt) > 0 && !j.canRetry(ctx) {
+	if j.sender.isHost || len(j.ranAt) > 0 && !j.canRetry(ctx) {
 		return false
 	}
 	switch j.g.reach.State() {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -21,8 +21,8 @@
 	r       *http.Request
 	started time.Time
 	call    Call
-	// isHandedOver is set if another host has passed the request on.
-	isHandedOver bool
+	// sender is who has sent the request.
+	sender sender
 	// tableVersion is that of the configuration.
 	tableVersion int64
 	route        *route.Route
@@ -161,7 +161,7 @@
 		cost, before = j.choice.Cost, j.choice.InFlight
 	}
 	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "route", name,
-		"config", j.tableVersion, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target, "handed_to", j.handedTo, "is_handed_over", j.isHandedOver,
+		"config", j.tableVersion, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target, "handed_to", j.handedTo, "handed_over_by", j.sender.host,
 		"expected_ms", cost.Milliseconds(), "in_flight", before, "prompt_tokens", j.call.PromptTokens, "private_tokens", j.call.PrivateTokens,
 		"in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
 		"runs", len(j.ranAt), "refused_by", len(j.excluded), "denials", j.denials, "framing", j.framing, "events", j.events,
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -32,7 +32,7 @@
 	// IsReady reports whether the host serves callers.
 	IsReady func() bool
 	// Serve answers a request without passing it on.
-	Serve  http.HandlerFunc
+	Serve  func(w http.ResponseWriter, r *http.Request, from string)
 	Logger logr.Logger
 	Scope  tally.Scope
 }
--- a/internal/reach/service.go
+++ b/internal/reach/service.go
@@ -13,6 +13,7 @@
 
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/reach"
+	"yuccausher/internal/gateway"
 	"yuccausher/internal/upstream"
 )
 
@@ -42,15 +43,16 @@
 	Scope  tally.Scope
 }
 
-// Service observes the path to the targets. It implements upstream.Observer, gateway.Reach.
+// Service observes the path to the targets. It implements upstream.Observer and
+// gateway.Reach.
 type Service struct {
 	params Params
 	log    logr.Logger
-	// state counts examinations by their results, cutOff is 1 while the host is cut off.
-	examinations tally.Scope
-	cutOff       tally.Gauge
-	stop         context.CancelFunc
-	done         sync.WaitGroup
+	scope  tally.Scope
+	// cutOff is 1 while the host is cut off.
+	cutOff tally.Gauge
+	stop   context.CancelFunc
+	done   sync.WaitGroup
 
 	mu      sync.Mutex
 	monitor *reach.Monitor
@@ -63,19 +65,22 @@
 	nextID  int
 }
 
-var _ upstream.Observer = (*Service)(nil)
+var (
+	_ upstream.Observer = (*Service)(nil)
+	_ gateway.Reach     = (*Service)(nil)
+)
 
 // New returns a service. Call Start to begin observing.
 func New(p Params) *Service {
 	scope := p.Scope.SubScope("reach")
 	return &Service{
-		params:       p,
-		log:          p.Logger.WithName("reach"),
-		examinations: scope,
-		cutOff:       scope.Gauge("cut_off"),
-		monitor:      reach.New(),
-		since:        time.Now(),
-		waiting:      make(map[int]func()),
+		params:  p,
+		log:     p.Logger.WithName("reach"),
+		scope:   scope,
+		cutOff:  scope.Gauge("cut_off"),
+		monitor: reach.New(),
+		since:   time.Now(),
+		waiting: make(map[int]func()),
 	}
 }
 
@@ -235,7 +240,7 @@
 }
 
 func (s *Service) count(result string) {
-	s.examinations.Tagged(map[string]string{"result": result}).Counter("examinations").Inc(1)
+	s.scope.Tagged(map[string]string{"result": result}).Counter("examinations").Inc(1)
 }
 
 // ReachesOthers reports whether this host reaches any target besides one that it does not reach,
