--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -63,6 +63,6 @@
 }
 
 // ServeHandover implements port.HandoverServer.
-func (s *Server) ServeHandover(w http.ResponseWriter, r *http.Request, _ string) {
-	s.params.Serve(w, r)
+func (s *Server) ServeHandover(w http.ResponseWriter, r *http.Request, from string) {
+	s.params.Serve(w, r, from)
 }
