origin: a stream that was handed over is found at its second host

Both records count as the first of the stream, in two partitions, and a take-up may find the wrong one (ORDER).

The host that hands a stream over says whether it may have recorded it. The other one then writes its own record before the target gets the stream, whatever versions it knows, with a change that counts more. TestStreamThatWasHandedOverIsFoundAtItsSecondHost failed before.

--- a/internal/adapter/handoverrpc/handover_test.go
+++ b/internal/adapter/handoverrpc/handover_test.go
@@ -25,13 +25,17 @@
 	decision port.HandoverDecision
 	serve    http.HandlerFunc
 	released chan struct{}
+	from     port.HandoverSender
 }
 
 func (s *server) Admit(string) (port.HandoverDecision, func()) {
 	return s.decision, func() { close(s.released) }
 }
 
-func (s *server) ServeHandover(w http.ResponseWriter, r *http.Request, _ string) { s.serve(w, r) }
+func (s *server) ServeHandover(w http.ResponseWriter, r *http.Request, from port.HandoverSender) {
+	s.from = from
+	s.serve(w, r)
+}
 
 // dialer connects to one server, whatever the host.
 type dialer struct {
@@ -102,7 +106,9 @@
 		is.NoErr(err)
 		is.NoErr(http.NewResponseController(w).Flush())
 	}}
-	offer, err := newClient(t, s).Offer(t.Context(), "b", request(body))
+	sent := request(body)
+	sent.IsRecorded = true
+	offer, err := newClient(t, s).Offer(t.Context(), "b", sent)
 	is.NoErr(err)
 	is.Equal(offer.Decision, port.HandoverTaken)
 	status, header, err := offer.Answer.Start()
@@ -114,6 +120,7 @@
 	is.Equal(got, body)
 	offer.Answer.Close()
 	<-s.released
+	is.Equal(s.from, port.HandoverSender{Host: "a", IsRecorded: true})
 }
 
 func TestAnswerWithoutABodyIsComplete(t *testing.T) {
--- a/internal/adapter/handoverrpc/server.go
+++ b/internal/adapter/handoverrpc/server.go
@@ -38,14 +38,15 @@
 		return err
 	}
 	w := &answerWriter{stream: stream, header: make(http.Header)}
-	if !serve(h.server, w, r, part.GetHead().GetFrom()) {
+	from := port.HandoverSender{Host: part.GetHead().GetFrom(), IsRecorded: part.GetHead().GetRecorded()}
+	if !serve(h.server, w, r, from) {
 		return errors.New("answer was broken off")
 	}
 	return w.end()
 }
 
 // serve returns false if the answer was aborted, which http handlers do by a panic.
-func serve(s port.HandoverServer, w http.ResponseWriter, r *http.Request, from string) (isComplete bool) {
+func serve(s port.HandoverServer, w http.ResponseWriter, r *http.Request, from port.HandoverSender) (isComplete bool) {
 	defer func() {
 		if v := recover(); v != nil && v != any(http.ErrAbortHandler) {
 			panic(v)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -311,7 +311,7 @@
 // noOrigins records nothing. All streams have begun at targets without a version.
 type noOrigins struct{}
 
-func (noOrigins) Record(context.Context, string, fleet.Release) error { return nil }
+func (noOrigins) Record(context.Context, string, fleet.Release, bool) error { return nil }
 
 func (noOrigins) Lookup(context.Context, string, string) (string, error) { return "", nil }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,9 +126,11 @@
 
 // Origins finds out which software version began a stream.
 type Origins interface {
-	// Record records that a target of a release is about to run a resumable stream. If it
-	// returns an error, only the release that was recorded before may run the stream.
-	Record(ctx context.Context, requestID string, r fleet.Release) error
+	// Record records that a target of a release is about to run a resumable stream.
+	// isRecorded is set if the host that has passed the request on may have recorded another
+	// release for it. If it returns an error, only the release that was recorded before may run
+	// the stream.
+	Record(ctx context.Context, requestID string, r fleet.Release, isRecorded bool) error
 	// Lookup returns the version of a service's targets that began a stream. Its error is an
 	// *UnknownOriginError.
 	Lookup(ctx context.Context, service, requestID string) (string, error)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -45,16 +45,16 @@
 	Resumes, ResumeAfter string
 }
 
-// ServeHandover answers a request that the named host has handed over. It is not handed over
+// ServeHandover answers a request that another host has handed over. It is not handed over
 // again, so that requests do not circle between hosts.
-func (g *Gateway) ServeHandover(w http.ResponseWriter, r *http.Request, from string) {
-	g.serve(w, r, sender{isHost: true, host: from})
+func (g *Gateway) ServeHandover(w http.ResponseWriter, r *http.Request, from port.HandoverSender) {
+	g.serve(w, r, sender{isHost: true, HandoverSender: from})
 }
 
 // sender is who has sent a request to this host: a caller, or another host on its behalf.
 type sender struct {
 	isHost bool
-	host   string
+	port.HandoverSender
 }
 
 // mustHandOver reports whether this host can't send the request to a target, and another host
@@ -112,6 +112,8 @@
 		Host:   j.r.Host,
 		Header: j.g.protocol.HandoverHeader(j.r.Header, p),
 		Body:   j.body,
+
+		IsRecorded: j.isRecorded,
 	}
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -61,8 +61,10 @@
 	// with it may continue the stream. It applies if isVersionBound is set.
 	version        string
 	isVersionBound bool
-	// recordedVersion is the software version that was last recorded for the stream.
+	// recordedVersion is the software version that was last recorded for the stream, if
+	// isRecorded is set.
 	recordedVersion string
+	isRecorded      bool
 	// eventVersions are the software versions of the targets that the caller has events
 	// from, each as often as the stream has changed to it.
 	eventVersions []string
@@ -161,7 +163,7 @@
 		cost, before = j.choice.Cost, j.choice.InFlight
 	}
 	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "route", name,
-		"config", j.tableVersion, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target, "handed_to", j.handedTo, "handed_over_by", j.sender.host,
+		"config", j.tableVersion, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target, "handed_to", j.handedTo, "handed_over_by", j.sender.Host,
 		"expected_ms", cost.Milliseconds(), "in_flight", before, "prompt_tokens", j.call.PromptTokens, "private_tokens", j.call.PrivateTokens,
 		"in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
 		"runs", len(j.ranAt), "refused_by", len(j.excluded), "denials", j.denials, "framing", j.framing, "events", j.events,
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -75,12 +75,12 @@
 	if !j.isResumable() {
 		return true
 	}
-	if err := j.g.origins.Record(ctx, j.call.RequestID, m.Release()); err != nil {
+	if err := j.g.origins.Record(ctx, j.call.RequestID, m.Release(), j.sender.IsRecorded); err != nil {
 		j.cause = err
 		j.bindVersion(j.recordedVersion)
 		return false
 	}
-	j.recordedVersion = m.Version
+	j.recordedVersion, j.isRecorded = m.Version, true
 	return true
 }
 
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -32,7 +32,7 @@
 	// IsReady reports whether the host serves callers.
 	IsReady func() bool
 	// Serve answers a request without passing it on.
-	Serve  func(w http.ResponseWriter, r *http.Request, from string)
+	Serve  func(w http.ResponseWriter, r *http.Request, from port.HandoverSender)
 	Logger logr.Logger
 	Scope  tally.Scope
 }
@@ -63,6 +63,6 @@
 }
 
 // ServeHandover implements port.HandoverServer.
-func (s *Server) ServeHandover(w http.ResponseWriter, r *http.Request, from string) {
+func (s *Server) ServeHandover(w http.ResponseWriter, r *http.Request, from port.HandoverSender) {
 	s.params.Serve(w, r, from)
 }
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -31,6 +31,9 @@
 	// kept in memory, about 40 bytes each.
 	maxOwnStarts  = 1 << 16
 	maxReadStarts = 1 << 18
+	// handedOverChange is the first change of a stream at the host that it was handed over to, if
+	// the host before has recorded it. It counts more than those of that host.
+	handedOverChange = 1 << 16
 	// lookupTimeout limits a lookup: two calls to a store that is 60 times slower than usual.
 	lookupTimeout = 800 * time.Millisecond
 	// unknownRetryAfter is when callers may retry if a record may still be on its way, and
@@ -147,24 +150,28 @@
 func (s *Service) memory() time.Duration { return minMemory + s.params.LongestStream() }
 
 // Record implements gateway.Origins.
-func (s *Service) Record(ctx context.Context, requestID string, r fleet.Release) error {
+func (s *Service) Record(ctx context.Context, requestID string, r fleet.Release, isRecorded bool) error {
 	key := origin.StreamOf(requestID)
 	now := time.Now()
 	s.mu.Lock()
 	start := origin.Start{Stream: key, Release: r, At: now}
 	old, isKnown := s.own.Get(key)
 	isChanged := isKnown && old.Release != r
-	if isKnown {
+	switch {
+	case isKnown:
 		start.Change = old.Change
+	case isRecorded:
+		start.Change = handedOverChange
 	}
 	if isChanged {
 		start.Change++
 	}
+	mustWait := isChanged && s.written[key] || isRecorded && !isKnown
 	if !s.own.Put(start) {
 		s.metrics.dropped.Inc(1)
 	}
 	wasWritten := s.written[key]
-	isWritten := s.mixed[r.Service] || wasWritten
+	isWritten := s.mixed[r.Service] || wasWritten || isRecorded
 	if isWritten {
 		s.written[key] = true
 	}
@@ -173,15 +180,17 @@
 		return nil
 	}
 	written := s.writer.add(start)
-	if !isChanged || !wasWritten {
+	if !mustWait {
 		return nil
 	}
-	// The earlier release may be in the log already. A host that finds it there would go on
+	// The earlier release, of this host or of the one before, may be in the log already. A host that finds it there would go on
 	// with the stream at the wrong one.
 	if err := written.wait(ctx); err != nil {
-		s.mu.Lock()
-		s.own.Put(origin.Start{Stream: key, Release: old.Release, Change: start.Change, At: now})
-		s.mu.Unlock()
+		if isKnown {
+			s.mu.Lock()
+			s.own.Put(origin.Start{Stream: key, Release: old.Release, Change: start.Change, At: now})
+			s.mu.Unlock()
+		}
 		s.log.Info("Stream can't change its release; the change was not written.", "request", requestID, "service", r.Service, "from", old.Release.Version, "to", r.Version, "cause", err.Error())
 		return &UnwrittenError{Cause: err}
 	}
--- a/internal/origin/service_test.go
+++ b/internal/origin/service_test.go
@@ -77,7 +77,7 @@
 
 func (h *host) begin(t *testing.T, stream, version string) {
 	t.Helper()
-	if err := h.Record(t.Context(), stream, fleet.Release{Service: service, Version: version}); err != nil {
+	if err := h.Record(t.Context(), stream, fleet.Release{Service: service, Version: version}, false); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -255,7 +255,7 @@
 		a.begin(t, "2", "v1")
 		time.Sleep(100 * time.Millisecond)
 		store.SetFaults("a", metastore.Faults{Refuse: true})
-		err := a.Record(t.Context(), "2", fleet.Release{Service: service, Version: "v2"})
+		err := a.Record(t.Context(), "2", fleet.Release{Service: service, Version: "v2"}, false)
 		var u *UnwrittenError
 		is.True(errors.As(err, &u))
 		is.Equal(a.origin(t, "2"), "v1")
@@ -360,3 +360,27 @@
 		b.kill()
 	})
 }
+
+// A host that is cut off has recorded a stream, and another one sends it to a target of another
+// version. The records of the two hosts lie in any order.
+func TestStreamThatWasHandedOverIsFoundAtItsSecondHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newStore()
+		for i := range 6 {
+			a, b := startHost(t, store, fmt.Sprint("a", i), "v1", "v2"), startHost(t, store, fmt.Sprint("b", i), "v1", "v2")
+			stream, unwritten := fmt.Sprint("stream", i), fmt.Sprint("unwritten", i)
+			a.begin(t, stream, "v1")
+			a.begin(t, unwritten, "v1")
+			time.Sleep(100 * time.Millisecond)
+			is.NoErr(b.Record(t.Context(), stream, fleet.Release{Service: service, Version: "v2"}, true))
+			store.SetFaults(b.name, metastore.Faults{Refuse: true})
+			is.True(b.Record(t.Context(), unwritten, fleet.Release{Service: service, Version: "v2"}, true) != nil)
+			c := fall(t, store, []*host{a, b}, "v1", "v2")
+			is.Equal(c.origin(t, stream), "v2")
+			is.Equal(c.origin(t, unwritten), "v1")
+			c.kill()
+			store.SetFaults(c.name, metastore.Faults{})
+		}
+	})
+}
--- a/internal/port/handover.go
+++ b/internal/port/handover.go
@@ -33,6 +33,15 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// IsRecorded is set if the host may have recorded a release for the stream.
+	IsRecorded bool
+}
+
+// HandoverSender is the host that passes a request on.
+type HandoverSender struct {
+	Host string
+	// IsRecorded is that of the request.
+	IsRecorded bool
 }
 
 // HandoverOffer is the result of asking a host to take a request. Answer is set if it does.
@@ -68,5 +77,5 @@
 	// or was not taken.
 	Admit(from string) (_ HandoverDecision, release func())
 	// ServeHandover answers a request that was taken.
-	ServeHandover(w http.ResponseWriter, r *http.Request, from string)
+	ServeHandover(w http.ResponseWriter, r *http.Request, from HandoverSender)
 }
