front: unused connections do not keep a stopping host up

Read while looking at planned stops: the server's graceful shutdown waits for connections on which nothing has come yet, up to 5 s, and drops a request that it reads on one of them, without an answer. The caller of a posting then can't send it again.

The drain now ends once no request has been in progress for 0.1 s, and closes all connections: what was not read can be sent elsewhere.

--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -208,6 +208,9 @@
 	// answerReserve is the last part of the drain, in which the requests that are still in
 	// progress get their final answers.
 	answerReserve = 200 * time.Millisecond
+	// settleTime is how long no request must have been in progress at the end of the drain: those
+	// that are on their way on open connections are still served.
+	settleTime = 100 * time.Millisecond
 	// inFlightPoll is how often the drain looks whether all requests have ended.
 	inFlightPoll = 20 * time.Millisecond
 )
@@ -219,6 +222,15 @@
 	}
 }
 
+// awaitRequests returns when no request has been in progress for settleTime, or when ctx ends.
+func (s *servers) awaitRequests(ctx context.Context) {
+	for quietSince := time.Now(); ctx.Err() == nil && time.Since(quietSince) < settleTime; time.Sleep(inFlightPoll) {
+		if s.gateway.InFlight() > 0 {
+			quietSince = time.Now()
+		}
+	}
+}
+
 // drain reports that the host is not ready, continues to answer requests, and returns
 // when none is in progress or StopTime less stopReserve has passed.
 func (s *servers) drain(ctx context.Context) {
@@ -236,10 +248,9 @@
 	case <-ctx.Done():
 	}
 	s.closeCallerListener()
-	// The server would drop requests that it reads during its shutdown, without an answer.
-	for s.gateway.InFlight() > 0 && ctx.Err() == nil {
-		time.Sleep(inFlightPoll)
-	}
-	err := s.callers.Shutdown(ctx)
+	s.awaitRequests(ctx)
+	// The graceful shutdown of the server waits for unused connections, and drops what it reads
+	// on them without an answer.
+	err := s.callers.Close()
 	s.log.Info("Drain ended.", "took", time.Since(started).String(), "in_flight", s.gateway.InFlight(), "cause", fault.Text(err))
 }
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -111,3 +111,17 @@
 	is.True(answer != nil)
 	is.Equal(answer.StatusCode, http.StatusGatewayTimeout)
 }
+
+// A connection on which nothing has been sent kept a stopping host up, which would have dropped a
+// request that came on it after reading it.
+func TestUnusedConnectionDoesNotDelayAPlannedStop(t *testing.T) {
+	is := is.New(t)
+	s := newStopFixture(t, time.Millisecond, 8*time.Second)
+	c := s.connect()
+	time.Sleep(50 * time.Millisecond)
+	started := time.Now()
+	is.NoErr(s.host.Stop(context.Background()))
+	is.True(time.Since(started) < rotationDelay+time.Second)
+	_, err := c.Read(make([]byte, 1))
+	is.True(err != nil)
+}
