front: a request that comes as the drain ends is not passed on and cut

The drain looked each 20 ms whether requests were in progress, and closed all connections after its last look had found none.

The gateway now refuses requests from that look on, those that came before it are waited for, and answers are written before connections are closed; unused ones are waited for for 0.2 s at most.

--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -211,6 +211,8 @@
 	// settleTime is how long no request must have been in progress at the end of the drain: those
 	// that are on their way on open connections are still served.
 	settleTime = 100 * time.Millisecond
+	// writeTime is how long the last answers may take to be written.
+	writeTime = 200 * time.Millisecond
 	// inFlightPoll is how often the drain looks whether all requests have ended.
 	inFlightPoll = 20 * time.Millisecond
 )
@@ -222,15 +224,30 @@
 	}
 }
 
-// awaitRequests returns when no request has been in progress for settleTime, or when ctx ends.
-func (s *servers) awaitRequests(ctx context.Context) {
-	for quietSince := time.Now(); ctx.Err() == nil && time.Since(quietSince) < settleTime; time.Sleep(inFlightPoll) {
+// awaitRequests returns when no request has been in progress for a time, or when ctx ends.
+func (s *servers) awaitRequests(ctx context.Context, quiet time.Duration) {
+	for quietSince := time.Now(); ctx.Err() == nil; time.Sleep(inFlightPoll) {
 		if s.gateway.InFlight() > 0 {
 			quietSince = time.Now()
+			continue
+		}
+		if time.Since(quietSince) >= quiet {
+			return
 		}
 	}
 }
 
+// closeCallers closes the connections of callers once their answers are written. It does not wait
+// for those on which nothing has come yet.
+func (s *servers) closeCallers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	if err := s.callers.Shutdown(ctx); err != nil {
+		return s.callers.Close()
+	}
+	return nil
+}
+
 // drain reports that the host is not ready, continues to answer requests, and returns
 // when none is in progress or StopTime less stopReserve has passed.
 func (s *servers) drain(ctx context.Context) {
@@ -248,9 +265,10 @@
 	case <-ctx.Done():
 	}
 	s.closeCallerListener()
-	s.awaitRequests(ctx)
-	// The graceful shutdown of the server waits for unused connections, and drops what it reads
-	// on them without an answer.
-	err := s.callers.Close()
+	s.awaitRequests(ctx, settleTime)
+	// A request that comes from now on is refused, so that none is passed on and then cut.
+	s.gateway.RefuseFurther()
+	s.awaitRequests(ctx, 0)
+	err := s.closeCallers(ctx)
 	s.log.Info("Drain ended.", "took", time.Since(started).String(), "in_flight", s.gateway.InFlight(), "cause", fault.Text(err))
 }
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -125,3 +125,23 @@
 	_, err := c.Read(make([]byte, 1))
 	is.True(err != nil)
 }
+
+// Requests came on open connections in the very moment in which the drain ended. They were passed
+// on, and their connections closed without an answer.
+func TestRequestAtTheEndOfTheDrainIsNotCut(t *testing.T) {
+	for step := range 16 {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newStopFixture(t, 30*time.Millisecond, 8*time.Second)
+			c := s.connect()
+			time.Sleep(50 * time.Millisecond)
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.host.Stop(context.Background()) }()
+			time.Sleep(rotationDelay + settleTime + time.Duration(3*step-20)*time.Millisecond)
+			answer := s.send(c, "/posting/x", "crossing")
+			is.NoErr(<-stopped)
+			is.True(answer != nil || len(s.target.Runs()) == 0)
+		})
+	}
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -19,6 +19,8 @@
 	// redirectedAt is when callers stop sending new requests to this host. Those that come
 	// later are served only if they surely end in time.
 	redirectedAt time.Time
+	// isClosed is set if no further request is served.
+	isClosed bool
 	// givenUp ends when the requests in progress are given up.
 	givenUp context.Context
 	giveUp  context.CancelFunc
@@ -32,6 +34,13 @@
 	time.AfterFunc(time.Until(endAt), g.stopping.giveUp)
 }
 
+// RefuseFurther refuses all requests that come from now on. Those in progress go on.
+func (g *Gateway) RefuseFurther() {
+	g.stopping.mu.Lock()
+	defer g.stopping.mu.Unlock()
+	g.stopping.isClosed = true
+}
+
 // limitToStop makes ctx end when the requests in progress are given up.
 func (g *Gateway) limitToStop(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -48,7 +57,10 @@
 	s := &j.g.stopping
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.endAt.IsZero() {
+	switch {
+	case s.isClosed:
+		return false
+	case s.endAt.IsZero():
 		return true
 	}
 	longest := j.deadline().Sub(now)
