testutil: ports of tests are reserved while nobody listens on them

The path's port came from the ephemeral range; while a reset cut had its listener closed, the kernel gave the port to another connection of the package's parallel tests.

Cause, class: a port that is chosen now and listened on later, or again, without anybody holding it meanwhile. The same elsewhere: replicas that restart at their address, the soak's proxies that refuse, and FreePorts, which remembered ports for one process only while go test runs several.

Change: a bound socket that never listens keeps the port; SO_REUSEADDR is set on it after its bind, so that listeners get the port and others' reservations of it fail.

Ruled out: a listener left open by the test (heal closes its own first).

--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -11,6 +11,7 @@
 
 	"yuccausher/internal/standin/metastore"
 	"yuccausher/internal/standin/replica"
+	"yuccausher/internal/testutil"
 )
 
 // After a crash another target may listen at the same address before the host probes it,
@@ -22,13 +23,12 @@
 	store.Put("keyed.op", "config", []byte(configuration))
 	f, o := startHost(t, store)
 	const requests = 6
-	ran, address := 0, "127.0.0.1:0"
+	ran, address := 0, testutil.ReservedAddress(t)
 	for n := range requests {
 		id := fmt.Sprint("t", n)
 		r, err := replica.Listen(address, replica.Options{ID: id})
 		is.NoErr(err)
 		r.FailAlways(replica.Crashing)
-		address = r.Address()
 		store.Put("keyed.servers", fmt.Sprint("t", n-1), nil)
 		store.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"app","addr":%q,"zone":"here","slots":8,"state":"ready","born":%d}`, address, n+1))
 		time.Sleep(o.DrainTime / 2) // until the host has read the record
--- a/internal/front/cut_off_test.go
+++ b/internal/front/cut_off_test.go
@@ -22,6 +22,7 @@
 	"yuccausher/internal/gen/spending"
 	"yuccausher/internal/standin/metastore"
 	"yuccausher/internal/standin/replica"
+	"yuccausher/internal/testutil"
 	"yuccausher/platform"
 )
 
@@ -51,7 +52,7 @@
 		if i < 4 {
 			service = "models"
 		}
-		r, err := replica.Listen("127.0.0.1:0", replica.Options{ID: id, Events: 9, Work: 20 * time.Millisecond})
+		r, err := replica.Listen(testutil.ReservedAddress(t), replica.Options{ID: id, Events: 9, Work: 20 * time.Millisecond})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/front/path_test.go
+++ b/internal/front/path_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"yuccausher/internal/testutil"
 )
 
 // cut is how a path is cut.
@@ -28,7 +30,6 @@
 	t       *testing.T
 	server  string
 	address string
-	port    int
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -40,7 +41,7 @@
 
 func newPath(t *testing.T, server string) *path {
 	t.Helper()
-	p := &path{t: t, server: server, conns: make(map[net.Conn]bool)}
+	p := &path{t: t, server: server, address: testutil.ReservedAddress(t), conns: make(map[net.Conn]bool)}
 	p.listen()
 	t.Cleanup(func() {
 		p.heal()
@@ -58,6 +59,10 @@
 // dropped.
 func (p *path) listen() {
 	p.t.Helper()
+	at, err := net.ResolveTCPAddr("tcp", p.address)
+	if err != nil {
+		p.t.Fatal(err)
+	}
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
 	if err != nil {
 		p.t.Fatal(err)
@@ -65,7 +70,7 @@
 	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
 		p.t.Fatal(err)
 	}
-	if err := unix.Bind(fd, &unix.SockaddrInet4{Port: p.port, Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Port: at.Port, Addr: [4]byte(at.IP.To4())}); err != nil {
 		p.t.Fatal(err)
 	}
 	if err := unix.Listen(fd, 0); err != nil {
@@ -78,7 +83,7 @@
 	}
 	_ = f.Close()
 	p.mu.Lock()
-	p.listener, p.address, p.port = l, l.Addr().String(), l.Addr().(*net.TCPAddr).Port
+	p.listener = l
 	p.mu.Unlock()
 	go p.accept(l)
 }
--- a/internal/front/stream_version_test.go
+++ b/internal/front/stream_version_test.go
@@ -14,6 +14,7 @@
 
 	"yuccausher/internal/standin/metastore"
 	"yuccausher/internal/standin/replica"
+	"yuccausher/internal/testutil"
 )
 
 const streamConfiguration = `{"version":1,"routes":[{"name":"turns","host":"a.example","prefix":"/turns/","kind":"stream","resumable":true,"timeout_ms":3000,"goal_ms":500,"service":"models","attempts":1}],"services":[{"name":"models","engine":{"slots":8,"kv_tokens":100000,"event_tokens":1}}]}`
@@ -39,7 +40,7 @@
 	v.t.Helper()
 	for range count {
 		id := "e" + strconv.Itoa(len(v.engines))
-		r, err := replica.Listen("127.0.0.1:0", replica.Options{ID: id, Events: 9, Work: 20 * time.Millisecond})
+		r, err := replica.Listen(testutil.ReservedAddress(v.t), replica.Options{ID: id, Events: 9, Work: 20 * time.Millisecond})
 		if err != nil {
 			v.t.Fatal(err)
 		}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"yuccausher/internal/testutil"
 )
 
 // mode is what a proxy does to the bytes that pass it.
@@ -32,6 +34,7 @@
 // proxy is a path between two processes that can be harmed.
 type proxy struct {
 	listener net.Listener
+	reserved *testutil.Reservation
 	server   atomic.Pointer[string]
 	mode     atomic.Int32
 
@@ -40,21 +43,22 @@
 }
 
 func newProxy(server string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	reserved, err := testutil.ReserveAddress()
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, conns: make(map[net.Conn]bool)}
+	l, err := net.Listen("tcp", reserved.Address())
+	if err != nil {
+		reserved.Release()
+		return nil, err
+	}
+	p := &proxy{listener: l, reserved: reserved, conns: make(map[net.Conn]bool)}
 	p.server.Store(&server)
 	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.listener.Addr().String()
-}
+func (p *proxy) address() string { return p.reserved.Address() }
 
 func (p *proxy) set(m mode) { p.mode.Store(int32(m)) }
 
@@ -170,9 +174,12 @@
 }
 
 func (p *proxy) close() {
+	p.mu.Lock()
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.set(open)
 	p.reset()
+	p.reserved.Release()
 }
 
 func resetConn(c net.Conn) {
--- a/internal/testutil/ports.go
+++ b/internal/testutil/ports.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
-	"sync"
 	"testing"
 )
 
@@ -17,56 +16,47 @@
 	portAttempts = 100
 )
 
-// allocatedPorts holds the ports already returned to tests of this process. A test
-// listens on its port only some time later.
-var allocatedPorts = struct {
-	sync.Mutex
-	ports map[int]bool
-}{ports: make(map[int]bool)}
-
 // FreeAddress returns a loopback address whose port is free.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
 	return loopback(FreePorts(t, 1))
 }
 
-// FreePorts returns the first of count consecutive free ports.
+// FreePorts returns the first of count consecutive free ports. They are reserved until the test
+// ends, as its processes listen only some time later, and may restart.
 func FreePorts(t *testing.T, count int) int {
 	t.Helper()
 	for range portAttempts {
 		first := firstPort + rand.IntN(lastPort-firstPort-count)
-		if areFree(first, count) && allocate(first, count) {
-			return first
+		reserved, err := reserveAll(first, count)
+		if err != nil {
+			continue
 		}
+		t.Cleanup(func() { releaseAll(reserved) })
+		return first
 	}
 	t.Fatal("no free ports")
 	return 0
 }
 
-func areFree(first, count int) bool {
+// reserveAll reserves consecutive ports, all or none.
+func reserveAll(first, count int) ([]*Reservation, error) {
+	reserved := make([]*Reservation, 0, count)
 	for p := first; p < first+count; p++ {
-		listener, err := net.Listen("tcp", loopback(p))
+		r, err := reserve(p)
 		if err != nil {
-			return false
+			releaseAll(reserved)
+			return nil, err
 		}
-		listener.Close()
+		reserved = append(reserved, r)
 	}
-	return true
+	return reserved, nil
 }
 
-// allocate reserves ports, or returns false if one of them is already reserved.
-func allocate(first, count int) bool {
-	allocatedPorts.Lock()
-	defer allocatedPorts.Unlock()
-	for p := first; p < first+count; p++ {
-		if allocatedPorts.ports[p] {
-			return false
-		}
-	}
-	for p := first; p < first+count; p++ {
-		allocatedPorts.ports[p] = true
+func releaseAll(reserved []*Reservation) {
+	for _, r := range reserved {
+		r.Release()
 	}
-	return true
 }
 
 func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
--- a/internal/testutil/ports_test.go
+++ b/internal/testutil/ports_test.go
@@ -1,6 +1,7 @@
 package testutil
 
 import (
+	"net"
 	"testing"
 
 	"github.com/matryer/is"
@@ -20,3 +21,20 @@
 		}
 	}
 }
+
+// A process that restarted found its port taken by another package's tests.
+func TestReservedPortIsGivenToNobodyElse(t *testing.T) {
+	is := is.New(t)
+	first := FreePorts(t, 1)
+	_, err := reserveAll(first, 1)
+	is.True(err != nil)
+	for range 2 { // a process and its restart
+		l, err := net.Listen("tcp", loopback(first))
+		is.NoErr(err)
+		_, err = reserveAll(first, 1)
+		is.True(err != nil)
+		is.NoErr(l.Close())
+	}
+	_, err = reserveAll(first, 1)
+	is.True(err != nil)
+}
