origin: starts of streams that nobody can take up any more are not read

At the size that we design for: after a fall of all hosts while versions are mixed, 410 hosts read the starts of 38 s (and 5 s for clocks), some 600 MB at 80 MB/s of the store, so that lookups time out for 8 s and take-ups are refused meanwhile (CAPACITY.md, red).

Cause: one time served two ends. A release that has left counts for 30 s and the longest stream, since streams that it began may still be taken up; the starts were kept as long, though a start is of use only while its stream's caller waits.

Change: starts are kept for two of the longest streams and 8 s. An older one counts as unknown, so that its stream is refused, not joined. Releases are remembered as long as before.

Ruled out: the same for releases; a version that had left would be taken for one that never served, and its streams joined.

The figures at 410 hosts are worked out; the row stays red.

--- a/internal/origin/releases.go
+++ b/internal/origin/releases.go
@@ -104,13 +104,13 @@
 		}
 	}
 	s.seen.Forget(now.Add(-forgetAfter))
-	s.own.Expire(now.Add(-s.memory()))
+	s.own.Expire(now.Add(-s.startMemory()))
 	for key := range s.written {
 		if _, isKnown := s.own.Get(key); !isKnown {
 			delete(s.written, key)
 		}
 	}
-	s.reader.expire(now.Add(-s.memory()))
+	s.reader.expire(now.Add(-s.startMemory()))
 	s.updateMixed(now)
 }
 
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -27,6 +27,9 @@
 	// minMemory is the minimum time for which a release that has left may have begun a stream
 	// that is still taken up. The longest timeout of a route is added.
 	minMemory = 30 * time.Second
+	// startSlack is how much longer than two of the longest streams a start is kept: callers come
+	// back after a fall of all hosts as well.
+	startSlack = 8 * time.Second
 	// maxOwnStarts and maxReadStarts limit the starts of this host and of all hosts that are
 	// kept in memory, about 40 bytes each.
 	maxOwnStarts  = 1 << 16
@@ -117,7 +120,7 @@
 		logger:    log,
 		metrics:   m,
 	})
-	s.reader = newReader(p, parts, s.memory, log, m)
+	s.reader = newReader(p, parts, s.startMemory, log, m)
 	return s
 }
 
@@ -149,6 +152,10 @@
 // taken up.
 func (s *Service) memory() time.Duration { return minMemory + s.params.LongestStream() }
 
+// startMemory returns the age up to which starts of streams are looked for. An older one counts as
+// unknown, so that its stream is not taken up.
+func (s *Service) startMemory() time.Duration { return 2*s.params.LongestStream() + startSlack }
+
 // Record implements gateway.Origins.
 func (s *Service) Record(ctx context.Context, requestID string, r fleet.Release, isRecorded bool) error {
 	key := origin.StreamOf(requestID)
--- a/internal/origin/service_test.go
+++ b/internal/origin/service_test.go
@@ -11,8 +11,10 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/core/origin"
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/port"
 	"yuccausher/internal/standin/metastore"
@@ -318,6 +320,30 @@
 	}
 }
 
+// A host that started after a fall of all hosts read the starts of all streams of the time for which
+// releases are remembered. Callers no longer wait for most of those.
+func TestStartsOfStreamsThatHaveEndedAreNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newStore()
+		a := startHost(t, store, "a", "v1", "v2")
+		const perSecond = 20
+		for i := range 120 * perSecond {
+			a.begin(t, fmt.Sprint(i), "v1")
+			time.Sleep(time.Second / perSecond)
+		}
+		data, err := proto.Marshal(encode([]pending{{start: origin.Start{Stream: 1, Release: fleet.Release{Service: service, Version: "v1"}}}}, time.Now()))
+		is.NoErr(err)
+		store.ReadBytes = 0
+		b := fall(t, store, []*host{a}, "v1", "v2")
+		const waited = 3 * time.Second
+		is.Equal(b.origin(t, fmt.Sprint(120*perSecond-waited.Seconds()*perSecond)), "v1")
+		// The search for the first start may read twice what is looked for.
+		is.True(store.ReadBytes <= 2*int((b.startMemory()+clockTolerance).Seconds())*perSecond*len(data))
+		b.kill()
+	})
+}
+
 // Lookups at the same time, as after a fall of all hosts, share their reads of the store.
 func TestLookupsShareReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
