--- a/internal/socket/deadpeer_test.go
+++ b/internal/socket/deadpeer_test.go
@@ -64,3 +64,33 @@
 		is.True(ack <= 3*time.Second) // callers wait for about as long
 	}
 }
+
+// isGivenUp follows the kernel: a connection without traffic is probed after keepAliveIdle and then
+// each keepAliveInterval. It fails at the first of these times at which nothing has arrived for
+// ackTimeout and a probe is unanswered. The peer is silent for a time that begins a while after it
+// last sent something, and answers probes otherwise.
+func isGivenUp(begins, silence time.Duration) bool {
+	unanswered := 0
+	for at := keepAliveIdle; ; at += keepAliveInterval {
+		switch {
+		case at >= ackTimeout && unanswered > 0:
+			return true
+		case at >= begins && at < begins+silence:
+			unanswered++
+		default:
+			return false
+		}
+	}
+}
+
+// A single probe that was lost ended connections to sound peers that worked on a long request.
+func TestShortSilenceEndsNoConnection(t *testing.T) {
+	is := is.New(t)
+	const step = 10 * time.Millisecond
+	for begins := time.Duration(0); begins < 5*time.Second; begins += step {
+		for silence := step; silence <= time.Second; silence += step {
+			is.True(!isGivenUp(begins, silence))
+		}
+	}
+	is.True(isGivenUp(0, time.Hour))
+}
