--- a/internal/origin/reader.go
+++ b/internal/origin/reader.go
@@ -30,11 +30,12 @@
 // reader reads the shared list of releases and the starts of all hosts' streams. Lookups at the
 // same time share their reads.
 type reader struct {
-	log     port.SharedLog
-	list    port.KeyedStream
-	memory  func() time.Duration
-	logger  logr.Logger
-	metrics *metrics
+	log  port.SharedLog
+	list port.KeyedStream
+	// startMemory is the age up to which starts are read.
+	startMemory func() time.Duration
+	logger      logr.Logger
+	metrics     *metrics
 
 	listReads  shared[*origin.History]
 	startReads shared[struct{}]
@@ -52,8 +53,8 @@
 	readAt time.Time
 }
 
-func newReader(p Params, parts int, memory func() time.Duration, logger logr.Logger, m *metrics) *reader {
-	r := &reader{log: p.Log, list: p.Releases, memory: memory, logger: logger, metrics: m, index: origin.NewIndex(maxReadStarts)}
+func newReader(p Params, parts int, startMemory func() time.Duration, logger logr.Logger, m *metrics) *reader {
+	r := &reader{log: p.Log, list: p.Releases, startMemory: startMemory, logger: logger, metrics: m, index: origin.NewIndex(maxReadStarts)}
 	for part := range parts {
 		r.partitions = append(r.partitions, &partition{Partition: port.Partition{Topic: topic, Part: part}})
 	}
@@ -120,7 +121,7 @@
 
 // catchUp reads a partition to its end.
 func (r *reader) catchUp(ctx context.Context, p *partition) error {
-	if time.Since(p.readAt) > r.memory() {
+	if time.Since(p.readAt) > r.startMemory() {
 		next, err := r.position(ctx, p.Partition)
 		if err != nil {
 			return err
@@ -146,14 +147,14 @@
 	}
 }
 
-// position returns the offset from which the records of the last memory on are read. It steps
+// position returns the offset from which the records of the last startMemory are read. It steps
 // back from the end, since the rate of the records is not known.
 func (r *reader) position(ctx context.Context, p port.Partition) (int64, error) {
 	oldest, end, _, err := r.peek(ctx, p, 0)
 	if err != nil {
 		return 0, err
 	}
-	earliest := time.Now().Add(-r.memory() - clockTolerance)
+	earliest := time.Now().Add(-r.startMemory() - clockTolerance)
 	for step := int64(firstStep); ; step *= 2 {
 		from := max(end-step, oldest)
 		if from == oldest {
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -190,8 +190,8 @@
 	if !mustWait {
 		return nil
 	}
-	// The earlier release, of this host or of the one before, may be in the log already. A host that finds it there would go on
-	// with the stream at the wrong one.
+	// The earlier release, of this host or of the one before, may be in the log already. A host
+	// that finds it there would go on with the stream at the wrong one.
 	if err := written.wait(ctx); err != nil {
 		if isKnown {
 			s.mu.Lock()
