gateway, origin: a host that passes a stream on forgets its own choice

Cause: a host records the release that it is about to send a stream to. If it finds out then that it reaches no target, another host begins the stream, at any release; the first host's lookup trusted its own memory before the log.

Change: once another host has taken a stream of which the caller has no event, the first one forgets its record, and looks the stream up in the log, where the second host's record counts more.

--- a/internal/core/origin/index.go
+++ b/internal/core/origin/index.go
@@ -90,6 +90,9 @@
 	return list
 }
 
+// Delete removes the start of a stream.
+func (x *Index) Delete(s Stream) { delete(x.starts, s) }
+
 // Expire removes the starts before a time.
 func (x *Index) Expire(before time.Time) {
 	limit := before.UnixNano()
--- a/internal/front/cut_off_test.go
+++ b/internal/front/cut_off_test.go
@@ -111,6 +111,12 @@
 
 // send sends a request that waits for an answer for up to wait.
 func (c *cutFleet) send(o Options, path, id string, wait time.Duration) reply {
+	c.t.Helper()
+	return c.sendWith(o, path, id, wait, nil)
+}
+
+// sendWith is send with further fields in the header.
+func (c *cutFleet) sendWith(o Options, path, id string, wait time.Duration, fields map[string]string) reply {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(c.t.Context(), wait)
 	defer cancel()
@@ -124,6 +130,9 @@
 	if strings.HasPrefix(path, "/turns/") {
 		r.Header.Set("Accept", "text/event-stream")
 	}
+	for name, value := range fields {
+		r.Header.Set(name, value)
+	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(r)
 	if err != nil {
@@ -394,3 +403,66 @@
 		})
 	}
 }
+
+// mixVersions gives half of the targets for streams another software version.
+func (c *cutFleet) mixVersions() {
+	for _, id := range []string{"t2", "t3"} {
+		c.store.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"models","addr":%q,"zone":"here","version":"v2","slots":8,"state":"ready"}`, c.targets[id].Address()))
+	}
+}
+
+// versionOf returns the software version of the target that ran a stream; empty if none has.
+func (c *cutFleet) versionOf(id string) string {
+	for target, r := range c.targets {
+		for _, run := range r.Runs() {
+			if run.RequestID == id && (target == "t2" || target == "t3") {
+				return "v2"
+			}
+			if run.RequestID == id {
+				return "v1"
+			}
+		}
+	}
+	return ""
+}
+
+// A host that had chosen a target for a stream found out that it reached none, and passed the stream on.
+// Later it took its own choice for the version that had begun the stream.
+func TestStreamThatWasHandedOverIsNotTakenUpAtTheFirstChoice(t *testing.T) {
+	is := is.New(t)
+	c := newCutFleet(t)
+	c.mixVersions()
+	c.start("b")
+	_, a := c.start("a")
+	c.sendMany(a, "before-", 12)
+	c.cut("a", reset)
+	const streams = 24
+	var begun sync.WaitGroup
+	for i := range streams {
+		begun.Go(func() { c.send(a, "/turns/x", fmt.Sprint("first-", i), 3*time.Second) })
+	}
+	begun.Wait()
+	c.heal("a")
+	time.Sleep(time.Second) // until the host has found out
+	asked, went, joined := 0, 0, 0
+	for i := range streams {
+		first, second := fmt.Sprint("first-", i), fmt.Sprint("second-", i)
+		if c.versionOf(first) == "" {
+			continue
+		}
+		asked++
+		c.sendWith(a, "/turns/x", second, 3*time.Second, map[string]string{"Resumes": first, "Last-Event-Id": "5"})
+		switch c.versionOf(second) {
+		case "":
+		case c.versionOf(first):
+			went++
+		default:
+			went++
+			joined++
+		}
+	}
+	t.Logf("%d streams, %d went on, %d of them joined", asked, went, joined)
+	is.True(asked > streams/2)
+	is.Equal(joined, 0)
+	is.True(went > asked/2)
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -313,6 +313,8 @@
 
 func (noOrigins) Record(context.Context, string, fleet.Release, bool) error { return nil }
 
+func (noOrigins) Forget(string) {}
+
 func (noOrigins) Lookup(context.Context, string, string) (string, error) { return "", nil }
 
 // path is a path to the targets in a given state.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,6 +131,9 @@
 	// release for it. If it returns an error, only the release that was recorded before may run
 	// the stream.
 	Record(ctx context.Context, requestID string, r fleet.Release, isRecorded bool) error
+	// Forget drops what this host has recorded for a stream that another host begins, so that
+	// lookups here find what that host has recorded.
+	Forget(requestID string)
 	// Lookup returns the version of a service's targets that began a stream. Its error is an
 	// *UnknownOriginError.
 	Lookup(ctx context.Context, service, requestID string) (string, error)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -84,6 +84,9 @@
 	}
 	defer taken.Answer.Close()
 	j.handedTo = taken.Host
+	if j.isRecorded && j.events == 0 {
+		j.g.origins.Forget(j.call.RequestID)
+	}
 	status, header, err := taken.Answer.Start()
 	if err == nil && isPromise(status) && len(j.ranAt) > 0 {
 		// The other host has not run the request, but a target of this one may have.
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -204,6 +204,13 @@
 	return nil
 }
 
+// Forget implements gateway.Origins.
+func (s *Service) Forget(requestID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.own.Delete(origin.StreamOf(requestID))
+}
+
 // UnwrittenError reports that a change of the release that runs a stream was not written to the
 // shared log.
 type UnwrittenError struct{ Cause error }
