--- a/internal/socket/deadpeer.go
+++ b/internal/socket/deadpeer.go
@@ -12,10 +12,11 @@
 
 const (
 	// keepAliveIdle, keepAliveInterval and keepAliveProbes make the kernel probe a connection
-	// that is waiting for an answer, so that it fails 2 s after the peer has become unreachable.
+	// that is waiting for an answer, so that it fails 3 s after the peer has become unreachable.
+	// One lost probe is not enough.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveProbes   = 1
+	keepAliveProbes   = 2
 	// ackTimeout is how long sent bytes may stay unacknowledged before the connection fails.
 	// The kernel also ends probing after it, so that it must not be shorter than all probes
 	// take. A sound peer may be silent for little more than a second.
