handover: a host that takes a request is asked again at once

Cause: an offer that fails makes its host be skipped for 200 ms. A request that the same host takes right after, offered before, dropped the count of failures but not the skip, so that the host counted as one that had declined: neither preferred nor asked when nobody else is left. Log of a failing run: old-17 fails at 20.590 ("context canceled"), old-15 is taken at 20.606, from 20.609 on five hosts of an older release are asked and refuse, the one that takes requests is not asked.

Before: TestHostThatTakesARequestIsAskedAgain failed.

--- a/internal/core/handover/peers.go
+++ b/internal/core/handover/peers.go
@@ -102,6 +102,7 @@
 func (p *Peers) Taken(host string) {
 	p.inProgress[host]++
 	delete(p.failures, host)
+	delete(p.skippedUntil, host)
 	if !slices.Contains(p.preferred, host) {
 		p.preferred = append(p.preferred, host)
 		if len(p.preferred) > maxPreferred {
--- a/internal/core/handover/peers_test.go
+++ b/internal/core/handover/peers_test.go
@@ -146,3 +146,17 @@
 	p.Unreachable("a", now)
 	is.True(isAsked(minUnreachableTTL))
 }
+
+// A host that had just taken a request was not asked for a while, since an earlier offer to it had
+// failed. With hosts of an older release only beside it, all requests were refused meanwhile.
+func TestHostThatTakesARequestIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	none := func(string) bool { return false }
+	p := NewPeers(func(int) int { return 0 })
+	now := time.Now()
+	p.Unreachable("a", now)
+	p.Taken("a") // an offer that was made before
+	host, ok := p.Choose([]string{"a"}, none, now)
+	is.True(ok)
+	is.Equal(host, "a")
+}
