origin, gateway: a take-up is refused at once while the store is known to be silent

What callers saw, in a test in virtual time: each take-up at a host whose store is silent waited 0.7 s for its refusal, however many had just been refused for the same reason; and one whose origin is not known waited up to 0.4 s more for a read of the targets that no longer mattered.

Cause: the lookup forgot that the store had just not answered, and the refusal waited for both of two parallel reads.

Change: for the time after which callers are told to come back (0.4 s) a lookup that needs the store fails at once. Streams that this host began are not concerned. The read of the targets ends with the lookup that failed.

Before: TestOriginIsUnknownWhileTheStoreIsUnavailable failed (0.7 s in place of 0), TestStreamOfUnknownOriginDoesNotWaitForTargets too (the read ended by its own timeout). After: both pass.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -43,12 +43,14 @@
 
 // fixture is a gateway with stand-ins for its targets.
 type fixture struct {
-	t         *testing.T
-	tables    *route.Holder
-	fleet     *fleet.Fleet
-	gateway   *gateway.Gateway
-	budgets   *budgets
-	turnStore *turnStore
+	origins        origins
+	refreshTargets func(context.Context) error
+	t              *testing.T
+	tables         *route.Holder
+	fleet          *fleet.Fleet
+	gateway        *gateway.Gateway
+	budgets        *budgets
+	turnStore      *turnStore
 	// quarantine is that of the gateway's host. No other host reports crashes to it,
 	// except through reportCrashes.
 	quarantine *quarantine.Service
@@ -86,7 +88,7 @@
 
 func newFixtureWithPlacement(t *testing.T, placement gateway.Placement) *fixture {
 	t.Helper()
-	s := &fixture{t: t, tables: &route.Holder{}, fleet: fleet.New("here", 1), budgets: &budgets{}, turnStore: &turnStore{turns: make(map[string]conversation.Chain)}, replicas: make(map[string]*replica.Replica)}
+	s := &fixture{t: t, refreshTargets: func(context.Context) error { return nil }, tables: &route.Holder{}, fleet: fleet.New("here", 1), budgets: &budgets{}, turnStore: &turnStore{turns: make(map[string]conversation.Chain)}, replicas: make(map[string]*replica.Replica)}
 	pool := upstream.NewPool(tally.NoopScope)
 	s.quarantine = quarantine.New(quarantine.Params{Probe: pool.Probe, Logger: logr.Discard(), Scope: tally.NoopScope})
 	s.gateway = gateway.New(gateway.Params{
@@ -97,11 +99,11 @@
 		Placement:      placement,
 		Budgets:        s.budgets,
 		Conversations:  s.turnStore,
-		Origins:        noOrigins{},
+		Origins:        &s.origins,
 		Reach:          &s.path,
 		Quarantine:     s.quarantine,
 		TargetsReadAt:  time.Now,
-		RefreshTargets: func(context.Context) error { return nil },
+		RefreshTargets: func(ctx context.Context) error { return s.refreshTargets(ctx) },
 		Log:            logr.Discard(),
 		Scope:          tally.NoopScope,
 	})
@@ -308,14 +310,15 @@
 
 func (firstPlace) LimitChanged(string) {}
 
-// noOrigins records nothing. All streams have begun at targets without a version.
-type noOrigins struct{}
+// origins records nothing. All streams have begun at targets without a version, or at ones that can't
+// be found out.
+type origins struct{ unknown error }
 
-func (noOrigins) Record(context.Context, string, fleet.Release, bool) error { return nil }
+func (*origins) Record(context.Context, string, fleet.Release, bool) error { return nil }
 
-func (noOrigins) Forget(string) {}
+func (*origins) Forget(string) {}
 
-func (noOrigins) Lookup(context.Context, string, string) (string, error) { return "", nil }
+func (o *origins) Lookup(context.Context, string, string) (string, error) { return "", o.unknown }
 
 // path is a path to the targets in a given state.
 type path struct{ state atomic.Int32 }
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -24,12 +24,17 @@
 		return true
 	}
 	defer since(&j.times.origin, time.Now())
+	refreshCtx, stopRefresh := context.WithCancel(ctx)
+	defer stopRefresh()
 	refreshed := make(chan struct{})
 	go func() {
 		defer close(refreshed)
-		j.refreshTargets(ctx)
+		j.refreshTargets(refreshCtx)
 	}()
 	version, err := j.g.origins.Lookup(ctx, j.service, j.call.Resumes)
+	if err != nil {
+		stopRefresh()
+	}
 	<-refreshed
 	if err == nil {
 		j.bindVersion(version)
@@ -64,7 +69,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxRefreshTime)
 	defer cancel()
-	if err := j.g.refreshTargets(ctx); err != nil {
+	if err := j.g.refreshTargets(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		j.g.log.Info("Targets could not be read before a stream goes on.", "request", j.call.RequestID, "targets_age_ms", j.g.targetsAge().Milliseconds(), "cause", err.Error())
 	}
 }
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"testing"
@@ -8,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"yuccausher/internal/gateway"
 	"yuccausher/internal/standin/replica"
 )
 
@@ -62,3 +65,23 @@
 		})
 	}
 }
+
+// A stream whose origin was known not to be found waited for the targets to be read all the same.
+func TestStreamOfUnknownOriginDoesNotWaitForTargets(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	s.add(models, replica.Options{Events: 9})
+	s.origins.unknown = &gateway.UnknownOriginError{RetryAfter: time.Second, Cause: errors.New("no record")}
+	ended := make(chan error, 1)
+	s.refreshTargets = func(ctx context.Context) error {
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return ctx.Err()
+	}
+	header := turnHeader("p")
+	header.Set("Resumes", "first")
+	header.Set("Last-Event-Id", "5")
+	a := s.mustSend(request{method: http.MethodPost, path: turns, id: "second", header: header})
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.Equal(<-ended, context.Canceled) // and not at its own timeout
+}
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -77,6 +77,7 @@
 	metrics *metrics
 	writer  *writer
 	reader  *reader
+	outage  outage
 	wake    chan struct{}
 	stop    context.CancelFunc
 	done    sync.WaitGroup
@@ -261,23 +262,35 @@
 	if isOwn {
 		return "", unknown, &gateway.UnknownOriginError{RetryAfter: unknownRetryAfter, Cause: errors.Errorf("the stream began at service %s", own.Release.Service)}
 	}
+	if err := s.outage.current(); err != nil {
+		return "", unavailable, unavailableError(err)
+	}
 	versions, err := s.possibleVersions(ctx, service)
 	if err != nil {
-		return "", unavailable, &gateway.UnknownOriginError{RetryAfter: unavailableRetryAfter, Cause: err}
+		s.outage.began(err)
+		return "", unavailable, unavailableError(err)
 	}
 	if len(versions) == 1 {
+		s.outage.ended()
 		return versions[0], fromReleases, nil
 	}
 	start, isKnown, err := s.reader.find(ctx, key)
+	if err != nil {
+		s.outage.began(err)
+		return "", unavailable, unavailableError(err)
+	}
+	s.outage.ended()
 	switch {
-	case err != nil:
-		return "", unavailable, &gateway.UnknownOriginError{RetryAfter: unavailableRetryAfter, Cause: err}
 	case !isKnown || start.Release.Service != service:
 		return "", unknown, &gateway.UnknownOriginError{RetryAfter: unknownRetryAfter, Cause: errors.Errorf("no record of the stream, and versions %q serve or served lately", versions)}
 	}
 	return start.Release.Version, fromLog, nil
 }
 
+func unavailableError(cause error) error {
+	return &gateway.UnknownOriginError{RetryAfter: unavailableRetryAfter, Cause: cause}
+}
+
 // possibleVersions returns the versions of a service that may have begun a stream which is
 // taken up now. The shared list has each release before its targets get streams.
 func (s *Service) possibleVersions(ctx context.Context, service string) ([]string, error) {
--- a/internal/origin/service_test.go
+++ b/internal/origin/service_test.go
@@ -238,6 +238,13 @@
 				is.Equal(a.origin(t, "of another host"), "unknown")
 				is.True(time.Since(started) <= lookupTimeout)
 				is.Equal(a.origin(t, "own"), "v1")
+				// It is known now that there is no answer.
+				started = time.Now()
+				is.Equal(a.origin(t, "of another host"), "unknown")
+				is.Equal(time.Since(started), time.Duration(0))
+				store.SetFaults("a", metastore.Faults{})
+				time.Sleep(unavailableRetryAfter)
+				is.Equal(a.origin(t, "of another host"), "v1")
 				a.kill()
 			})
 		})
