--- a/internal/origin/model_test.go
+++ b/internal/origin/model_test.go
@@ -297,7 +297,7 @@
 		for _, h := range m.hosts {
 			_ = h.Stop(context.Background())
 		}
-		time.Sleep(readTimeout) // reads that lookups share outlast them
+		time.Sleep(3 * readTimeout) // a read that lookups share outlasts them, and another may follow
 		joined, found, asked = m.joined, m.found, m.asked
 	})
 	return joined, found, asked
