--- a/internal/front/cut_off_test.go
+++ b/internal/front/cut_off_test.go
@@ -43,16 +43,28 @@
 	deadline time.Duration
 }
 
+// cutFleetTargets is how many targets the fleet has unless a test sets another number. Four of them
+// serve streams.
+const cutFleetTargets = 8
+
 func newCutFleet(t *testing.T) *cutFleet {
+	t.Helper()
+	return newCutFleetOf(t, cutFleetTargets, func(id string) replica.Options {
+		return replica.Options{ID: id, Events: 9, Work: 20 * time.Millisecond}
+	})
+}
+
+// newCutFleetOf returns a fleet of so many targets with the given options.
+func newCutFleetOf(t *testing.T, targets int, options func(id string) replica.Options) *cutFleet {
 	t.Helper()
 	c := &cutFleet{t: t, store: metastore.New(), targets: make(map[string]*replica.Replica), paths: make(map[string]map[string]*path)}
 	c.store.Put("keyed.op", "config", []byte(cutConfiguration))
-	for i := range 8 {
+	for i := range targets {
 		service, id := "app", "t"+strconv.Itoa(i)
 		if i < 4 {
 			service = "models"
 		}
-		r, err := replica.Listen(testutil.ReservedAddress(t), replica.Options{ID: id, Events: 9, Work: 20 * time.Millisecond})
+		r, err := replica.Listen(testutil.ReservedAddress(t), options(id))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -117,10 +129,16 @@
 
 // sendWith is send with further fields in the header.
 func (c *cutFleet) sendWith(o Options, path, id string, wait time.Duration, fields map[string]string) reply {
+	c.t.Helper()
+	return c.sendContent(o, path, id, "body of "+id, wait, fields)
+}
+
+// sendContent is sendWith for a given body.
+func (c *cutFleet) sendContent(o Options, path, id, content string, wait time.Duration, fields map[string]string) reply {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(c.t.Context(), wait)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.CallerAddress+path, strings.NewReader("body of "+id))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.CallerAddress+path, strings.NewReader(content))
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
 	"yuccausher/internal/core/conversation"
@@ -23,6 +24,7 @@
 	"yuccausher/internal/core/reach"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/gateway"
+	"yuccausher/internal/port"
 	"yuccausher/internal/quarantine"
 	"yuccausher/internal/standin/replica"
 	"yuccausher/internal/upstream"
@@ -101,6 +103,7 @@
 		Conversations:  s.turnStore,
 		Origins:        &s.origins,
 		Reach:          &s.path,
+		Handover:       noHosts{},
 		Quarantine:     s.quarantine,
 		TargetsReadAt:  time.Now,
 		RefreshTargets: func(ctx context.Context) error { return s.refreshTargets(ctx) },
@@ -320,6 +323,13 @@
 
 func (o *origins) Lookup(context.Context, string, string) (string, error) { return "", o.unknown }
 
+// noHosts are the other hosts of a host that knows none.
+type noHosts struct{}
+
+func (noHosts) HandOver(context.Context, string, port.HandoverRequest) (gateway.Taken, error) {
+	return gateway.Taken{}, errors.New("no other host is known")
+}
+
 // path is a path to the targets in a given state.
 type path struct{ state atomic.Int32 }
 
