quarantine, gateway: lines for ends of targets that are not counted

An operator could not tell whether an end was put aside, forgotten or taken for a known one: the line of a host that is cut off named neither the content nor the run of the target, and nothing was written when an interruption expired or a mark repeated another. Now each has a line with content, target and run, and quarantine_expired counts what is forgotten. No decision changes.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -205,6 +206,6 @@
 func (j *job) recordCutOff(choice *fleet.Choice) {
 	j.unreachable++
 	j.g.metrics.cutOffRuns.Inc(1)
-	j.g.log.Info("Host is cut off from the target of a request.", "request", j.call.RequestID, "target", choice.ID, "runs", len(j.ranAt),
-		"events", j.events, "state", j.g.reach.State().String(), "cause", fault.Text(j.cause))
+	j.g.log.Info("Host is cut off from the target of a request.", "request", j.call.RequestID, "content", strconv.FormatUint(j.fingerprint(), 16),
+		"target", choice.ID, "started_at", choice.StartedAt, "runs", len(j.ranAt), "events", j.events, "state", j.g.reach.State().String(), "cause", fault.Text(j.cause))
 }
--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -166,7 +166,13 @@
 	}
 	s.prunedAt = now
 	for target, list := range s.interruptions {
-		list = slices.DeleteFunc(list, func(b interruption) bool { return now.Sub(b.at) > interruptionTTL })
+		list = slices.DeleteFunc(list, func(b interruption) bool {
+			isExpired := now.Sub(b.at) > interruptionTTL
+			if isExpired && !b.isAlive {
+				s.logExpired(target, b)
+			}
+			return isExpired
+		})
 		if len(list) == 0 {
 			delete(s.interruptions, target)
 			continue
@@ -175,6 +181,26 @@
 	}
 }
 
+// logExpired reports an interruption that is forgotten though nothing has shown whether its
+// target crashed.
+func (s *Service) logExpired(target upstream.Target, b interruption) {
+	s.metrics.expired.Inc(1)
+	s.log.Info("Interruption expired; it is not known whether its target crashed.", "target", target.ID, "started_at", target.StartedAt,
+		"content", formatFingerprint(b.content), "age_ms", time.Since(b.at).Milliseconds())
+}
+
+// contentsOf returns the contents of the interruptions at a target that are not known to be
+// alive. The caller holds the lock.
+func (s *Service) contentsOf(target upstream.Target) []uint64 {
+	var contents []uint64
+	for _, b := range s.interruptions[target] {
+		if !b.isAlive {
+			contents = append(contents, b.content)
+		}
+	}
+	return contents
+}
+
 // probeInterrupted probes a target after interruptions and marks their contents if it
 // does not accept a connection.
 func (s *Service) probeInterrupted(target upstream.Target) {
@@ -191,7 +217,8 @@
 	case isInconclusive(err):
 		// If the target has crashed, its next run will show it.
 		s.metrics.countProbe("inconclusive")
-		s.log.Info("Target can't be probed after requests were interrupted.", "target", target.ID, "started_at", target.StartedAt, "cause", err.Error())
+		s.log.Info("Target can't be probed after requests were interrupted.", "target", target.ID, "started_at", target.StartedAt,
+			"contents", formatFingerprints(s.contentsOf(target)), "cause", err.Error())
 	case err != nil:
 		s.markCrashed(target, err, func(b interruption) bool { return b.isCrash(err) })
 	default:
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -116,6 +116,9 @@
 	removed tally.Counter
 	// repeated counts marks that were not counted because they were known.
 	repeated tally.Counter
+	// expired counts interruptions that were forgotten while it was not known whether their
+	// targets had crashed.
+	expired tally.Counter
 	// receivedAge is the age of marks of other hosts on arrival.
 	receivedAge tally.Histogram
 }
@@ -131,6 +134,7 @@
 		cleared:     scope.Counter("cleared"),
 		removed:     scope.Counter("removed"),
 		repeated:    scope.Counter("repeated"),
+		expired:     scope.Counter("expired"),
 		receivedAge: scope.Histogram("learned_age", ageBuckets),
 	}
 }
@@ -247,6 +251,10 @@
 func (s *Service) addMark(m poison.Mark, host string) {
 	if isKnown, _ := s.seen.ContainsOrAdd(m.CrashKey(), struct{}{}); isKnown {
 		s.metrics.repeated.Inc(1)
+		if host == localHost {
+			s.log.Info("Crash was not counted; one of the same content at this run of the target was counted before.",
+				"content", formatFingerprint(m.Fingerprint), "target", m.Target, "started_at", m.Run)
+		}
 		return
 	}
 	if age := time.Since(time.Unix(0, m.At)); host != localHost {
