gateway: a host that opens no new connections is not taken for one that is cut off

What callers saw: a lookup whose answer was lost ran at every target of its service, and content that ended targets left no mark and ended all of them, at a host whose new connections were refused while its open ones carried data.

Cause: a run without an answer was put aside whenever the host did not count as connected: neither a mark, nor an interruption that the target's next run could settle, nor an attempt. That holds where no connection carries data. In the other state the run went over a connection that did, so that its end says as much of the target as at any other time. And the runs put aside had no bound.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -195,16 +195,23 @@
 	return "host " + e.Host + " refused a request that may have run: " + http.StatusText(e.Status)
 }
 
-// isCutOff reports whether a dispatch without a complete answer has failed because this host is
-// cut off from the targets. It says nothing about the target or the content.
+// maxUncountedCutOffs is the number of targets per request that this host was cut off from and
+// that don't count as attempts. A host that is cut off passes the request on.
+const maxUncountedCutOffs = 2
+
+// isCutOff reports whether a dispatch without a complete answer has probably failed because this
+// host is cut off from the targets. A host that opens no new connections is not: its open ones
+// carry data, so that the failure may be that of the target.
 func (j *job) isCutOff(r result) bool {
-	return (r == outcomeUnknown || r == interrupted) && j.g.reach.State() != reach.Connected
+	return (r == outcomeUnknown || r == interrupted) && j.g.reach.State() == reach.CutOff
 }
 
 // recordCutOff records that the request was sent to a target that this host is cut off from. The
 // target does not count as an attempt.
 func (j *job) recordCutOff(choice *fleet.Choice) {
-	j.unreachable++
+	if j.unreachable < maxUncountedCutOffs {
+		j.unreachable++
+	}
 	j.g.metrics.cutOffRuns.Inc(1)
 	j.g.log.Info("Host is cut off from the target of a request.", "request", j.call.RequestID, "content", strconv.FormatUint(j.fingerprint(), 16),
 		"target", choice.ID, "started_at", choice.StartedAt, "runs", len(j.ranAt), "events", j.events, "state", j.g.reach.State().String(), "cause", fault.Text(j.cause))
