quarantine, crashrpc: an end that a host can't explain is settled by another host

Cause: a host without a path can't tell a crash from its own lost path, said so, and left it at that. The interruption waited for the target's next run, ten seconds at most, at this host alone. The class: a result that is put aside because it says nothing here, and nobody who settles it later.

Where the host can't tell it asks others over drpc, two at a time and eight at most, with the content; the first that reaches targets answers (alive, refused, silent, replaced), counts the crash itself, so that it does not depend on the first host, and both make the same mark. Hosts of an earlier release give no answer and are passed over. A host that can't tell either remembers the report.

Ruled out: a mark by the host itself on a loud end. After a cut that resets connections all of them end loudly, and innocent content would collect marks.

Found on the way: two marks for one crash where a target states no start (lookups were quarantined after two ends); the time of the mark is part of the answer now.

--- a/internal/adapter/crashrpc/crashrpc.go
+++ b/internal/adapter/crashrpc/crashrpc.go
@@ -1,4 +1,5 @@
-// Package crashrpc transfers crash marks of targets between hosts over drpc.
+// Package crashrpc transfers crash marks of targets, and questions whether targets have crashed,
+// between hosts over drpc.
 package crashrpc
 
 import (
@@ -40,14 +41,31 @@
 	return errors.Annotatef(err, "notify host %s of crashes", host)
 }
 
-// Receiver handles marks that other hosts send.
+// Examine asks a host to find out whether a target has crashed. Hosts of an earlier release
+// return an error.
+func (c Client) Examine(ctx context.Context, host string, r poison.Report) (poison.Finding, error) {
+	conn, err := c.Connect(ctx, host)
+	if err != nil {
+		return poison.Finding{}, err
+	}
+	defer conn.Close()
+	reply, err := quarantine.NewDRPCCrashesClient(conn).Examine(ctx, poison.ReportToWire(r, c.Host))
+	if err != nil {
+		return poison.Finding{}, errors.Annotatef(err, "ask host %s whether a target has crashed", host)
+	}
+	return poison.FindingFromWire(reply), nil
+}
+
+// Receiver handles what other hosts send.
 type Receiver interface {
 	// Receive adds marks. Relay also schedules them to be written to the shared log.
 	Receive(host string, marks []poison.Mark)
 	Relay(host string, marks []poison.Mark)
+	// Examine finds out whether a target has crashed.
+	Examine(ctx context.Context, host string, r poison.Report) poison.Finding
 }
 
-// Register registers the service that receives marks at a drpc server.
+// Register registers the service for other hosts at a drpc server.
 func Register(mux drpc.Mux, r Receiver) error {
 	return errors.Trace(quarantine.DRPCRegisterCrashes(mux, &handler{receiver: r}))
 }
@@ -66,3 +84,8 @@
 	}
 	return &quarantine.TellReply{}, nil
 }
+
+// Examine implements quarantine.DRPCCrashesServer.
+func (h *handler) Examine(ctx context.Context, r *quarantine.ExamineRequest) (*quarantine.ExamineReply, error) {
+	return poison.FindingToWire(h.receiver.Examine(ctx, r.GetHost(), poison.ReportFromWire(r))), nil
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -22,6 +23,7 @@
 	"yuccausher/internal/adapter/occupancyrpc"
 	"yuccausher/internal/conversation"
 	"yuccausher/internal/core/fleet"
+	corereach "yuccausher/internal/core/reach"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/follow"
 	"yuccausher/internal/gateway"
@@ -329,19 +331,25 @@
 	return p
 }
 
-func newQuarantine(lc fx.Lifecycle, o Options, pool *upstream.Pool, r *reach.Service, scope tally.Scope) *quarantine.Service {
+func newQuarantine(lc fx.Lifecycle, o Options, pool *upstream.Pool, r *reach.Service, peers *budgetrpc.Client, scope tally.Scope) *quarantine.Service {
 	probe := func(ctx context.Context, t upstream.Target) error {
+		if r.State() == corereach.CutOff {
+			return &quarantine.InconclusiveError{Cause: errCutOff}
+		}
 		err := pool.Probe(ctx, t)
 		if err == nil || r.ReachesOthers(context.WithoutCancel(ctx), t) {
 			return err
 		}
 		return &quarantine.InconclusiveError{Cause: err}
 	}
-	q := quarantine.New(quarantine.Params{Probe: probe, Logger: o.Logger, Scope: scope})
+	q := quarantine.New(quarantine.Params{Probe: probe, Peers: crashrpc.Client{Dialer: peers, Host: o.HostName}, Logger: o.Logger, Scope: scope})
 	lc.Append(fx.Hook{OnStop: q.Stop})
 	return q
 }
 
+// errCutOff reports that a target was not probed because the host reaches none.
+var errCutOff = errors.New("host is cut off from the targets")
+
 func newOrigins(lc fx.Lifecycle, o Options, log *port.AnsweredLog, h *follow.Hosts, f *follow.Follower, tables *route.Holder, targets *fleet.Fleet, scope tally.Scope) *origin.Service {
 	s := origin.New(origin.Params{
 		Host:            o.HostName,
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -16,6 +17,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/uber-go/tally/v4"
 
+	"yuccausher/internal/core/handover"
 	"yuccausher/internal/core/poison"
 	"yuccausher/internal/upstream"
 )
@@ -26,24 +28,10 @@
 	// targets crash one after the other for another reason: the same turn may meet both
 	// by chance.
 	maxCrashes = 3
-	// probeDelay is the time between an interruption and the probe of its target. A
-	// process that ends has closed its port by then.
-	probeDelay = 50 * time.Millisecond
-	// probeTimeout limits a background probe.
-	probeTimeout = time.Second
-	// syncProbeTimeout limits a probe that a request waits for. A closed port refuses
-	// connections at once.
-	syncProbeTimeout = 50 * time.Millisecond
-	// interruptionTTL is how long an interruption may still be attributed to a crash of
-	// its target: until a restarted target has registered, which may take several
-	// seconds.
-	interruptionTTL = 10 * time.Second
 	// maxRestartTime is the longest time between the crash of a target and the start of
 	// its next run for which a probe may have met the next run. Clocks of targets and
 	// hosts differ by less.
 	maxRestartTime = time.Second
-	// maxInterruptions limits the interruptions that are kept per target.
-	maxInterruptions = 256
 	// maxLatestRuns limits the addresses and IDs whose latest run is kept. Each target
 	// needs two; the limit is several times the need of a large site.
 	maxLatestRuns = 8192
@@ -61,7 +49,9 @@
 type Params struct {
 	// Probe returns nil if the target accepts connections, and the cause otherwise. It returns
 	// an *InconclusiveError if this host can't tell.
-	Probe  func(context.Context, upstream.Target) error
+	Probe func(context.Context, upstream.Target) error
+	// Peers are asked where this host can't tell; nil if there are no other hosts.
+	Peers  Peers
 	Logger logr.Logger
 	Scope  tally.Scope
 }
@@ -76,12 +66,16 @@
 // Service finds content that crashes targets. It is safe for concurrent use.
 type Service struct {
 	probe   func(context.Context, upstream.Target) error
+	peers   Peers
 	log     logr.Logger
 	metrics metrics
 	changed chan struct{}
 	// suspects and quarantined are the sizes of the registry. They let requests skip
 	// its lock while both are zero.
 	suspects, quarantined atomic.Int64
+	// unsettled is the number of interruptions at targets that may have crashed. It lets
+	// requests skip the lock while it is zero.
+	unsettled atomic.Int64
 
 	ctx  context.Context
 	stop context.CancelFunc
@@ -95,8 +89,10 @@
 	prunedAt time.Time
 	// latestRuns contains the latest run by address and by ID.
 	latestRuns *lru.Cache[string, upstream.Target]
-	// probing contains the targets that are being probed.
-	probing map[upstream.Target]bool
+	// settling contains the targets that are examined until their interruptions are settled.
+	settling map[upstream.Target]bool
+	// choice decides which host is asked next.
+	choice *handover.Peers
 	// seen contains the marks that have been counted. They must not be counted again
 	// after a full answer has cleared their content.
 	seen *lru.Cache[poison.Mark, struct{}]
@@ -119,6 +115,8 @@
 	// expired counts interruptions that were forgotten while it was not known whether their
 	// targets had crashed.
 	expired tally.Counter
+	// unsettled is the number of interruptions at targets that may have crashed.
+	unsettled tally.Gauge
 	// receivedAge is the age of marks of other hosts on arrival.
 	receivedAge tally.Histogram
 }
@@ -135,6 +133,7 @@
 		removed:     scope.Counter("removed"),
 		repeated:    scope.Counter("repeated"),
 		expired:     scope.Counter("expired"),
+		unsettled:   scope.Gauge("unsettled"),
 		receivedAge: scope.Histogram("learned_age", ageBuckets),
 	}
 }
@@ -150,8 +149,12 @@
 	seen, _ := lru.New[poison.Mark, struct{}](maxSeenMarks)
 	latest, _ := lru.New[string, upstream.Target](maxLatestRuns)
 	ctx, stop := context.WithCancel(context.Background())
+	if p.Peers == nil {
+		p.Peers = noPeers{}
+	}
 	return &Service{
 		probe:         p.Probe,
+		peers:         p.Peers,
 		log:           p.Logger.WithName("quarantine"),
 		metrics:       newMetrics(p.Scope.SubScope("quarantine")),
 		changed:       make(chan struct{}, 1),
@@ -162,14 +165,15 @@
 		interruptions: make(map[upstream.Target][]interruption),
 
 		latestRuns: latest,
-		probing:    make(map[upstream.Target]bool),
+		settling:   make(map[upstream.Target]bool),
+		choice:     handover.NewPeers(rand.IntN),
 	}
 }
 
 // Stop cancels the running probes and waits for them to end.
 func (s *Service) Stop(context.Context) error {
 	s.mu.Lock()
-	s.stop() // startProbe starts no probe after this
+	s.stop() // startSettling starts nothing after this
 	s.mu.Unlock()
 	s.done.Wait()
 	return nil
--- /dev/null
+++ b/internal/quarantine/settle.go
@@ -0,0 +1,350 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"yuccausher/internal/core/poison"
+	"yuccausher/internal/fault"
+	"yuccausher/internal/tail"
+	"yuccausher/internal/upstream"
+)
+
+const (
+	// probeDelay is the time between an interruption and the probe of its target. A
+	// process that ends has closed its port by then.
+	probeDelay = 50 * time.Millisecond
+	// probeTimeout limits a background probe.
+	probeTimeout = time.Second
+	// syncProbeTimeout limits a probe that a request waits for. A closed port refuses
+	// connections at once.
+	syncProbeTimeout = 50 * time.Millisecond
+	// minSettlePause and maxSettlePause limit the time between two examinations of a target
+	// of which no host can tell whether it has crashed.
+	minSettlePause = 100 * time.Millisecond
+	maxSettlePause = time.Second
+	// askTimeout limits the question to one host, which may probe the target for almost as
+	// long. askTotalTimeout limits all questions of one examination.
+	askTimeout      = 1200 * time.Millisecond
+	askTotalTimeout = 2500 * time.Millisecond
+	// syncAskTimeout limits the questions that a request waits for.
+	syncAskTimeout = 150 * time.Millisecond
+	// maxAsked limits how many hosts are asked in one examination, askConcurrency how many at
+	// the same time: one that stands still must not delay the others.
+	maxAsked       = 8
+	askConcurrency = 2
+)
+
+// Peers are the other hosts, which may reach targets that this one does not.
+type Peers interface {
+	// Hosts returns the addresses of the other hosts.
+	Hosts() []string
+	// Examine asks a host to find out whether a target has crashed. Its error means that the
+	// host could not be asked.
+	Examine(ctx context.Context, host string, r poison.Report) (poison.Finding, error)
+}
+
+// noPeers are the peers of a host without other hosts.
+type noPeers struct{}
+
+func (noPeers) Hosts() []string { return nil }
+
+func (noPeers) Examine(context.Context, string, poison.Report) (poison.Finding, error) {
+	return poison.Finding{}, nil
+}
+
+// stateOf returns what the result of a probe shows.
+func stateOf(err error) poison.State {
+	var inconclusive *InconclusiveError
+	switch {
+	case err == nil:
+		return poison.Alive
+	case errors.As(err, &inconclusive), errors.Is(err, context.Canceled):
+		return poison.Unknown
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return poison.Refused
+	}
+	return poison.Silent
+}
+
+// findingOf returns what the result of a probe shows now.
+func findingOf(err error) poison.Finding {
+	return poison.Finding{State: stateOf(err), SeenAt: time.Now().UnixNano()}
+}
+
+// probeAfter records an interruption that has just happened and probes the target.
+func (s *Service) probeAfter(ctx context.Context, target upstream.Target, b interruption) bool {
+	b.at = time.Now()
+	probeCtx, cancel := context.WithTimeout(ctx, syncProbeTimeout)
+	err := s.probe(probeCtx, target)
+	cancel()
+	f := findingOf(err)
+	if f.State == poison.Unknown {
+		f, err = s.ask(ctx, syncAskTimeout, target, []interruption{b})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addInterruption(target, b)
+	if next, ok := s.markIfReplaced(target); ok {
+		return b.isCrashBefore(next.StartedAt)
+	}
+	switch f.State {
+	case poison.Refused, poison.Replaced:
+		s.settle(target, f, err, b.at)
+		return f.State == poison.Refused || b.isCrashBefore(f.NextRun)
+	}
+	s.startSettling(target)
+	return false
+}
+
+// startSettling examines a target in the background until its interruptions are settled, unless
+// it is being examined. The caller holds the lock.
+func (s *Service) startSettling(target upstream.Target) {
+	if !s.settling[target] && s.ctx.Err() == nil {
+		s.settling[target] = true
+		s.done.Go(func() { s.examineUntilSettled(target) })
+	}
+}
+
+// examineUntilSettled examines a target until its interruptions are settled or have expired.
+func (s *Service) examineUntilSettled(target upstream.Target) {
+	tail.Sleep(s.ctx, probeDelay)
+	for pause := minSettlePause; !s.examine(target); pause = min(2*pause, maxSettlePause) {
+		tail.Sleep(s.ctx, pause)
+	}
+}
+
+// examine finds out whether a target has crashed, by a probe or from other hosts. It returns
+// false if interruptions are left.
+func (s *Service) examine(target upstream.Target) bool {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
+	err := s.probe(ctx, target)
+	cancel()
+	f := findingOf(err)
+	if f.State == poison.Unknown {
+		s.logInconclusive(target, err)
+		s.mu.Lock()
+		own := s.unsettledAt(target)
+		s.mu.Unlock()
+		f, err = s.ask(s.ctx, askTotalTimeout, target, own)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() == nil {
+		s.settle(target, f, err, begun)
+		s.pruneInterruptions()
+	}
+	isSettled := s.ctx.Err() != nil || len(s.unsettledAt(target)) == 0
+	if isSettled {
+		delete(s.settling, target)
+	}
+	return isSettled
+}
+
+// settle applies a finding to the interruptions at a target until a time. cause is why the
+// finding is not Alive. The caller holds the lock.
+func (s *Service) settle(target upstream.Target, f poison.Finding, cause error, begun time.Time) {
+	switch f.State {
+	case poison.Unknown:
+		for i, b := range s.interruptions[target] {
+			s.interruptions[target][i].isInconclusive = b.isInconclusive || !b.at.After(begun)
+		}
+	case poison.Alive:
+		s.foundAlive(target, begun)
+	case poison.Refused, poison.Silent:
+		s.markCrashed(target, cause, f.SeenAt, func(b interruption) bool { return b.isCrash(f.State) })
+	case poison.Replaced:
+		s.markCrashed(target, cause, f.SeenAt, func(b interruption) bool { return b.isCrashBefore(f.NextRun) })
+	}
+}
+
+// foundAlive records that a target accepted a connection after interruptions. The
+// caller holds the lock.
+func (s *Service) foundAlive(target upstream.Target, at time.Time) {
+	contents := s.markAlive(target, at)
+	if len(contents) == 0 {
+		return
+	}
+	s.metrics.countProbe("lives")
+	s.log.Info("Target accepts connections after requests were interrupted.", "target", target.ID, "started_at", target.StartedAt,
+		"requests", len(contents), "contents", formatFingerprints(contents), "look_ms", time.Since(at).Milliseconds())
+}
+
+// logInconclusive reports a probe that does not show whether its target is alive.
+func (s *Service) logInconclusive(target upstream.Target, err error) {
+	s.metrics.countProbe("inconclusive")
+	s.mu.Lock()
+	contents := contentsOf(s.unsettledAt(target))
+	s.mu.Unlock()
+	s.log.Info("Target can't be probed after requests were interrupted.", "target", target.ID, "started_at", target.StartedAt,
+		"contents", formatFingerprints(contents), "cause", fault.Text(err))
+}
+
+// PeerFindingError reports that another host has found that a target has crashed.
+type PeerFindingError struct {
+	Host  string
+	State poison.State
+}
+
+// Error implements error.
+func (e *PeerFindingError) Error() string {
+	return "host " + e.Host + " has examined it: " + e.State.String()
+}
+
+// ask asks other hosts whether a target has crashed, and returns the first finding that is not
+// Unknown. Interruptions that other hosts have reported are theirs to ask for.
+func (s *Service) ask(ctx context.Context, timeout time.Duration, target upstream.Target, list []interruption) (poison.Finding, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r := poison.Report{Target: target.ID, Run: target.StartedAt}
+	for _, b := range list {
+		if !b.isReported {
+			r.Interruptions = append(r.Interruptions, poison.Interruption{Fingerprint: b.content, Age: time.Since(b.at), IsUnframed: b.isUnframed})
+		}
+	}
+	if len(r.Interruptions) == 0 {
+		return poison.Finding{}, nil
+	}
+	q := &question{service: s, report: r, known: s.peers.Hosts(), asked: make(map[string]bool)}
+	var asking sync.WaitGroup
+	for range askConcurrency {
+		asking.Go(func() {
+			for q.askNext(ctx) {
+			}
+			if q.isAnswered() {
+				cancel()
+			}
+		})
+	}
+	asking.Wait()
+	return q.finding, q.cause
+}
+
+// question is one report that several hosts are asked about.
+type question struct {
+	service *Service
+	report  poison.Report
+	known   []string
+
+	mu      sync.Mutex
+	asked   map[string]bool
+	finding poison.Finding
+	// cause is set if the finding is that the target has crashed.
+	cause error
+}
+
+func (q *question) isAnswered() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.finding.State != poison.Unknown
+}
+
+// next returns a host that was not asked yet.
+func (q *question) next() (string, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.asked) >= maxAsked || q.finding.State != poison.Unknown {
+		return "", false
+	}
+	q.service.mu.Lock()
+	defer q.service.mu.Unlock()
+	host, ok := q.service.choice.Choose(q.known, func(h string) bool { return q.asked[h] }, time.Now())
+	if ok {
+		q.asked[host] = true
+	}
+	return host, ok
+}
+
+// askNext asks one more host. It returns false if there is none, or the question is answered.
+func (q *question) askNext(ctx context.Context) bool {
+	host, ok := q.next()
+	if !ok || ctx.Err() != nil {
+		return false
+	}
+	started := time.Now()
+	hostCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	f, err := q.service.peers.Examine(hostCtx, host, q.report)
+	cancel()
+	if ctx.Err() != nil {
+		return false // the question was answered or its time is up
+	}
+	q.service.recordAsked(host, q.report, f, err, time.Since(started))
+	if err != nil || f.State == poison.Unknown {
+		return true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.finding.State == poison.Unknown {
+		q.finding = f
+		if f.State != poison.Alive {
+			q.cause = &PeerFindingError{Host: host, State: f.State}
+		}
+	}
+	return false
+}
+
+// recordAsked records the answer of a host.
+func (s *Service) recordAsked(host string, r poison.Report, f poison.Finding, err error, took time.Duration) {
+	result := f.State.String()
+	s.mu.Lock()
+	switch {
+	case err != nil:
+		result = "none"
+		s.choice.Unreachable(host, time.Now())
+	case f.State == poison.Unknown:
+		s.choice.Declined(host, time.Now())
+	default:
+		s.choice.Taken(host)
+		s.choice.Ended(host)
+	}
+	s.mu.Unlock()
+	s.metrics.scope.Tagged(map[string]string{"state": result}).Counter("asked").Inc(1)
+	s.log.Info("Another host was asked whether a target has crashed.", "target", r.Target, "started_at", r.Run, "requests", len(r.Interruptions),
+		"host", host, "state", result, "ms", took.Milliseconds(), "cause", fault.Text(err))
+}
+
+// Examine finds out whether a target has crashed, on behalf of a host that can't tell. The
+// crash is counted here as well, so that it does not depend on that host.
+func (s *Service) Examine(ctx context.Context, host string, r poison.Report) poison.Finding {
+	begun := time.Now()
+	f, target := s.examineFor(ctx, r)
+	s.metrics.scope.Tagged(map[string]string{"state": f.State.String()}).Counter("examined").Inc(1)
+	s.log.Info("Target was examined for another host.", "host", host, "target", r.Target, "started_at", r.Run, "requests", len(r.Interruptions),
+		"address", target.Address, "state", f.State.String(), "ms", time.Since(begun).Milliseconds())
+	return f
+}
+
+func (s *Service) examineFor(ctx context.Context, r poison.Report) (poison.Finding, upstream.Target) {
+	asked := upstream.Target{ID: r.Target, StartedAt: r.Run}
+	s.mu.Lock()
+	latest, isKnown := s.latestRuns.Get(r.Target)
+	if isKnown && latest.ID == r.Target && latest.StartedAt != r.Run && isReplaced(asked, latest) {
+		f := poison.Finding{State: poison.Replaced, NextTarget: latest.ID, NextRun: latest.StartedAt, SeenAt: time.Now().UnixNano()}
+		s.addReported(asked, r.Interruptions)
+		s.settle(asked, f, &ReplacedError{By: latest.ID}, time.Now())
+		s.mu.Unlock()
+		return f, latest
+	}
+	s.mu.Unlock()
+	if !isKnown || latest.ID != r.Target || latest.StartedAt != r.Run {
+		return poison.Finding{}, upstream.Target{}
+	}
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	err := s.probe(ctx, latest)
+	cancel()
+	f := findingOf(err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addReported(latest, r.Interruptions)
+	s.settle(latest, f, err, begun)
+	if f.State == poison.Unknown {
+		s.startSettling(latest)
+	}
+	return f, latest
+}
