gateway: content whose end no host can explain is not sent on open connections again

What callers saw, in a test: where all hosts open no new connections, content that ended a target on an open connection was sent to the next one, and so on, since no host could tell whether the target had crashed.

Cause: the state of such content (interrupted, nobody can tell) was known to the quarantine and to nobody who sends.

Change: a host that is not connected passes such content on to another host, as it does with requests that need a new connection. Where nobody takes it, it is refused with 503 and a time to come back, until the target's next run shows the crash, the target answers another request, or a host reaches it. At a host that is connected it runs: that host can explain its end. Innocent content is concerned only where its answer was lost while all hosts had lost their paths, and its target has answered nothing since.

Evidence: TestUnexplainedEndIsNotRepeated (each of three kinds ended six targets, now one request's attempts) and TestAnswerSettlesAnInterruption fail without the change.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -61,6 +61,10 @@
 			j.handOver(ctx)
 			return
 		}
+		if j.isHeld() {
+			j.finishNotTaken(ctx, errUnsettled)
+			return
+		}
 		choice := j.choose(ctx)
 		if choice == nil {
 			if !j.waitForCapacity(ctx) {
@@ -69,12 +73,13 @@
 			continue
 		}
 		j.target, j.choice = choice.ID, choice
+		sent := time.Now()
 		r := j.dispatch(ctx, choice)
 		j.finishPlace(j.placeResult(ctx, choice, r))
 		if j.isCutOff(r) {
 			j.recordCutOff(choice)
 		} else {
-			j.recordContentResult(ctx, choice, r)
+			j.recordContentResult(ctx, choice, r, sent)
 		}
 		switch r {
 		case completed:
@@ -104,6 +109,10 @@
 	}
 }
 
+// errUnsettled reports that a request was not sent because content like it was interrupted at a
+// target, and no host can tell whether the target has crashed.
+var errUnsettled = errors.New("content was interrupted at a target that may have crashed")
+
 // excludeTarget excludes a target from the further attempts of the request.
 func (j *job) excludeTarget(choice *fleet.Choice, reason string) {
 	j.excluded = append(j.excluded, choice.ID)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -56,6 +56,8 @@
 	// quarantine is that of the gateway's host. No other host reports crashes to it,
 	// except through reportCrashes.
 	quarantine *quarantine.Service
+	// probe is that of the host.
+	probe func(context.Context, upstream.Target) error
 	// path is that of the host to its targets, connected unless it is set.
 	path     path
 	server   *httptest.Server
@@ -92,7 +94,9 @@
 	t.Helper()
 	s := &fixture{t: t, refreshTargets: func(context.Context) error { return nil }, tables: &route.Holder{}, fleet: fleet.New("here", 1), budgets: &budgets{}, turnStore: &turnStore{turns: make(map[string]conversation.Chain)}, replicas: make(map[string]*replica.Replica)}
 	pool := upstream.NewPool(tally.NoopScope)
-	s.quarantine = quarantine.New(quarantine.Params{Probe: pool.Probe, Logger: logr.Discard(), Scope: tally.NoopScope})
+	s.probe = pool.Probe
+	probe := func(ctx context.Context, target upstream.Target) error { return s.probe(ctx, target) }
+	s.quarantine = quarantine.New(quarantine.Params{Probe: probe, Logger: logr.Discard(), Scope: tally.NoopScope})
 	s.gateway = gateway.New(gateway.Params{
 		Protocol:       platform.Headers{},
 		Tables:         s.tables,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,6 +169,11 @@
 	// RecordAbandoned records that a request was abandoned at a target from which
 	// this host had received data shortly before.
 	RecordAbandoned(fingerprint uint64, target upstream.Target)
+	// IsUnsettled reports whether content was interrupted at a target, and neither this host nor
+	// another one can tell whether the target has crashed.
+	IsUnsettled(fingerprint func() uint64) bool
+	// RecordAnswer records that a target has answered a request that was sent at a time.
+	RecordAnswer(target upstream.Target, sent time.Time)
 	// ProbeAfterInterruption does the same as RecordInterruption and reports whether
 	// the target refuses connections now. If it does, the crash has been counted
 	// against the content by the time the method returns.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -68,13 +68,20 @@
 	case reach.CutOff:
 		return true
 	case reach.Refused:
-		// Open connections still work; this request has needed a new one.
+		// Open connections still work; this request has needed a new one, or must run where its
+		// end can be explained.
 		var refused *upstream.DialError
-		return errors.As(j.cause, &refused)
+		return errors.As(j.cause, &refused) || j.g.quarantine.IsUnsettled(j.fingerprint)
 	}
 	return false
 }
 
+// isHeld reports whether the request must not run at this host, nor be passed on: it would be the
+// content's second end that this host can't explain.
+func (j *job) isHeld() bool {
+	return j.sender.isHost && j.g.reach.State() != reach.Connected && j.g.quarantine.IsUnsettled(j.fingerprint)
+}
+
 // handOver passes the request on to another host and ends it.
 func (j *job) handOver(ctx context.Context) {
 	j.releaseReservation()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -64,7 +64,10 @@
 }
 
 // recordContentResult reports the result of a dispatch to the quarantine.
-func (j *job) recordContentResult(ctx context.Context, choice *fleet.Choice, r result) {
+func (j *job) recordContentResult(ctx context.Context, choice *fleet.Choice, r result, sent time.Time) {
+	if r == completed && j.outcome == "answered" {
+		j.g.quarantine.RecordAnswer(connectionTarget(choice), sent)
+	}
 	switch {
 	case r == completed && j.outcome == "answered" && j.framing != upstream.Unframed && j.status < http.StatusMultipleChoices:
 		if marks := j.g.quarantine.RecordSuccess(j.fingerprint, choice.ID); marks > 0 {
--- a/internal/gateway/uncounted_ends_test.go
+++ b/internal/gateway/uncounted_ends_test.go
@@ -1,15 +1,19 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
 	"yuccausher/internal/core/reach"
+	"yuccausher/internal/quarantine"
 	"yuccausher/internal/standin/replica"
+	"yuccausher/internal/upstream"
 )
 
 // A host that opened no new connections did not count targets that ended as they ran content, and
@@ -62,3 +66,61 @@
 		}
 	}
 }
+
+// inconclusive is the probe of a host that reaches no target.
+func inconclusive(context.Context, upstream.Target) error {
+	return &quarantine.InconclusiveError{Cause: errors.New("refused")}
+}
+
+// A host that opens no new connections, and knows no other host that can tell whether a target has
+// crashed, sent the same content to one target after another on open connections.
+func TestUnexplainedEndIsNotRepeated(t *testing.T) {
+	for name, path := range map[string]string{"lookup": lookup, "posting": posting, "stream": turns} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newFixture(t)
+			s.path.set(reach.Refused)
+			s.probe = inconclusive
+			for n := range 6 {
+				for _, service := range []string{app, models} {
+					s.add(service, replica.Options{ID: fmt.Sprint(service, n), Events: 3, Deadly: "deadly", Ended: func() {}})
+				}
+			}
+			runs := func() (n int) {
+				for _, r := range s.replicas {
+					n += len(r.Runs())
+				}
+				return n
+			}
+			for n := range 6 {
+				a, err := s.send(t.Context(), request{method: http.MethodPost, path: path, id: fmt.Sprint("deadly", n), body: "deadly", header: turnHeader("p")})
+				is.NoErr(err)
+				if n > 0 {
+					is.Equal(a.status, http.StatusServiceUnavailable)
+					is.True(a.header.Get("Retry-After") != "")
+				}
+				time.Sleep(100 * time.Millisecond) // longer than until the probe
+			}
+			is.True(runs() <= 2) // the attempts of one request
+			is.Equal(s.mustSend(request{method: http.MethodPost, path: path, id: "other", body: "harmless", header: turnHeader("q")}).status, http.StatusOK)
+		})
+	}
+}
+
+// Content whose answer was lost runs again once its target has answered other requests, though
+// its host opens no new connections.
+func TestAnswerSettlesAnInterruption(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	s.path.set(reach.Refused)
+	s.probe = inconclusive
+	s.add(app, replica.Options{ID: "r"}).Fail(replica.Lost)
+	send := func(id, body string) int {
+		return s.mustSend(request{method: http.MethodPost, path: posting, id: id, body: body}).status
+	}
+	is.Equal(send("lost", "pay"), http.StatusBadGateway)
+	time.Sleep(100 * time.Millisecond) // longer than until the probe
+	is.Equal(send("again", "pay"), http.StatusServiceUnavailable)
+	is.Equal(send("other", "another"), http.StatusOK)
+	is.Equal(send("once more", "pay"), http.StatusOK)
+}
