gateway: an end at the moment at which a host loses its path is remembered

What callers saw, in a test: content that ended its target while the host found out that it was cut off, or whose run the host cancelled for that reason, left no trace; it could end one more target at each host so.

Cause: a run without an answer at a host that is cut off was put aside. It says nothing here and now; another host, or the next run of the target, can tell.

Change: it is recorded as an interruption, which is settled as any other. The request itself is passed on without waiting for that.

Evidence: TestEndAtALostPathIsCounted waited ten seconds for a mark that never came; it comes now.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -78,9 +78,8 @@
 		j.finishPlace(j.placeResult(ctx, choice, r))
 		if j.isCutOff(r) {
 			j.recordCutOff(choice)
-		} else {
-			j.recordContentResult(ctx, choice, r, sent)
 		}
+		j.recordContentResult(ctx, choice, r, sent)
 		switch r {
 		case completed:
 			return
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/core/reach"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/upstream"
 )
@@ -112,9 +113,10 @@
 
 // recordInterruption records that the answer of a target was interrupted. An idempotent
 // request waits for the first probe of the target: a target that has ended no longer
-// runs the request and does not count as an attempt.
+// runs the request and does not count as an attempt. At a host that is cut off it is passed on
+// without delay.
 func (j *job) recordInterruption(ctx context.Context, choice *fleet.Choice) {
-	if !j.route.IsIdempotent() {
+	if !j.route.IsIdempotent() || j.g.reach.State() == reach.CutOff {
 		j.g.quarantine.RecordInterruption(j.fingerprint(), connectionTarget(choice))
 		return
 	}
--- a/internal/gateway/uncounted_ends_test.go
+++ b/internal/gateway/uncounted_ends_test.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// The end of a target at the moment at which its host lost its path was forgotten.
+func TestEndAtALostPathIsCounted(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	r := s.add(app, replica.Options{ID: "r"})
+	r.Fail(replica.Vanishing)
+	answered := make(chan answer)
+	go func() {
+		answered <- s.mustSend(request{method: http.MethodPost, path: posting, id: "a", body: "deadly", header: http.Header{"Deadline": {"800"}}})
+	}()
+	s.eventually("target runs it", func() bool { return len(r.Runs()) == 1 })
+	s.path.set(reach.CutOff)
+	is.Equal((<-answered).status, http.StatusGatewayTimeout)
+	s.eventually("crash is counted", func() bool { return len(s.quarantine.Unshared()) == 1 })
+}
+
 // inconclusive is the probe of a host that reaches no target.
 func inconclusive(context.Context, upstream.Target) error {
 	return &quarantine.InconclusiveError{Cause: errors.New("refused")}
