quarantine: a target that another host reaches has not crashed

What callers saw, in tests: content that was under way at targets which some hosts had lost their path to was quarantined, though nothing had ended (half of the targets out of reach, nine of ten hosts).

Cause: a host took its own lost path to one target for the state of the target, as long as it reached another one.

Change: before a host concludes that a target has crashed it asks others, two at a time where connections are refused and six where none comes in time, twelve at most. One that reaches the target is right; one that can't tell or gives no answer changes nothing, so that a host alone concludes as before. A request that waits for it waits 0.15 s at most. A target that is only silent, at a host that was asked, counts if it is so the second time: a queue that was full for a moment made one connection late.

--- a/internal/quarantine/paths_test.go
+++ b/internal/quarantine/paths_test.go
@@ -5,9 +5,11 @@
 	"slices"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/matryer/is"
 
 	"yuccausher/internal/quarantine"
 	"yuccausher/internal/testutil"
@@ -254,16 +256,17 @@
 
 // lostPaths are the ways in which hosts lose their paths.
 var lostPaths = []struct {
-	name string
-	do   disruption
+	name  string
+	state pathState
+	hosts func(names []string) []string
 }{
-	{"some open no connections", lose(opensNoConnections, thirdOf)},
-	{"most open no connections", lose(opensNoConnections, mostOf)},
-	{"all open no connections", lose(opensNoConnections, allOf)},
-	{"some are cut off", lose(carriesNothing, thirdOf)},
-	{"most are cut off", lose(carriesNothing, mostOf)},
-	{"some reach half", lose(reachesHalf, thirdOf)},
-	{"most reach half", lose(reachesHalf, mostOf)},
+	{"some open no connections", opensNoConnections, thirdOf},
+	{"most open no connections", opensNoConnections, mostOf},
+	{"all open no connections", opensNoConnections, allOf},
+	{"some are cut off", carriesNothing, thirdOf},
+	{"most are cut off", carriesNothing, mostOf},
+	{"some reach half", reachesHalf, thirdOf},
+	{"most reach half", reachesHalf, mostOf},
 }
 
 // The limit holds while hosts have lost their paths to the targets, alone and beside every other
@@ -280,13 +283,15 @@
 		{"targets are replaced", targetsAreReplaced},
 	}...)
 	for _, p := range lostPaths {
-		t.Run(p.name+", few targets", func(t *testing.T) { runScenariosAt(t, fewTargets, runsPerPair, endBy(endLoudly), p.do) })
-		t.Run(p.name, func(t *testing.T) { runScenarios(t, runsPerCase, endBy(endLoudly), p.do) })
+		t.Run(p.name+", few targets", func(t *testing.T) {
+			runScenariosAt(t, fewTargets, runsPerPair, endBy(endLoudly), lose(p.state, p.hosts))
+		})
+		t.Run(p.name, func(t *testing.T) { runScenarios(t, runsPerCase, endBy(endLoudly), lose(p.state, p.hosts)) })
 		for _, e := range endings[1:] {
-			t.Run(p.name+" and "+e.name, func(t *testing.T) { runScenarios(t, runsPerEnding, endBy(e), p.do) })
+			t.Run(p.name+" and "+e.name, func(t *testing.T) { runScenarios(t, runsPerEnding, endBy(e), lose(p.state, p.hosts)) })
 		}
 		for _, d := range others {
-			t.Run(p.name+" and "+d.name, func(t *testing.T) { runScenarios(t, runsPerEnding, endBy(endLoudly), p.do, d.do) })
+			t.Run(p.name+" and "+d.name, func(t *testing.T) { runScenarios(t, runsPerEnding, endBy(endLoudly), lose(p.state, p.hosts), d.do) })
 		}
 	}
 }
@@ -294,6 +299,30 @@
 // fewTargets is the size of a small service.
 const fewTargets = 3
 
+// Content that was under way at targets that some hosts have lost their path to is not quarantined.
+func TestInnocentContentIsNotHeldWherePathsAreLost(t *testing.T) {
+	const innocent = uint64(8)
+	for _, p := range lostPaths {
+		t.Run(p.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 10, usualTargets, 1)
+				defer c.stop()
+				c.setPaths(&path{p.state}, p.hosts(c.names)...)
+				for i, name := range c.names {
+					if c.pathOf(name) != 0 {
+						c.host(name).crashes.RecordInterruption(innocent, c.host(name).known(c.targets[2*i+1]))
+					}
+				}
+				time.Sleep(2 * settleTime)
+				for _, name := range c.names {
+					is.True(!c.host(name).crashes.IsQuarantined(func() uint64 { return innocent }))
+				}
+			})
+		})
+	}
+}
+
 // A target that ends and starts again under its ID may run the content again before hosts know of the
 // next run.
 func TestSecondEndOfATargetIsCounted(t *testing.T) {
--- a/internal/quarantine/settle.go
+++ b/internal/quarantine/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,15 +29,18 @@
 	minSettlePause = 100 * time.Millisecond
 	maxSettlePause = time.Second
 	// askTimeout limits the question to one host, which may probe the target for almost as
-	// long. askTotalTimeout limits all questions of one examination.
+	// long. askTotalTimeout limits all questions of one examination, so that a crash that shows
+	// only by silence is known within the users' three seconds.
 	askTimeout      = 1200 * time.Millisecond
-	askTotalTimeout = 2500 * time.Millisecond
+	askTotalTimeout = 2 * time.Second
 	// syncAskTimeout limits the questions that a request waits for.
 	syncAskTimeout = 150 * time.Millisecond
 	// maxAsked limits how many hosts are asked in one examination, askConcurrency how many at
-	// the same time: one that stands still must not delay the others.
-	maxAsked       = 8
-	askConcurrency = 2
+	// the same time: one that stands still must not delay the others. Where a target accepts no
+	// connection in time, each host takes that time to find out.
+	maxAsked             = 12
+	askConcurrency       = 2
+	askSilentConcurrency = 6
 )
 
 // Peers are the other hosts, which may reach targets that this one does not.
@@ -83,8 +87,11 @@
 	err := s.probe(probeCtx, target)
 	cancel()
 	f := findingOf(err)
-	if f.State == poison.Unknown {
-		f, err = s.ask(ctx, syncAskTimeout, target, []interruption{b})
+	if f.State == poison.Unknown || f.State == poison.Refused {
+		ctx, cancel := context.WithTimeout(ctx, syncAskTimeout)
+		other, cause := s.ask(ctx, askConcurrency, target, []interruption{b})
+		cancel()
+		f, err = decide(f, err, other, cause)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,6 +108,15 @@
 	return false
 }
 
+// decide returns the finding of this host or that of other hosts. A host may have lost its path to
+// the target alone, so that one that reaches it is right.
+func decide(own poison.Finding, err error, other poison.Finding, cause error) (poison.Finding, error) {
+	if own.State == poison.Unknown || isCertain(other.State) {
+		return other, cause
+	}
+	return own, err
+}
+
 // startSettling examines a target in the background until its interruptions are settled, unless
 // it is being examined. The caller holds the lock.
 func (s *Service) startSettling(target upstream.Target) {
@@ -113,30 +129,28 @@
 // examineUntilSettled examines a target until its interruptions are settled or have expired.
 func (s *Service) examineUntilSettled(target upstream.Target) {
 	tail.Sleep(s.ctx, probeDelay)
-	for pause := minSettlePause; !s.examine(target); pause = min(2*pause, maxSettlePause) {
+	isFirst := true
+	for pause := minSettlePause; !s.examine(target, isFirst); pause = min(2*pause, maxSettlePause) {
 		tail.Sleep(s.ctx, pause)
+		isFirst = false
 	}
 }
 
-// examine finds out whether a target has crashed, by a probe or from other hosts. It returns
+// examine finds out whether a target has crashed, by a probe and from other hosts. It returns
 // false if interruptions are left.
-func (s *Service) examine(target upstream.Target) bool {
+func (s *Service) examine(target upstream.Target, isFirst bool) bool {
 	begun := time.Now()
 	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
 	err := s.probe(ctx, target)
 	cancel()
-	f := findingOf(err)
-	if f.State == poison.Unknown {
-		s.logInconclusive(target, err)
-		s.mu.Lock()
-		own := s.unsettledAt(target)
-		s.mu.Unlock()
-		f, err = s.ask(s.ctx, askTotalTimeout, target, own)
+	f, cause := findingOf(err), err
+	if f.State != poison.Alive {
+		f, cause = s.examineWithOthers(target, f, err, isFirst)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() == nil {
-		s.settle(target, f, err, begun)
+		s.settle(target, f, cause, begun)
 		s.pruneInterruptions()
 	}
 	isSettled := s.ctx.Err() != nil || len(s.unsettledAt(target)) == 0
@@ -146,6 +160,34 @@
 	return isSettled
 }
 
+// examineWithOthers asks other hosts about a target that this host has not reached.
+func (s *Service) examineWithOthers(target upstream.Target, own poison.Finding, err error, isFirst bool) (poison.Finding, error) {
+	concurrency := askConcurrency
+	switch own.State {
+	case poison.Unknown:
+		s.logInconclusive(target, err)
+	case poison.Silent:
+		concurrency = askSilentConcurrency
+	}
+	s.mu.Lock()
+	list := s.unsettledAt(target)
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.ctx, askTotalTimeout)
+	other, cause := s.ask(ctx, concurrency, target, list)
+	cancel()
+	f, cause := decide(own, err, other, cause)
+	switch {
+	case f.State != poison.Silent:
+	case own.State == poison.Unknown && isFirst:
+		// A single connection that is late shows nothing.
+		f.State = poison.Unknown
+	case !slices.ContainsFunc(list, func(b interruption) bool { return !b.isReported }):
+		// The host that has reported the interruptions decides, on what several hosts have found.
+		f.State = poison.Unknown
+	}
+	return f, cause
+}
+
 // settle applies a finding to the interruptions at a target until a time. cause is why the
 // finding is not Alive. The caller holds the lock.
 func (s *Service) settle(target upstream.Target, f poison.Finding, cause error, begun time.Time) {
@@ -196,10 +238,11 @@
 	return "host " + e.Host + " has examined it: " + e.State.String()
 }
 
-// ask asks other hosts whether a target has crashed, and returns the first finding that is not
-// Unknown. Interruptions that other hosts have reported are theirs to ask for.
-func (s *Service) ask(ctx context.Context, timeout time.Duration, target upstream.Target, list []interruption) (poison.Finding, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// ask asks other hosts whether a target has crashed until one is certain. Otherwise the finding is
+// Silent if any host has found that, as their paths to the target may be lost too.
+// Interruptions that other hosts have reported are theirs to ask for.
+func (s *Service) ask(ctx context.Context, concurrency int, target upstream.Target, list []interruption) (poison.Finding, error) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := poison.Report{Target: target.ID, Run: target.StartedAt}
 	for _, b := range list {
@@ -212,7 +255,7 @@
 	}
 	q := &question{service: s, report: r, known: s.peers.Hosts(), asked: make(map[string]bool)}
 	var asking sync.WaitGroup
-	for range askConcurrency {
+	for range concurrency {
 		asking.Go(func() {
 			for q.askNext(ctx) {
 			}
@@ -241,14 +284,17 @@
 func (q *question) isAnswered() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.finding.State != poison.Unknown
+	return isCertain(q.finding.State)
 }
 
+// isCertain reports whether the finding of a single host decides.
+func isCertain(s poison.State) bool { return s != poison.Unknown && s != poison.Silent }
+
 // next returns a host that was not asked yet.
 func (q *question) next() (string, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.asked) >= maxAsked || q.finding.State != poison.Unknown {
+	if len(q.asked) >= maxAsked || isCertain(q.finding.State) {
 		return "", false
 	}
 	q.service.mu.Lock()
@@ -279,13 +325,13 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.finding.State == poison.Unknown {
-		q.finding = f
+	if !isCertain(q.finding.State) {
+		q.finding, q.cause = f, nil
 		if f.State != poison.Alive {
 			q.cause = &PeerFindingError{Host: host, State: f.State}
 		}
 	}
-	return false
+	return !isCertain(f.State)
 }
 
 // recordAsked records the answer of a host.
@@ -308,8 +354,8 @@
 		"host", host, "state", result, "ms", took.Milliseconds(), "cause", fault.Text(err))
 }
 
-// Examine finds out whether a target has crashed, on behalf of a host that can't tell. The
-// crash is counted here as well, so that it does not depend on that host.
+// Examine finds out whether a target has crashed, on behalf of a host that can't tell. A crash
+// that is certain is counted here as well, so that it does not depend on that host.
 func (s *Service) Examine(ctx context.Context, host string, r poison.Report) poison.Finding {
 	begun := time.Now()
 	f, target := s.examineFor(ctx, r)
@@ -342,9 +388,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.addReported(latest, r.Interruptions)
-	s.settle(latest, f, err, begun)
-	if f.State == poison.Unknown {
+	switch f.State {
+	case poison.Silent:
+		// The host that asks decides on the findings of several hosts. If it can't, the next run
+		// of the target shows the crash.
+	case poison.Unknown:
+		s.settle(latest, f, err, begun)
 		s.startSettling(latest)
+	default:
+		s.settle(latest, f, err, begun)
 	}
 	return f, latest
 }
--- a/internal/quarantine/settle_test.go
+++ b/internal/quarantine/settle_test.go
@@ -172,3 +172,35 @@
 		})
 	}
 }
+
+// A host that had lost its path to one target, by connections that are refused, took it for crashed.
+func TestTargetThatRefusesOneHostHasNotCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newSettling(func() error { return syscall.ECONNREFUSED }, asked{"b": finds(poison.Alive)})
+		defer func() { _ = q.Stop(context.Background()) }()
+		is.True(!q.ProbeAfterInterruption(t.Context(), deadly, settledTarget))
+		q.RecordInterruption(deadly, settledTarget)
+		time.Sleep(settleTime)
+		is.Equal(len(q.Unshared()), 0)
+	})
+}
+
+// A single connection that another host waits for in vain does not show a crash.
+func TestLateConnectionOfAnotherHostShowsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := 0
+		q := newSettling(cannotTell, asked{"b": func(ctx context.Context, r poison.Report) (poison.Finding, error) {
+			if n++; n == 1 {
+				return poison.Finding{State: poison.Silent}, nil
+			}
+			return poison.Finding{State: poison.Alive}, nil
+		}})
+		defer func() { _ = q.Stop(context.Background()) }()
+		q.RecordInterruption(deadly, settledTarget)
+		time.Sleep(settleTime)
+		is.Equal(len(q.Unshared()), 0)
+		is.True(!q.IsUnsettled(deadlyContent))
+	})
+}
