origin, gateway: no stream begins at a release that other hosts can't know of

What callers saw, in a test: all targets of a release left as those of the next one joined. Streams that began at the next one through one host, within the 0.3 s that its announcement took on a slow store, were taken up at a host whose view of the targets was old, and went on at a target of the earlier release.

Cause: streams wait for the announcement of a release as long as a target of an announced one serves. Where none did, they began at once, and neither the shared list nor the log knew of them; a host that is out of step has nothing else.

Change: such a stream waits for the announcement, 0.4 s at most, and is refused with 503 and a time to come back if it does not come. At the usual store this takes some milliseconds, once a release and host.

--- a/internal/core/fleet/release.go
+++ b/internal/core/fleet/release.go
@@ -35,6 +35,13 @@
 	delete(f.announced, r)
 }
 
+// IsAnnounced reports whether all hosts can learn that a release is in use.
+func (f *Fleet) IsAnnounced(r Release) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.announced[r]
+}
+
 // needsAnnouncedRelease reports whether a request must not begin at targets whose release is
 // not announced.
 func (f *Fleet) needsAnnouncedRelease(r Request, now time.Time) bool {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -143,6 +143,9 @@
 		}
 		if !j.recordOrigin(ctx, candidates[index]) {
 			j.finishPlace(occupancy.Inconclusive)
+			if j.isUnannounced() {
+				return nil // nor is any other release that serves
+			}
 			r.Version, r.IsVersionBound = j.version, j.isVersionBound
 			continue
 		}
@@ -234,6 +237,10 @@
 		j.finishUnanswered(ctx)
 		return false
 	}
+	if j.isUnannounced() {
+		j.finishWithoutTarget(ctx)
+		return false
+	}
 	isFull := len(j.excluded) > len(j.ranAt) || j.g.fleet.IsFull(j.targetRequest(), time.Now())
 	if !isFull || j.isVersionBound && !j.mayGetTarget() {
 		j.finishWithoutTarget(ctx)
@@ -273,6 +280,10 @@
 		j.finishUnanswered(ctx)
 		return
 	}
+	if j.isUnannounced() {
+		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "release_unannounced", cause: j.cause, retryAfter: noTargetRetryAfter})
+		return
+	}
 	if retryAfter, ok := j.limitRetryAfter(); ok {
 		j.refuseLimited(retryAfter)
 		return
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -319,9 +319,9 @@
 
 // origins records nothing. All streams have begun at targets without a version, or at ones that can't
 // be found out.
-type origins struct{ unknown error }
+type origins struct{ unknown, unrecorded error }
 
-func (*origins) Record(context.Context, string, fleet.Release, bool) error { return nil }
+func (o *origins) Record(context.Context, string, fleet.Release, bool) error { return o.unrecorded }
 
 func (*origins) Forget(string) {}
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,9 +126,12 @@
 
 // Origins finds out which software version began a stream.
 type Origins interface {
-	// Record records that a target of a release is about to run a resumable stream.
+	// Record records that a target of a release is about to run a resumable stream. Its error is
+	// an *UnannouncedReleaseError if other hosts can't know of the release yet, so that no
+	// target of it may run the stream.
+	//
 	// isRecorded is set if the host that has passed the request on may have recorded another
-	// release for it. If it returns an error, only the release that was recorded before may run
+	// release for it. If it returns another error, only the release that was recorded before may run
 	// the stream.
 	Record(ctx context.Context, requestID string, r fleet.Release, isRecorded bool) error
 	// Forget drops what this host has recorded for a stream that another host begins, so that
@@ -155,6 +158,21 @@
 // Unwrap returns the cause.
 func (e *UnknownOriginError) Unwrap() error { return e.Cause }
 
+// UnannouncedReleaseError reports that a stream can't begin at a release that other hosts can't know
+// of yet.
+type UnannouncedReleaseError struct {
+	Release fleet.Release
+	Cause   error
+}
+
+// Error implements error.
+func (e *UnannouncedReleaseError) Error() string {
+	return "version " + e.Release.Version + " of " + e.Release.Service + " is not announced: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnannouncedReleaseError) Unwrap() error { return e.Cause }
+
 // Quarantine records content that crashes the targets that run it. Methods that
 // take the fingerprint as a function call it only if some content is suspect.
 type Quarantine interface {
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -74,15 +74,24 @@
 	}
 }
 
+// isUnannounced reports whether the request has just been kept from a release that other hosts
+// can't know of yet.
+func (j *job) isUnannounced() bool {
+	var unannounced *UnannouncedReleaseError
+	return errors.As(j.cause, &unannounced)
+}
+
 // recordOrigin records that a target is about to run a resumable stream. It returns false if the
-// stream has to stay at the release that was recorded before.
+// stream has to stay at the release that was recorded before, or may not begin at this one.
 func (j *job) recordOrigin(ctx context.Context, m fleet.Member) bool {
 	if !j.isResumable() {
 		return true
 	}
 	if err := j.g.origins.Record(ctx, j.call.RequestID, m.Release(), j.sender.IsRecorded); err != nil {
 		j.cause = err
-		j.bindVersion(j.recordedVersion)
+		if !j.isUnannounced() {
+			j.bindVersion(j.recordedVersion)
+		}
 		return false
 	}
 	j.recordedVersion, j.isRecorded = m.Version, true
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -85,3 +85,17 @@
 	is.Equal(a.status, http.StatusServiceUnavailable)
 	is.Equal(<-ended, context.Canceled) // and not at its own timeout
 }
+
+// A stream whose targets all have a release that other hosts can't know of yet is refused at once.
+func TestStreamOfAnUnannouncedReleaseIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	s.add(models, replica.Options{ID: "m", Events: 3})
+	s.origins.unrecorded = &gateway.UnannouncedReleaseError{Cause: errors.New("store is silent")}
+	a := s.mustSend(request{method: http.MethodPost, path: turns, id: "a", header: turnHeader("p")})
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.True(a.header.Get("Retry-After") != "")
+	is.Equal(s.runsOf("a"), 0)
+	s.origins.unrecorded = nil
+	is.Equal(s.mustSend(request{method: http.MethodPost, path: turns, id: "b", header: turnHeader("p")}).status, http.StatusOK)
+}
--- a/internal/origin/model_test.go
+++ b/internal/origin/model_test.go
@@ -39,7 +39,7 @@
 )
 
 func drawMoves(t *rapid.T) []move {
-	kinds := []string{"begin", "begin", "begin", "begin", "change", "hand over", "look up", "look up", "look up", "read targets", "read targets",
+	kinds := []string{"begin", "begin", "begin", "begin", "change", "hand over", "look up", "look up", "look up", "look up with an old view", "read targets", "read targets",
 		"version comes", "version leaves", "kill", "kill all", "fault", "fault at all", "heal", "flush", "trim"}
 	one := rapid.Custom(func(t *rapid.T) move {
 		return move{
@@ -157,8 +157,9 @@
 	m.begin((i+1)%modelHosts, pick/2, id, true)
 }
 
-// lookUp takes a stream up at a host, which reads the targets first.
-func (m *model) lookUp(i, pick int) {
+// lookUp takes a stream up at a host, which reads the targets first unless it stood still or was
+// cut off until now.
+func (m *model) lookUp(i, pick int, isViewOld bool) {
 	if len(m.streams) == 0 {
 		return
 	}
@@ -166,7 +167,9 @@
 	if time.Since(s.at) > takeUpTime {
 		return
 	}
-	m.readTargets(i)
+	if !isViewOld {
+		m.readTargets(i)
+	}
 	version, err := m.hosts[i].Lookup(m.t.Context(), service, s.id)
 	m.asked++
 	switch {
@@ -247,7 +250,9 @@
 	case "hand over":
 		m.handOver(s.Host, s.Pick, id)
 	case "look up":
-		m.lookUp(s.Host, s.Pick)
+		m.lookUp(s.Host, s.Pick, false)
+	case "look up with an old view":
+		m.lookUp(s.Host, s.Pick, true)
 	case "read targets":
 		m.readTargets(s.Host)
 	case "version comes":
--- a/internal/origin/releases.go
+++ b/internal/origin/releases.go
@@ -247,6 +247,10 @@
 		}
 		s.releases.announced[r] = true
 		s.params.Fleet.SetAnnounced(r, true)
+		s.mu.Lock()
+		close(s.releaseAnnounced)
+		s.releaseAnnounced = make(chan struct{})
+		s.mu.Unlock()
 		return nil
 	}
 	if !isLeaving || now.Sub(goneSince) < leaveDelay || now.Sub(s.params.TargetsReadAt()) > maxTargetsAge {
@@ -266,6 +270,34 @@
 	return nil
 }
 
+// announceTimeout limits the wait of a stream for the announcement of its release. The store
+// takes milliseconds, and 60 times as long when it is slow.
+const announceTimeout = 400 * time.Millisecond
+
+// awaitAnnounced waits until the shared list has a release as serving. A host whose view of the
+// targets is old would take a stream that begins before for one of another release.
+func (s *Service) awaitAnnounced(ctx context.Context, r fleet.Release) error {
+	if s.params.Fleet.IsAnnounced(r) {
+		return nil
+	}
+	s.TargetsChanged()
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		announced := s.releaseAnnounced
+		s.mu.Unlock()
+		if s.params.Fleet.IsAnnounced(r) {
+			return nil
+		}
+		select {
+		case <-announced:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // put writes a release to the shared list; leftAt is zero while it serves.
 func (s *Service) put(ctx context.Context, r fleet.Release, leftAt time.Time) error {
 	m := &pb.Release{Service: r.Service, Version: r.Version}
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -92,6 +92,8 @@
 	seen *origin.History
 	// mixed holds the services whose streams are recorded.
 	mixed map[string]bool
+	// releaseAnnounced is closed, and replaced, when a release was announced.
+	releaseAnnounced chan struct{}
 	// releases is the state of run.
 	releases releases
 }
@@ -113,6 +115,8 @@
 		seen:     origin.NewHistory(),
 		mixed:    make(map[string]bool),
 		releases: newReleases(),
+
+		releaseAnnounced: make(chan struct{}),
 	}
 	s.writer = newWriter(writerParams{
 		log:       p.Log,
@@ -159,6 +163,10 @@
 
 // Record implements gateway.Origins.
 func (s *Service) Record(ctx context.Context, requestID string, r fleet.Release, isRecorded bool) error {
+	if err := s.awaitAnnounced(ctx, r); err != nil {
+		s.log.Info("Stream does not begin at a release that is not announced.", "request", requestID, "service", r.Service, "version", r.Version, "cause", err.Error())
+		return &gateway.UnannouncedReleaseError{Release: r, Cause: err}
+	}
 	key := origin.StreamOf(requestID)
 	now := time.Now()
 	s.mu.Lock()
