gateway, handoverrpc: a request that is passed on keeps its attempts

What callers saw, in a test: a lookup that had run at a target of a host without new connections, and was then passed on, ran at up to as many targets of the next host again, beyond the attempts of its route.

Cause: attempts were counted by each host for itself. Found by looking for results that a host puts aside.

Change: the head of a request that is passed on tells how many targets count as attempts; the next host adds its own.

--- a/internal/adapter/handoverrpc/server.go
+++ b/internal/adapter/handoverrpc/server.go
@@ -38,7 +38,7 @@
 		return err
 	}
 	w := &answerWriter{stream: stream, header: make(http.Header)}
-	from := port.HandoverSender{Host: part.GetHead().GetFrom(), IsRecorded: part.GetHead().GetRecorded()}
+	from := port.HandoverSender{Host: part.GetHead().GetFrom(), IsRecorded: part.GetHead().GetRecorded(), Attempts: int(max(part.GetHead().GetAttempts(), 0))}
 	if !serve(h.server, w, r, from) {
 		return errors.New("answer was broken off")
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -223,9 +223,13 @@
 	if j.route.Kind == route.Stream && j.events > 0 && j.lastEvent == "" {
 		return false
 	}
-	return len(j.ranAt)-j.crashes-j.unreachable < j.route.Attempts
+	return j.attempts() < j.route.Attempts
 }
 
+// attempts returns how many targets, at this host and the one that has passed the request on, may
+// have run the request. Those that ended, or that the host was cut off from, don't count.
+func (j *job) attempts() int { return j.sender.Attempts + len(j.ranAt) - j.crashes - j.unreachable }
+
 // maxUncountedCrashes is the number of crashed targets per request that don't count
 // as attempts.
 const maxUncountedCrashes = 2
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -58,6 +58,8 @@
 	quarantine *quarantine.Service
 	// probe is that of the host.
 	probe func(context.Context, upstream.Target) error
+	// others are the other hosts.
+	others otherHosts
 	// path is that of the host to its targets, connected unless it is set.
 	path     path
 	server   *httptest.Server
@@ -107,7 +109,7 @@
 		Conversations:  s.turnStore,
 		Origins:        &s.origins,
 		Reach:          &s.path,
-		Handover:       noHosts{},
+		Handover:       &s.others,
 		Quarantine:     s.quarantine,
 		TargetsReadAt:  time.Now,
 		RefreshTargets: func(ctx context.Context) error { return s.refreshTargets(ctx) },
@@ -327,11 +329,17 @@
 
 func (o *origins) Lookup(context.Context, string, string) (string, error) { return "", o.unknown }
 
-// noHosts are the other hosts of a host that knows none.
-type noHosts struct{}
+// otherHosts take no requests and remember those that they were offered.
+type otherHosts struct {
+	mu      sync.Mutex
+	offered []port.HandoverRequest
+}
 
-func (noHosts) HandOver(context.Context, string, port.HandoverRequest) (gateway.Taken, error) {
-	return gateway.Taken{}, errors.New("no other host is known")
+func (o *otherHosts) HandOver(_ context.Context, _ string, r port.HandoverRequest) (gateway.Taken, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.offered = append(o.offered, r)
+	return gateway.Taken{}, errors.New("host has taken no request")
 }
 
 // path is a path to the targets in a given state.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -125,6 +125,7 @@
 		Body:   j.body,
 
 		IsRecorded: j.isRecorded,
+		Attempts:   j.attempts(),
 	}
 }
 
--- a/internal/port/handover.go
+++ b/internal/port/handover.go
@@ -35,13 +35,16 @@
 	Body   []byte
 	// IsRecorded is set if the host may have recorded a release for the stream.
 	IsRecorded bool
+	// Attempts is how many targets have run the request that count as attempts.
+	Attempts int
 }
 
 // HandoverSender is the host that passes a request on.
 type HandoverSender struct {
 	Host string
-	// IsRecorded is that of the request.
+	// IsRecorded and Attempts are those of the request.
 	IsRecorded bool
+	Attempts   int
 }
 
 // HandoverOffer is the result of asking a host to take a request. Answer is set if it does.
