soak: content that ends targets comes beside lost paths, and each is held against the limit

One content was in quarantine within the first second, so that later faults met none. Now a new one comes every two seconds while there are faults, each is held against the one check of the limit, and a host loses its path in one more way: new connections are refused while open ones carry data. The same befalls one host after the faults, beside targets that limit their rates, when the limit applies all the while.

--- a/internal/front/uncounted_ends_test.go
+++ b/internal/front/uncounted_ends_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	d := &deadlyFleet{}
 	d.cutFleet = newCutFleetOf(t, targets, func(id string) replica.Options {
-		return replica.Options{ID: id, Events: 9, Work: 20 * time.Millisecond, Deadly: deadly, Death: death, Ended: func() { d.ended(id) }}
+		return replica.Options{ID: id, Events: 9, Work: 20 * time.Millisecond, Deadly: deadly, Death: death, Ended: func(string) { d.ended(id) }}
 	})
 	return d
 }
--- a/internal/gateway/uncounted_ends_test.go
+++ b/internal/gateway/uncounted_ends_test.go
@@ -99,7 +99,7 @@
 			s.probe = inconclusive
 			for n := range 6 {
 				for _, service := range []string{app, models} {
-					s.add(service, replica.Options{ID: fmt.Sprint(service, n), Events: 3, Deadly: "deadly", Ended: func() {}})
+					s.add(service, replica.Options{ID: fmt.Sprint(service, n), Events: 3, Deadly: "deadly"})
 				}
 			}
 			runs := func() (n int) {
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +47,8 @@
 	budgets map[string]int
 	// prompts are what targets are to get for the turns of conversations.
 	prompts map[string]string
+	// bringsNew is set while new contents come that end targets.
+	bringsNew atomic.Bool
 }
 
 func newCallers(w *world) *callers {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -111,9 +111,9 @@
 		{"stop crashes", true, func(r reporter) { checkStop(r, "h", 2, []attempt{good}) }},
 		{"served", false, func(r reporter) { checkServed(r, 9, 10) }},
 		{"not served", true, func(r reporter) { checkServed(r, 8, 10) }},
-		{"deaths", false, func(r reporter) { checkDeaths(r, deathsAt(now, 0, 0, 0, 1, 4, 4, 4), now) }},
-		{"deaths go on", true, func(r reporter) { checkDeaths(r, deathsAt(now, 0, 0, 0, 1, 4, 4, 4, 4), now) }},
-		{"deaths under faults", false, func(r reporter) { checkDeaths(r, deathsAt(now, 0, 0, 0, 4, 4, 4, 4), now.Add(2*time.Second)) }},
+		{"deaths", false, func(r reporter) { checkDeaths(r, "deadly", deathsAt(now, 0, 0, 0, 1, 4, 4, 4), now) }},
+		{"deaths go on", true, func(r reporter) { checkDeaths(r, "deadly", deathsAt(now, 0, 0, 0, 1, 4, 4, 4, 4), now) }},
+		{"deaths under faults", false, func(r reporter) { checkDeaths(r, "deadly", deathsAt(now, 0, 0, 0, 4, 4, 4, 4), now.Add(2*time.Second)) }},
 		{"nothing asked", true, func(r reporter) { checkServed(r, 0, 0) }},
 	}
 	for _, c := range cases {
--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -7,45 +7,57 @@
 	"slices"
 	"strconv"
 	"strings"
+	"testing"
 	"time"
+
+	"yuccausher/internal/testutil"
 )
 
 const (
-	// deadlyContent ends each replica that runs it.
-	deadlyContent = "deadly"
+	// deadlyContent begins each content that ends the replicas that run it.
+	deadlyContent = "deadly-"
 	deadlySuffix  = "/deadly"
-	deadlyPause   = 150 * time.Millisecond
+	deadlyPause   = 100 * time.Millisecond
+	// deadlyLife is how long it takes until the next content comes beside those before it.
+	deadlyLife = 2 * time.Second
 	// restartAfterDeath is how long a replica is away that was ended by it.
 	restartAfterDeath = 300 * time.Millisecond
-	// stableTime is how long after a disturbance, and after the third end, the content
-	// may end more than a few replicas; maxLateDeaths is how many afterwards.
-	stableTime    = 3 * time.Second
-	maxLateDeaths = 3
+	// stableTime is how long after a disturbance, and after the third end, the limit on the
+	// repeats of such content begins to apply.
+	stableTime = 3 * time.Second
 )
 
 func isDeadly(path string) bool { return strings.HasSuffix(path, deadlySuffix) }
 
-// sendDeadly brings the same content to one host after the other until ctx ends, by the
-// same path.
+// sendDeadly brings contents to one host after the other until ctx ends: each second time the
+// newest one, and otherwise any. New ones come while bringsNew is set.
 func (c *callers) sendDeadly(ctx context.Context, random *rand.Rand) {
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
-	path := []string{"/posting", "/lookup"}[random.IntN(2)] + deadlySuffix
-	for ctx.Err() == nil {
+	paths := []string{"/posting", "/lookup"}
+	newest, since := 0, time.Now()
+	for ; ctx.Err() == nil; time.Sleep(deadlyPause) {
+		if c.bringsNew.Load() && time.Since(since) > deadlyLife {
+			newest, since = newest+1, time.Now()
+		}
+		at := newest
+		if random.IntN(2) == 0 {
+			at = random.IntN(newest + 1)
+		}
 		h := c.world.hosts[random.IntN(len(c.world.hosts))]
 		id := strconv.FormatUint(random.Uint64(), 36)
+		content := deadlyContent + strconv.Itoa(at)
 		c.mu.Lock()
-		c.prompts[id] = deadlyContent
+		c.prompts[id] = content
 		c.mu.Unlock()
-		c.note(c.post(ctx, transport, h, path, id, deadlyContent, http.Header{}), "", "")
-		time.Sleep(deadlyPause)
+		c.note(c.post(ctx, transport, h, paths[at%len(paths)]+deadlySuffix, id, content, http.Header{}), "", "")
 	}
 }
 
-// died starts another replica in the place of one that the content has ended.
-func (w *world) died(id string) {
+// died starts another replica in the place of one that a content has ended.
+func (w *world) died(id, content string) {
 	w.mu.Lock()
-	w.deaths = append(w.deaths, time.Now())
+	w.deaths[content] = append(w.deaths[content], time.Now())
 	at := slices.IndexFunc(w.targets, func(t *target) bool { return t.replica != nil && t.replica.ID() == id })
 	w.mu.Unlock()
 	if at >= 0 {
@@ -53,30 +65,39 @@
 	}
 }
 
-func (w *world) deathTimes() []time.Time {
+// checkAllDeaths holds the ends of replicas by each content against the limit.
+func (w *world) checkAllDeaths(t *testing.T, healedAt time.Time) {
+	t.Helper()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return slices.Clone(w.deaths)
+	for content, deaths := range w.deaths {
+		t.Logf("%s ended %d replicas", content, len(deaths))
+		checkDeaths(t, content, deaths, healedAt)
+	}
 }
 
-// checkDeaths holds the ends of replicas against the bound, which begins to hold when
-// the faults are over.
-func checkDeaths(r reporter, deaths []time.Time, healedAt time.Time) {
+// checkDeaths holds the ends of replicas by one content against the limit, which begins to hold
+// when the faults are over.
+func checkDeaths(r reporter, content string, deaths []time.Time, healedAt time.Time) {
 	r.Helper()
-	if len(deaths) < 3 {
-		return
+	ends := make([]testutil.TargetEnd, len(deaths))
+	for i, at := range deaths {
+		ends[i] = testutil.TargetEnd{At: at, IsDisturbed: at.Sub(healedAt) <= stableTime}
 	}
-	from := healedAt
-	if third := deaths[2]; third.After(from) {
-		from = third
+	if err := testutil.CheckRepeats(ends, stableTime); err != nil {
+		r.Errorf("%s: %v", content, err)
 	}
-	late := 0
-	for _, at := range deaths[3:] {
-		if at.Sub(from) > stableTime {
-			late++
-		}
+}
+
+// refuseNew makes all targets refuse new connections of a host, whose open ones live on, until
+// the returned function is called. The limits on what hosts send apply all the while.
+func (w *world) refuseNew(host int) (reopen func()) {
+	for _, t := range w.targets {
+		t.paths[host].refuseNew()
 	}
-	if late > maxLateDeaths {
-		r.Errorf("the same content ended %d replicas, %d of them more than %v after the faults and the third end", len(deaths), late, stableTime)
+	return func() {
+		for _, t := range w.targets {
+			w.must(t.paths[host].reopen())
+		}
 	}
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -93,26 +93,21 @@
 // cutOff cuts a host off from all targets. The store and the other hosts still reach it.
 func (j *injector) cutOff(d time.Duration) {
 	host := j.random.IntN(len(j.world.hosts))
-	m := []mode{silent, open}[j.random.IntN(2)]
+	how := []lostPath{
+		{start: func(p *proxy) { p.set(silent) }, end: func(p *proxy) error { p.reset(); p.set(open); return nil }},
+		{start: (*proxy).refuse, end: (*proxy).reopen},
+		{start: (*proxy).refuseNew, end: (*proxy).reopen},
+	}[j.random.IntN(3)]
 	if !j.setCutOff(host, true) {
 		return
 	}
 	j.during(d, func() {
 		for _, t := range j.world.targets {
-			if m == silent {
-				t.paths[host].set(silent)
-				continue
-			}
-			t.paths[host].refuse()
+			how.start(t.paths[host])
 		}
 	}, func() {
 		for _, t := range j.world.targets {
-			if m == silent {
-				t.paths[host].reset()
-				t.paths[host].set(open)
-				continue
-			}
-			if err := t.paths[host].reopen(); err != nil {
+			if err := how.end(t.paths[host]); err != nil {
 				j.world.t.Error(err)
 			}
 		}
@@ -120,6 +115,12 @@
 	})
 }
 
+// lostPath is how a host loses its path to a target, and gets it back.
+type lostPath struct {
+	start func(*proxy)
+	end   func(*proxy) error
+}
+
 // setCutOff sets whether a host is cut off. It returns false if it was already.
 func (j *injector) setCutOff(host int, isCutOff bool) bool {
 	j.mu.Lock()
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -152,15 +152,20 @@
 	}
 }
 
-// refuse resets all connections and refuses new ones until reopen is called.
-func (p *proxy) refuse() {
+// refuseNew refuses new connections until reopen is called.
+func (p *proxy) refuseNew() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	_ = p.listener.Close()
-	p.mu.Unlock()
+}
+
+// refuse resets all connections and refuses new ones until reopen is called.
+func (p *proxy) refuse() {
+	p.refuseNew()
 	p.reset()
 }
 
-// reopen ends refuse.
+// reopen ends refuseNew and refuse.
 func (p *proxy) reopen() error {
 	l, err := net.Listen("tcp", p.address())
 	if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -122,10 +122,16 @@
 	faulty, stopFaults := context.WithTimeout(context.Background(), *lengthFlag)
 	defer stopFaults()
 	j := &injector{world: w, random: rand.New(rand.NewPCG(seed, 0)), isCutOff: make(map[int]bool)}
+	c.bringsNew.Store(true)
 	j.run(faulty)
+	c.bringsNew.Store(false)
 	healedAt := time.Now()
 	time.Sleep(healed)
+	c.bringsNew.Store(true)
+	reopen := w.refuseNew(int(seed) % len(w.hosts))
 	w.examineLimits(t, rand.New(rand.NewPCG(seed, limitStream)))
+	reopen()
+	c.bringsNew.Store(false)
 	slack := time.Duration(1)
 	if *seedFlag == 0 {
 		slack = ciSlack
@@ -136,7 +142,7 @@
 	calling.Wait()
 	checkVersions(t, v.sightings)
 	t.Logf("faults: %v", j.counts)
-	checkDeaths(t, w.deathTimes(), healedAt)
+	w.checkAllDeaths(t, healedAt)
 	check(t, w, c, healedAt.Add(healed-judged), healedAt.Add(healed-judged/3))
 	if t.Failed() {
 		for _, h := range w.hosts {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -53,8 +53,8 @@
 	retired []*replica.Replica
 	version int
 	started int
-	// deaths are when replicas were ended by the deadly content.
-	deaths []time.Time
+	// deaths are when replicas were ended by each deadly content.
+	deaths map[string][]time.Time
 	dying  sync.WaitGroup
 }
 
@@ -89,7 +89,7 @@
 
 func newWorld(t *testing.T, binary string) *world {
 	t.Helper()
-	w := &world{t: t, binary: binary, dir: t.TempDir(), store: metastore.New(), stop: make(chan struct{})}
+	w := &world{t: t, binary: binary, dir: t.TempDir(), store: metastore.New(), stop: make(chan struct{}), deaths: make(map[string][]time.Time)}
 	w.store.Latency = storeLatency
 	for range modelTargets {
 		w.addTarget("models")
@@ -142,8 +142,8 @@
 	}
 }
 
-// deaths are the ways in which replicas end by turns.
-var deaths = []replica.Fault{replica.Crashing, replica.CrashingUnframed, replica.Vanishing, replica.CrashingLarge}
+// endings are the ways in which replicas end by turns.
+var endings = []replica.Fault{replica.Crashing, replica.CrashingUnframed, replica.Vanishing, replica.CrashingLarge}
 
 func (w *world) newID(service string) string {
 	w.started++
@@ -168,8 +168,8 @@
 		Events:  streamEvents,
 		Pause:   5 * time.Millisecond,
 		Deadly:  deadlyContent,
-		Death:   deaths[w.started%len(deaths)],
-		Ended:   func() { w.dying.Go(func() { w.died(id) }) },
+		Death:   endings[w.started%len(endings)],
+		Ended:   func(content string) { w.dying.Go(func() { w.died(id, content) }) },
 	})
 	w.must(err)
 	return r
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -28,12 +28,12 @@
 	Pause  time.Duration
 	// Version is named in each event if it is set.
 	Version string
-	// Deadly is a body that takes the replica down when it begins to run; empty means
-	// none. Death is how: Crashing, Vanishing or CrashingUnframed; None means Crashing.
-	// Ended is called when one has.
+	// Deadly is how bodies begin that take the replica down when they begin to run; empty
+	// means none. Death is how: Crashing, Vanishing or CrashingUnframed; None means Crashing.
+	// Ended is called with the body when one has, unless it is nil.
 	Deadly string
 	Death  Fault
-	Ended  func()
+	Ended  func(body string)
 }
 
 // Run is one request that the replica began to run.
@@ -214,8 +214,12 @@
 		r.die(x, x.fault, reader, func() {})
 		return false
 	}
-	if r.options.Deadly != "" && string(body) == r.options.Deadly {
-		r.die(x, r.options.Death, reader, r.options.Ended)
+	if r.options.Deadly != "" && strings.HasPrefix(string(body), r.options.Deadly) {
+		r.die(x, r.options.Death, reader, func() {
+			if r.options.Ended != nil {
+				r.options.Ended(string(body))
+			}
+		})
 		return false
 	}
 	if r.isAbandoned(x, reader) {
