origin, front, quarantine: no waiting for what is known to fail

A stream whose release is not announced waited 0.4 s for its refusal also while the shared list was known to fail; it is refused at once now. A probe whose question another host has answered no longer tries three more targets, and an answer that settles nothing no longer counts all interruptions.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -337,6 +337,9 @@
 			return &quarantine.InconclusiveError{Cause: errCutOff}
 		}
 		err := pool.Probe(ctx, t)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return &quarantine.InconclusiveError{Cause: ctx.Err()}
+		}
 		if err == nil || r.ReachesOthers(context.WithoutCancel(ctx), t) {
 			return err
 		}
--- a/internal/origin/releases.go
+++ b/internal/origin/releases.go
@@ -45,8 +45,7 @@
 	// list says that they have left.
 	goneSince map[fleet.Release]time.Time
 	// syncedAt is when the shared list was last compared with the targets.
-	syncedAt  time.Time
-	isFailing bool
+	syncedAt time.Time
 }
 
 func newReleases() releases {
@@ -172,8 +171,7 @@
 	if err == nil {
 		err = s.correct(ctx, shared)
 	}
-	if isFailing := err != nil; isFailing != s.releases.isFailing {
-		s.releases.isFailing = isFailing
+	if isFailing := err != nil; s.isListFailing.Swap(isFailing) != isFailing {
 		cause := ""
 		if isFailing {
 			cause = err.Error()
@@ -274,12 +272,20 @@
 // takes milliseconds, and 60 times as long when it is slow.
 const announceTimeout = 400 * time.Millisecond
 
+// errListFailing reports that the store did not answer when the shared list was last compared with the
+// targets.
+var errListFailing = errors.New("the shared list of releases can't be read or written")
+
 // awaitAnnounced waits until the shared list has a release as serving. A host whose view of the
-// targets is old would take a stream that begins before for one of another release.
+// targets is old would take a stream that begins before for one of another release. It does not
+// wait while the store is known not to answer.
 func (s *Service) awaitAnnounced(ctx context.Context, r fleet.Release) error {
 	if s.params.Fleet.IsAnnounced(r) {
 		return nil
 	}
+	if s.isListFailing.Load() {
+		return errListFailing
+	}
 	s.TargetsChanged()
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -92,6 +93,8 @@
 	seen *origin.History
 	// mixed holds the services whose streams are recorded.
 	mixed map[string]bool
+	// isListFailing is set while the shared list of releases can't be read or written.
+	isListFailing atomic.Bool
 	// releaseAnnounced is closed, and replaced, when a release was announced.
 	releaseAnnounced chan struct{}
 	// releases is the state of run.
--- a/internal/quarantine/interruptions.go
+++ b/internal/quarantine/interruptions.go
@@ -201,6 +201,8 @@
 			contents = append(contents, b.content)
 		}
 	}
-	s.countUnsettled()
+	if len(contents) > 0 {
+		s.countUnsettled()
+	}
 	return contents
 }
