soak: most times each deadly content comes to a host of its own, before twelve targets

Spread over all hosts a content is in quarantine before one host alone has met it three times. With three targets of the service it could not end more than the limit allows at a host whose new connections are refused.

--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -20,6 +20,8 @@
 	deadlyPause   = 100 * time.Millisecond
 	// deadlyLife is how long it takes until the next content comes beside those before it.
 	deadlyLife = 2 * time.Second
+	// deadlyElsewhere is one in how many times a content comes to any host, and not to its own.
+	deadlyElsewhere = 8
 	// restartAfterDeath is how long a replica is away that was ended by it.
 	restartAfterDeath = 300 * time.Millisecond
 	// stableTime is how long after a disturbance, and after the third end, the limit on the
@@ -29,8 +31,8 @@
 
 func isDeadly(path string) bool { return strings.HasSuffix(path, deadlySuffix) }
 
-// sendDeadly brings contents to one host after the other until ctx ends: each second time the
-// newest one, and otherwise any. New ones come while bringsNew is set.
+// sendDeadly brings contents, most times each to a host of its own, until ctx ends: each second time
+// the newest one, and otherwise any. New ones come while bringsNew is set.
 func (c *callers) sendDeadly(ctx context.Context, random *rand.Rand) {
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
@@ -44,7 +46,10 @@
 		if random.IntN(2) == 0 {
 			at = random.IntN(newest + 1)
 		}
-		h := c.world.hosts[random.IntN(len(c.world.hosts))]
+		h := c.world.hosts[at%len(c.world.hosts)]
+		if random.IntN(deadlyElsewhere) == 0 {
+			h = c.world.hosts[random.IntN(len(c.world.hosts))]
+		}
 		id := strconv.FormatUint(random.Uint64(), 36)
 		content := deadlyContent + strconv.Itoa(at)
 		c.mu.Lock()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -25,7 +25,7 @@
 const (
 	hosts         = 4
 	modelTargets  = 3
-	appTargets    = 3
+	appTargets    = 12
 	slowTargets   = 1
 	streamEvents  = 5
 	eventTokens   = 14
