--- a/internal/core/poison/examination.go
+++ b/internal/core/poison/examination.go
@@ -43,6 +43,10 @@
 	return [...]string{"unknown", "alive", "refused", "silent", "replaced"}[s]
 }
 
+// IsCertain reports whether the finding of a single host decides. A host that gets no connection in
+// time may have lost its path to the target.
+func (s State) IsCertain() bool { return s != Unknown && s != Silent }
+
 // Finding is the result of an examination.
 type Finding struct {
 	State State
