gateway: a host that stood still reads the targets before it takes a stream up

What callers saw, in a test: a host that had stood still for seconds sent a stream that another host had begun to a target which had started again under its ID with another version in that time, and joined both. So did a host that could not read the targets.

Cause: a view older than two seconds was taken for a store that does not answer, so that the targets were not read; and a read that failed was logged and passed over. The age of a view is the same where the host itself stood still or was cut off until now. The class: a host takes its own state for that of others.

Change: the targets are read whatever the age of the view. If that fails the take-up is refused with 503, which is true, and a time to come back; for a second after it others are refused at once. Streams that go on within the same answer go on by the view that there is, as before.

Ruled out: refusing those too. Their host has the stream's version from its first event, and a store that is silent for all would cut each stream whose target ends.

Evidence: TestHostThatStoodStillReadsTheTargetsBeforeATakeUp and TestTakeUpIsRefusedWhileTheTargetsCanNotBeRead were answered with 200 before.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -98,7 +98,8 @@
 			}
 			j.excludeTarget(choice, "cut")
 			if j.events > 0 {
-				j.refreshTargets(ctx)
+				// Without an answer of the store the stream goes on by the view that there is.
+				_ = j.refreshTargets(ctx)
 			}
 		}
 		if ctx.Err() != nil {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -47,12 +47,14 @@
 type fixture struct {
 	origins        origins
 	refreshTargets func(context.Context) error
-	t              *testing.T
-	tables         *route.Holder
-	fleet          *fleet.Fleet
-	gateway        *gateway.Gateway
-	budgets        *budgets
-	turnStore      *turnStore
+	// viewAge is the age of the host's view of the targets.
+	viewAge   time.Duration
+	t         *testing.T
+	tables    *route.Holder
+	fleet     *fleet.Fleet
+	gateway   *gateway.Gateway
+	budgets   *budgets
+	turnStore *turnStore
 	// quarantine is that of the gateway's host. No other host reports crashes to it,
 	// except through reportCrashes.
 	quarantine *quarantine.Service
@@ -111,7 +113,7 @@
 		Reach:          &s.path,
 		Handover:       &s.others,
 		Quarantine:     s.quarantine,
-		TargetsReadAt:  time.Now,
+		TargetsReadAt:  func() time.Time { return time.Now().Add(-s.viewAge) },
 		RefreshTargets: func(ctx context.Context) error { return s.refreshTargets(ctx) },
 		Log:            logr.Discard(),
 		Scope:          tally.NoopScope,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -244,9 +244,11 @@
 	targetsReadAt func() time.Time
 	// refreshTargets reads the targets at once.
 	refreshTargets func(context.Context) error
-	log            logr.Logger
-	metrics        *metrics
-	inFlight       atomic.Int64
+	// refreshFailedAt is when that has failed last.
+	refreshFailedAt atomic.Pointer[time.Time]
+	log             logr.Logger
+	metrics         *metrics
+	inFlight        atomic.Int64
 	// closing is set while every answer closes its connection.
 	closing atomic.Bool
 	bodies  bodyBudget
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -26,20 +26,20 @@
 	defer since(&j.times.origin, time.Now())
 	refreshCtx, stopRefresh := context.WithCancel(ctx)
 	defer stopRefresh()
-	refreshed := make(chan struct{})
-	go func() {
-		defer close(refreshed)
-		j.refreshTargets(refreshCtx)
-	}()
+	refreshed := make(chan error, 1)
+	go func() { refreshed <- j.refreshTargets(refreshCtx) }()
 	version, err := j.g.origins.Lookup(ctx, j.service, j.call.Resumes)
 	if err != nil {
 		stopRefresh()
 	}
-	<-refreshed
-	if err == nil {
+	refreshErr := <-refreshed
+	if err == nil && refreshErr == nil {
 		j.bindVersion(version)
 		return true
 	}
+	if err == nil {
+		err = &UnknownOriginError{RetryAfter: maxRefreshTime, Cause: refreshErr}
+	}
 	if j.r.Context().Err() != nil {
 		j.fail("caller_gone", err)
 		return false
@@ -57,23 +57,31 @@
 // milliseconds, and 60 times as long when it is slow.
 const maxRefreshTime = 400 * time.Millisecond
 
-// maxRefreshAge is the age of the view of the targets from which on the store is taken to be
-// unavailable, so that waiting for it only delays the stream.
-const maxRefreshAge = 2 * time.Second
+// refreshPause is how long the targets are not read before streams go on after that has failed: the
+// store is then taken to be unavailable, so that waiting for it only delays streams. The age of
+// the view does not show that: the host may have stood still.
+const refreshPause = time.Second
 
 // refreshTargets reads the targets before a stream goes on: a target may have started again with
 // another version under its ID.
-func (j *job) refreshTargets(ctx context.Context) {
-	if j.g.targetsAge() > maxRefreshAge {
-		return
+func (j *job) refreshTargets(ctx context.Context) error {
+	if failedAt := j.g.refreshFailedAt.Load(); failedAt != nil && time.Since(*failedAt) < refreshPause {
+		return errTargetsNotRead
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxRefreshTime)
 	defer cancel()
-	if err := j.g.refreshTargets(ctx); err != nil && !errors.Is(err, context.Canceled) {
+	err := j.g.refreshTargets(ctx)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		now := time.Now()
+		j.g.refreshFailedAt.Store(&now)
 		j.g.log.Info("Targets could not be read before a stream goes on.", "request", j.call.RequestID, "targets_age_ms", j.g.targetsAge().Milliseconds(), "cause", err.Error())
 	}
+	return err
 }
 
+// errTargetsNotRead reports that the targets were not read because that has just failed.
+var errTargetsNotRead = errors.New("targets could not be read a moment ago")
+
 // isUnannounced reports whether the request has just been kept from a release that other hosts
 // can't know of yet.
 func (j *job) isUnannounced() bool {
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/standin/replica"
 )
@@ -99,3 +100,48 @@
 	s.origins.unrecorded = nil
 	is.Equal(s.mustSend(request{method: http.MethodPost, path: turns, id: "b", header: turnHeader("p")}).status, http.StatusOK)
 }
+
+// takeUp takes a stream up after its fifth event.
+func (s *fixture) takeUp(id string) answer {
+	s.t.Helper()
+	header := turnHeader("p")
+	header.Set("Resumes", "first")
+	header.Set("Last-Event-Id", "5")
+	return s.mustSend(request{method: http.MethodPost, path: turns, id: id, header: header})
+}
+
+// A host that had stood still took its old view for a silent store, did not read the targets, and sent
+// a stream to a target that had started again with another version.
+func TestHostThatStoodStillReadsTheTargetsBeforeATakeUp(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	s.viewAge = 5 * time.Second
+	r := s.add(models, replica.Options{ID: "m", Events: 9})
+	s.refreshTargets = func(context.Context) error {
+		s.fleet.Put(fleet.Member{ID: "m", Service: models, Address: r.Address(), DataCentre: "here", Version: "v2", StartedAt: 2, Slots: 8})
+		return nil
+	}
+	is.Equal(s.takeUp("second").status, http.StatusServiceUnavailable)
+	is.Equal(s.runsOf("second"), 0)
+}
+
+// A host that can't read the targets sent streams to targets that may have started again with another
+// version. The first take-up waits for them, the next ones are refused at once.
+func TestTakeUpIsRefusedWhileTheTargetsCanNotBeRead(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	s.add(models, replica.Options{ID: "m", Events: 9})
+	reads := 0
+	s.refreshTargets = func(ctx context.Context) error {
+		reads++
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	for _, id := range []string{"second", "third"} {
+		a := s.takeUp(id)
+		is.Equal(a.status, http.StatusServiceUnavailable)
+		is.True(a.header.Get("Retry-After") != "")
+		is.Equal(s.runsOf(id), 0)
+	}
+	is.Equal(reads, 1)
+}
