gateway: a request whose connection ended with its host's path does not use up an attempt

For up to a second after a cut that resets connections a host believes that its open ones work. Since runs without an answer count there, the one attempt of a stream was used up by its own lost path.

Where it reaches targets it counts as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,8 +194,9 @@
 	RecordAnswer(target upstream.Target, sent time.Time)
 	// ProbeAfterInterruption does the same as RecordInterruption and reports whether
 	// the target refuses connections now. If it does, the crash has been counted
-	// against the content by the time the method returns.
-	ProbeAfterInterruption(ctx context.Context, fingerprint uint64, target upstream.Target) bool
+	// against the content by the time the method returns. isOutOfReach is set if this host
+	// reaches neither the target nor others.
+	ProbeAfterInterruption(ctx context.Context, fingerprint uint64, target upstream.Target) (hasCrashed, isOutOfReach bool)
 	// ProbeAfterUnframedAnswer does the same for an answer that ended with its
 	// connection, as the answer of a target does that crashes.
 	ProbeAfterUnframedAnswer(ctx context.Context, fingerprint uint64, target upstream.Target) bool
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -120,8 +120,13 @@
 		j.g.quarantine.RecordInterruption(j.fingerprint(), connectionTarget(choice))
 		return
 	}
-	if j.g.quarantine.ProbeAfterInterruption(ctx, j.fingerprint(), connectionTarget(choice)) {
+	hasCrashed, isOutOfReach := j.g.quarantine.ProbeAfterInterruption(ctx, j.fingerprint(), connectionTarget(choice))
+	switch {
+	case hasCrashed:
 		j.countCrash(choice)
+	case isOutOfReach && !isGarbled(j.cause):
+		// The connection may have ended with the path of this host.
+		j.recordCutOff(choice)
 	}
 }
 
@@ -157,6 +162,12 @@
 	return "target " + e.Target + " has crashed at the end of its answer, which has no length"
 }
 
+// isGarbled reports whether a target sent bytes that are no answer to the request.
+func isGarbled(err error) bool {
+	var exchange *upstream.ExchangeError
+	return errors.As(err, &exchange) && exchange.Garbled || errors.Is(err, errAltered)
+}
+
 func isSilentTarget(err error) bool {
 	var silent *SilentTargetError
 	return errors.As(err, &silent)
--- a/internal/gateway/uncounted_ends_test.go
+++ b/internal/gateway/uncounted_ends_test.go
@@ -140,3 +140,17 @@
 	is.Equal(send("other", "another"), http.StatusOK)
 	is.Equal(send("once more", "pay"), http.StatusOK)
 }
+
+// A host whose path was lost, by connections that were reset, knows for a second only that it opens no
+// new ones. Its requests counted the targets that were out of reach as attempts and ended.
+func TestRequestWhoseConnectionEndedWithThePathGoesOn(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	s.add(models, replica.Options{ID: "first", Events: 3}).Fail(replica.Reset)
+	s.path.set(reach.Refused)
+	s.probe = inconclusive
+	a := s.mustSend(request{method: http.MethodPost, path: single, id: "a", header: turnHeader("p")}) // one attempt
+	is.Equal(a.status, http.StatusBadGateway)
+	is.Equal(len(s.others.offered), 1) // passed on, though nobody took it
+	is.Equal(s.others.offered[0].Attempts, 0)
+}
--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -23,7 +23,8 @@
 // target, and reports whether it has crashed, as ProbeAfterInterruption does. The answer
 // is then probably incomplete.
 func (s *Service) ProbeAfterUnframedAnswer(ctx context.Context, fingerprint uint64, target upstream.Target) bool {
-	return s.probeAfter(ctx, target, interruption{content: fingerprint, isUnframed: true})
+	hasCrashed, _ := s.probeAfter(ctx, target, interruption{content: fingerprint, isUnframed: true})
+	return hasCrashed
 }
 
 // RecordAbandoned records that a request was given up at a target that need not be probed.
@@ -38,7 +39,10 @@
 // and reports whether the target has crashed: whether it refuses connections or has been
 // replaced. If so, the content is already marked when the method returns; otherwise the
 // target is probed in the background as after RecordInterruption.
-func (s *Service) ProbeAfterInterruption(ctx context.Context, fingerprint uint64, target upstream.Target) bool {
+//
+// isOutOfReach reports whether this host reaches neither the target nor others, so that the
+// connection may have ended with its path.
+func (s *Service) ProbeAfterInterruption(ctx context.Context, fingerprint uint64, target upstream.Target) (hasCrashed, isOutOfReach bool) {
 	return s.probeAfter(ctx, target, interruption{content: fingerprint})
 }
 
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -150,7 +150,8 @@
 		s.Started(run(3))
 		s.RecordAbandoned(content, run(2))
 		s.Started(run(4))
-		is.True(s.ProbeAfterInterruption(t.Context(), content, run(3)))
+		hasCrashed, _ := s.ProbeAfterInterruption(t.Context(), content, run(3))
+		is.True(hasCrashed)
 		is.True(s.IsQuarantined(fingerprint))
 		s.RecordAbandoned(1, run(4)) // the current run
 		is.Equal(len(s.Unshared()), 3)
--- a/internal/quarantine/settle.go
+++ b/internal/quarantine/settle.go
@@ -49,12 +49,13 @@
 }
 
 // probeAfter records an interruption that has just happened and probes the target.
-func (s *Service) probeAfter(ctx context.Context, target upstream.Target, b interruption) bool {
+func (s *Service) probeAfter(ctx context.Context, target upstream.Target, b interruption) (hasCrashed, isOutOfReach bool) {
 	b.at = time.Now()
 	probeCtx, cancel := context.WithTimeout(ctx, syncProbeTimeout)
 	err := s.probe(probeCtx, target)
 	cancel()
 	f := findingOf(err)
+	isOutOfReach = f.State == poison.Unknown
 	if f.State == poison.Unknown || f.State == poison.Refused {
 		ctx, cancel := context.WithTimeout(ctx, syncAskTimeout)
 		other, cause := s.ask(ctx, askConcurrency, target, []interruption{b})
@@ -66,15 +67,15 @@
 	defer s.mu.Unlock()
 	s.addInterruption(target, b)
 	if next, ok := s.markIfReplaced(target); ok {
-		return b.isCrashBefore(next.StartedAt)
+		return b.isCrashBefore(next.StartedAt), isOutOfReach
 	}
 	switch f.State {
 	case poison.Refused, poison.Replaced:
 		s.settle(target, f, err, b.at)
-		return f.State == poison.Refused || b.isCrashBefore(f.NextRun)
+		return f.State == poison.Refused || b.isCrashBefore(f.NextRun), isOutOfReach
 	}
 	s.startSettling(target)
-	return false
+	return false, isOutOfReach
 }
 
 // decide returns the finding of this host or that of other hosts. A host may have lost its path to
