--- a/review/driver/client.go
+++ b/review/driver/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -39,6 +40,8 @@
 	closeWriteAfter time.Duration
 	// missingBytes is how much of the body that the header announces is not sent.
 	missingBytes int
+	// resetAfterEvents is the number of events after which the connection is reset; zero means never.
+	resetAfterEvents int
 }
 
 // send sends a request on a connection of its own.
@@ -83,6 +86,33 @@
 		return answer{err: err}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	var reader io.Reader = response.Body
+	if q.resetAfterEvents > 0 {
+		reader = &resettingReader{Reader: response.Body, conn: c, events: q.resetAfterEvents}
+	}
+	body, err := io.ReadAll(reader)
 	return answer{status: response.StatusCode, stamp: response.Header.Get("Server-Stamp"), body: body, isWhole: err == nil, err: err}
 }
+
+// resettingReader resets the connection of a stream after some events.
+type resettingReader struct {
+	io.Reader
+	conn   net.Conn
+	events int
+}
+
+var errReset = errors.New("connection was reset")
+
+// Read implements io.Reader.
+func (r *resettingReader) Read(p []byte) (int, error) {
+	if r.events <= 0 {
+		if tcp, ok := r.conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = r.conn.Close()
+		return 0, errReset
+	}
+	n, err := r.Reader.Read(p)
+	r.events -= bytes.Count(p[:n], []byte("\n\n"))
+	return n, err
+}
--- a/review/driver/replica.go
+++ b/review/driver/replica.go
@@ -23,6 +23,7 @@
 	w       *world
 	id      string
 	service string
+	version string
 	born    time.Time
 	server  *http.Server
 	address string
@@ -41,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{w: w, id: fmt.Sprintf("i-%s-%d", service, len(w.replicas)), service: service, born: time.Now(), address: l.Addr().String(), answer: answer, state: "ready"}
+	r := &replica{w: w, id: fmt.Sprintf("i-%s-%d", service, len(w.replicas)), service: service, version: "v1", born: time.Now(), address: l.Addr().String(), answer: answer, state: "ready"}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Minute}
 	go func() { _ = r.server.Serve(l) }()
 	w.replicas = append(w.replicas, r)
@@ -69,8 +70,8 @@
 		return
 	}
 	r.seq++
-	r.w.store.Put("keyed.servers", r.id, fmt.Appendf(nil, `{"service":%q,"addr":%q,"zone":"here","version":"v1","slots":8,"state":%q,"cold_left_ms":0,"seq":%d,"born":%d}`,
-		r.service, r.address, r.state, r.seq, r.born.UnixMilli()))
+	r.w.store.Put("keyed.servers", r.id, fmt.Appendf(nil, `{"service":%q,"addr":%q,"zone":"here","version":%q,"slots":8,"state":%q,"cold_left_ms":0,"seq":%d,"born":%d}`,
+		r.service, r.address, r.version, r.state, r.seq, r.born.UnixMilli()))
 }
 
 // leave removes the entry without a word. The replica goes on serving.
@@ -93,6 +94,31 @@
 	return time.Now()
 }
 
+// restart ends the replica's process and starts another one after a time, under the same ID and
+// at the same address, with another software version. It writes its entry at its start.
+func (r *replica) restart(down time.Duration, version string, answer func(http.ResponseWriter, *http.Request)) error {
+	r.mu.Lock()
+	state := r.state
+	r.state = ""
+	r.mu.Unlock()
+	_ = r.server.Close()
+	r.w.record("%s (%s) has ended", r.id, r.version)
+	time.Sleep(down)
+	l, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.state, r.version, r.born, r.answer, r.seq = state, version, time.Now(), answer, 0
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Minute}
+	server := r.server
+	r.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+	r.register()
+	r.w.record("%s has started again with version %s, and the store has its entry", r.id, version)
+	return nil
+}
+
 func (r *replica) serve(rw http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("Request-Id")
 	rw.Header().Set("Request-Id", id)
@@ -107,7 +133,10 @@
 	r.mu.Unlock()
 	r.w.record("%s runs %s", r.id, id)
 	rw.Header().Set("Server-Stamp", "stamp-"+r.id+"-"+id)
-	r.answer(rw, request)
+	r.mu.Lock()
+	f := r.answer
+	r.mu.Unlock()
+	f(rw, request)
 	r.mu.Lock()
 	x.isAnswered = request.Context().Err() == nil
 	r.mu.Unlock()
@@ -154,8 +183,8 @@
 	}
 }
 
-// stream answers with events.
-func stream(events int, pause time.Duration) func(http.ResponseWriter, *http.Request) {
+// stream answers with events that name the version of the replica.
+func stream(events int, pause time.Duration, version string) func(http.ResponseWriter, *http.Request) {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		rw.Header().Set("Content-Type", "text/event-stream")
 		flusher := http.NewResponseController(rw)
@@ -169,7 +198,7 @@
 			case <-r.Context().Done():
 				return
 			}
-			_, _ = fmt.Fprintf(rw, "id: %d\ndata: part %d of %s\n\n", i, i, r.Header.Get("Request-Id"))
+			_, _ = fmt.Fprintf(rw, "id: %d\ndata: part %d by %s\n\n", i, i, version)
 			_ = flusher.Flush()
 		}
 	}
