--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -27,6 +27,7 @@
 	"lapsed":          lapsed,
 	"no-stamp":        noStamp,
 	"resend-draining": resendDraining,
+	"stranded-claims": strandedClaims,
 	"new-version":     newVersion,
 }
 
