--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -28,6 +28,7 @@
 	"no-stamp":        noStamp,
 	"resend-draining": resendDraining,
 	"stranded-claims": strandedClaims,
+	"late-return":     lateReturn,
 	"new-version":     newVersion,
 }
 
