--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -17,19 +17,18 @@
 	why    string
 }
 
-// cases maps the folder of a case to its course. With trouble unset it does the same without the
-// disruption.
+// cases maps names to the courses of cases. With trouble unset they do the same without the
+// disruption. The last four are findings of the report beside its five cases.
 var cases = map[string]func(w *world, trouble bool) (verdict, error){
+	"stranded-claims": strandedClaims,
 	"second-sigterm":  secondSigterm,
-	"lost-loans":      lostLoans,
+	"late-return":     lateReturn,
+	"new-version":     newVersion,
 	"half-close":      halfClose,
+	"lost-loans":      lostLoans,
 	"failed-503":      failed503,
 	"lapsed":          lapsed,
-	"no-stamp":        noStamp,
 	"resend-draining": resendDraining,
-	"stranded-claims": strandedClaims,
-	"late-return":     lateReturn,
-	"new-version":     newVersion,
 }
 
 func main() {
