--- a/review/driver/late_return.go
+++ b/review/driver/late_return.go
@@ -14,7 +14,7 @@
 // with many turns at once run away.
 func lateReturn(w *world, trouble bool) (verdict, error) {
 	const (
-		programs, events = 12, 20
+		programs, events = 20, 20
 		budget, turn     = 2800, 280
 	)
 	w.configure(route("turn", "stream", "models", 3000, 200, `,"keep_context":false,"retention_s":60,"sticky":true,"resumable":true,"gap_goal_ms":150`))
