--- a/review/driver/late_return.go
+++ b/review/driver/late_return.go
@@ -14,11 +14,11 @@
 // with many turns at once run away.
 func lateReturn(w *world, trouble bool) (verdict, error) {
 	const (
-		programs, events = 20, 20
+		programs, events = 16, 20
 		budget, turn     = 2800, 280
 	)
 	w.configure(route("turn", "stream", "models", 3000, 200, `,"keep_context":false,"retention_s":60,"sticky":true,"resumable":true,"gap_goal_ms":150`))
-	for range 4 {
+	for range 9 {
 		if _, err := w.addReplica("models", stream(events, 20*time.Millisecond, "v1")); err != nil {
 			return verdict{}, err
 		}
@@ -58,7 +58,7 @@
 		w.store.SetFaults("host-0", metastore.Faults{Refuse: true})
 		w.store.SetFaults(metastore.EveryHost, metastore.Faults{})
 		w.record("the store serves all hosts but host-0")
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(700 * time.Millisecond)
 	}
 	for p := range programs {
 		for i := range 15 {
--- a/review/driver/replica.go
+++ b/review/driver/replica.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,12 @@
 	"time"
 )
 
+const (
+	// slots is how many requests a replica runs at once, maxWaiting how many more it queues.
+	slots      = 8
+	maxWaiting = 24
+)
+
 // run is one request that a replica began to run.
 type run struct {
 	id string
@@ -28,9 +35,13 @@
 	server  *http.Server
 	address string
 	answer  func(rw http.ResponseWriter, r *http.Request)
+	// slots holds an element for each request that runs.
+	slots chan struct{}
 
-	mu   sync.Mutex
-	runs []*run
+	mu sync.Mutex
+	// waiting is how many requests wait for a slot.
+	waiting int
+	runs    []*run
 	// state is "ready", "draining" or empty if the entry was removed.
 	state string
 	seq   int
@@ -42,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{w: w, id: fmt.Sprintf("i-%s-%d", service, len(w.replicas)), service: service, version: "v1", born: time.Now(), address: l.Addr().String(), answer: answer, state: "ready"}
+	r := &replica{w: w, id: fmt.Sprintf("i-%s-%d", service, len(w.replicas)), service: service, version: "v1", born: time.Now(), address: l.Addr().String(), answer: answer, slots: make(chan struct{}, slots), state: "ready"}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Minute}
 	go func() { _ = r.server.Serve(l) }()
 	w.replicas = append(w.replicas, r)
@@ -127,6 +138,12 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, request.Body)
+	if !r.acquire(request.Context()) {
+		rw.Header().Set("Not-Run", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-r.slots }()
 	x := &run{id: id, at: time.Now()}
 	r.mu.Lock()
 	r.runs = append(r.runs, x)
@@ -142,6 +159,28 @@
 	r.mu.Unlock()
 }
 
+// acquire waits for a slot. It returns false if the queue is full or the request has ended.
+func (r *replica) acquire(ctx context.Context) bool {
+	r.mu.Lock()
+	if r.waiting >= maxWaiting {
+		r.mu.Unlock()
+		return false
+	}
+	r.waiting++
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		r.waiting--
+		r.mu.Unlock()
+	}()
+	select {
+	case r.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // allRuns returns the runs at all replicas by request ID.
 func (w *world) allRuns() map[string][]run {
 	all := make(map[string][]run)
