spending: count what a turn has spent before its answer ends

Cause: a claim covers the most of a turn (572) and turns ahead of it (109 more). A host that ended before that left all of it claimed under a writer that nobody speaks for, so that the most of the next turn did not fit.

Change: what a host holds in the log is what its ended turns have spent and the most of those under way. A turn's end gives the rest back at once, and on routes that keep conversations the answer ends when the claim is in the log, 400 ms after the turn is saved at most. The report to the host that granted the reservation returns when that host's claim is in the log. Hosts hold tokens ahead only while 16 turns of the largest size fit the unclaimed part of a budget. Records and the rule that accepts them are as they were, so that hosts of earlier builds apply them alike; one that granted a reservation answers the report at once, as before.

A give-back that the log refused has had no effect, so that its tokens stay usable: without that, TestTurnWaitsForOtherTurnsOfItsProgramInAnOutage failed.

--- a/internal/adapter/budgetrpc/server.go
+++ b/internal/adapter/budgetrpc/server.go
@@ -67,8 +67,10 @@
 }
 
 // Settle implements spending.DRPCBudgetsServer.
-func (h *handler) Settle(_ context.Context, r *spending.SettleRequest) (*spending.SettleReply, error) {
-	h.budgets.SettleLoan(r.Reservation, r.Spent)
+func (h *handler) Settle(ctx context.Context, r *spending.SettleRequest) (*spending.SettleReply, error) {
+	if err := h.budgets.SettleLoan(ctx, r.Reservation, r.Spent); err != nil {
+		return nil, errors.Trace(err)
+	}
 	return &spending.SettleReply{}, nil
 }
 
--- a/internal/gateway/conversation.go
+++ b/internal/gateway/conversation.go
@@ -107,15 +107,60 @@
 	// A caller that has disconnected may have received the complete answer.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.deadline())
 	defer cancel()
-	defer since(&j.times.save, time.Now())
+	settled := j.startSettlement(ctx)
+	started := time.Now()
 	err := j.g.conversations.Save(ctx, j.chain, conversation.Turn{
 		ID:      j.call.RequestID,
 		Program: j.call.Program,
 		Input:   bytes.Clone(j.body),
 		Output:  j.output,
 	})
+	since(&j.times.save, started)
 	if err != nil {
 		j.cause = err
+		return false
+	}
+	j.awaitSettlement(ctx, settled)
+	return true
+}
+
+// settlementWait is how long the end of a turn that is saved waits for the record of what
+// the turn has spent.
+const settlementWait = 400 * time.Millisecond
+
+// startSettlement settles the reservation of a turn whose events were all sent. The program
+// continues from the turn as soon as its answer has ended, and at any host, so that the
+// unspent tokens have to be free by then. It returns nil without a reservation.
+func (j *job) startSettlement(ctx context.Context) <-chan error {
+	if j.reservation == nil {
+		return nil
+	}
+	settled := make(chan error, 1)
+	reservation := j.reservation
+	go func() { settled <- reservation.Settle(ctx) }()
+	return settled
+}
+
+// awaitSettlement waits for a settlement, settlementWait at most. One that failed while the
+// turn was being saved is tried again.
+func (j *job) awaitSettlement(ctx context.Context, settled <-chan error) {
+	if settled == nil {
+		return
+	}
+	defer since(&j.times.settle, time.Now())
+	ctx, cancel := context.WithTimeout(ctx, settlementWait)
+	defer cancel()
+	var err error
+	select {
+	case err = <-settled:
+		if err != nil {
+			err = j.reservation.Settle(ctx)
+		}
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		j.g.metrics.lateSettlements.Inc(1)
+		j.g.log.Info("Answer ends before the log counts what the turn has spent.", "request", j.call.RequestID, "program", j.call.Program, "cause", err.Error())
 	}
-	return err == nil
 }
--- a/internal/gateway/conversation_test.go
+++ b/internal/gateway/conversation_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"testing"
@@ -81,6 +82,51 @@
 	is.Equal(len(s.turnStore.turns), 0)
 }
 
+// A program goes on from a turn as soon as its answer has ended, and all hosts may fall right
+// then. An answer that ended before the log counted what the turn had spent left the rest of
+// its reservation claimed for good.
+func TestAnswerEndsOnceWhatItSpentIsRecorded(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	s.add(models, replica.Options{ID: "m1", Events: 2})
+	recorded := make(chan struct{})
+	tries := 0
+	s.budgets.settle = func(ctx context.Context) error {
+		if tries++; tries == 1 {
+			return errors.New("log is unavailable")
+		}
+		select {
+		case <-time.After(100 * time.Millisecond):
+			close(recorded)
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	a := s.mustSend(request{method: http.MethodPost, path: conversationTurn, id: "a", body: "x", header: turnHeader("p")})
+	is.NoErr(a.err)
+	is.Equal(a.body, events(1, 2))
+	select {
+	case <-recorded:
+	default:
+		t.Fatal("the answer ended before the record")
+	}
+}
+
+// Tokens that can't be recorded must not cost the caller an answer that is saved.
+func TestAnswerEndsWithoutARecordOfWhatItSpent(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	s.add(models, replica.Options{ID: "m1", Events: 2})
+	s.budgets.settle = func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	a := s.mustSend(request{method: http.MethodPost, path: conversationTurn, id: "a", body: "x", header: turnHeader("p")})
+	is.NoErr(a.err)
+	is.Equal(a.body, events(1, 2))
+}
+
 func TestInterruptedTurnIsNotSaved(t *testing.T) {
 	is := is.New(t)
 	s := newFixture(t)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -230,6 +230,8 @@
 	refused map[string]error
 	spent   int64
 	open    int
+	// settle replaces the settlement of reservations, if set.
+	settle func(context.Context) error
 }
 
 func (b *budgets) Reserve(_ context.Context, program string, _, _ int64) (gateway.Reservation, error) {
@@ -248,7 +250,10 @@
 	return b.spent, b.open
 }
 
-type reservation struct{ budgets *budgets }
+type reservation struct {
+	budgets *budgets
+	isEnded bool
+}
 
 func (r *reservation) Spend(tokens int64) {
 	r.budgets.mu.Lock()
@@ -259,7 +264,18 @@
 func (r *reservation) Release() {
 	r.budgets.mu.Lock()
 	defer r.budgets.mu.Unlock()
-	r.budgets.open--
+	if !r.isEnded {
+		r.budgets.open--
+	}
+	r.isEnded = true
+}
+
+func (r *reservation) Settle(ctx context.Context) error {
+	r.Release()
+	if r.budgets.settle == nil {
+		return nil
+	}
+	return r.budgets.settle(ctx)
 }
 
 // turnHeader returns the header of a turn of a program.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,8 +20,11 @@
 type Reservation interface {
 	// Spend counts tokens that were sent to the caller.
 	Spend(tokens int64)
-	// Release returns the unspent tokens to the budget.
+	// Release returns the unspent tokens to the budget. It does not wait.
 	Release()
+	// Settle releases the reservation and waits until the spent tokens are recorded and
+	// the others are free, also if this host ends. It may be called again after an error.
+	Settle(ctx context.Context) error
 }
 
 // Budgets reserves tokens from the budgets of programs.
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -95,8 +95,9 @@
 	// place and connect are those of all dispatches together, wait the pauses while
 	// all targets were full.
 	place, connect, wait time.Duration
-	// save is how long it took to save the turn.
-	save time.Duration
+	// save is how long it took to save the turn, settle the further wait for the record of
+	// what it spent.
+	save, settle time.Duration
 }
 
 // since adds the time since started to a part.
@@ -171,7 +172,7 @@
 		"previous_turn", j.call.PreviousTurn, "earlier_turns", len(j.chain),
 		"body_ms", j.times.body.Milliseconds(), "reserve_ms", j.times.reserve.Milliseconds(), "lookup_ms", j.times.lookup.Milliseconds(), "origin_ms", j.times.origin.Milliseconds(),
 		"place_ms", j.times.place.Milliseconds(), "connect_ms", j.times.connect.Milliseconds(), "wait_ms", j.times.wait.Milliseconds(),
-		"keep_ms", j.times.save.Milliseconds(), "first_ms", j.firstByte.Milliseconds(), "ms", total.Milliseconds(), "cause", fault.Text(j.cause))
+		"keep_ms", j.times.save.Milliseconds(), "settle_ms", j.times.settle.Milliseconds(), "first_ms", j.firstByte.Milliseconds(), "ms", total.Milliseconds(), "cause", fault.Text(j.cause))
 }
 
 // reserve reserves the most that the turn may spend from its program's budget. It
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,9 @@
 	cutOffRuns tally.Counter
 	// leavingTargets counts targets that announced in an answer that they are leaving.
 	leavingTargets tally.Counter
+	// lateSettlements counts answers that ended before the log counted what the turn had
+	// spent.
+	lateSettlements tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -54,6 +57,7 @@
 		unexplainedEnds:  scope.Counter("unexplained_ends"),
 		cutOffRuns:       scope.Counter("cut_off_runs"),
 		leavingTargets:   scope.Counter("leaving_targets"),
+		lateSettlements:  scope.Counter("late_settlements"),
 	}
 }
 
--- a/internal/port/lending.go
+++ b/internal/port/lending.go
@@ -93,7 +93,8 @@
 	// After an error other than *HostDownError, the host may have granted it
 	// nevertheless.
 	Reserve(ctx context.Context, host string, r LendRequest) (LendAnswer, error)
-	// Settle reports how many tokens of a reservation were spent.
+	// Settle reports how many tokens of a reservation were spent. It returns once the
+	// shared log counts them, or an error if it may not.
 	Settle(ctx context.Context, host string, reservation uint64, spent int64) error
 	// Note reports to a host what it may not have read.
 	Note(ctx context.Context, host string, n BudgetNote) error
@@ -104,8 +105,9 @@
 	// Lend reserves tokens for another host.
 	Lend(ctx context.Context, r LendRequest) LendAnswer
 	// SettleLoan ends a reservation that was granted by Lend, and spends so many
-	// tokens of it.
-	SettleLoan(reservation uint64, spent int64)
+	// tokens of it. It returns once the shared log counts them, or an error if it may
+	// not. It may be called again after an error.
+	SettleLoan(ctx context.Context, reservation uint64, spent int64) error
 	// Note records what another host has reported.
 	Note(n BudgetNote)
 }
--- a/internal/spending/borrow.go
+++ b/internal/spending/borrow.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -189,7 +190,7 @@
 // reservation is settled as unspent, since the host may have granted it.
 func (s *Service) reserveAt(ctx context.Context, host string, r port.LendRequest) (*borrowed, port.LendAnswer, error) {
 	r.Reservation = rand.Uint64()
-	b := &borrowed{service: s, host: host, id: r.Reservation}
+	b := &borrowed{service: s, host: host, id: r.Reservation, settled: make(chan struct{})}
 	answer, err := s.peers.Reserve(ctx, host, r)
 	var down *port.HostDownError
 	if err != nil && !errors.As(err, &down) {
@@ -223,6 +224,9 @@
 	host    string
 	id      uint64
 	spent   int64
+	release sync.Once
+	// settled is closed when the lender has recorded what was spent.
+	settled chan struct{}
 }
 
 // Spend implements gateway.Reservation.
@@ -231,22 +235,37 @@
 // Release reports what was spent to the lender, without waiting. It implements
 // gateway.Reservation. If no report arrives, the reservation counts as spent in full.
 func (b *borrowed) Release() {
+	b.release.Do(func() { b.service.done.Go(b.report) })
+}
+
+// Settle implements gateway.Reservation.
+func (b *borrowed) Settle(ctx context.Context) error {
+	b.Release()
+	select {
+	case <-b.settled:
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+}
+
+// report reports what was spent to the lender until that has recorded it.
+func (b *borrowed) report() {
 	s := b.service
-	s.done.Go(func() {
-		pause := firstRetry
-		for attempt := 1; ; attempt++ {
-			err := b.settle()
-			if err == nil {
-				return
-			}
-			if attempt == settleAttempts || s.ctx.Err() != nil {
-				s.log.Info("Settling a loan failed; it counts as spent in full.", "host", b.host, "reservation", b.id, "spent", b.spent, "tries", attempt, "cause", err.Error())
-				return
-			}
-			tail.Sleep(s.ctx, pause)
-			pause *= 2
+	pause := firstRetry
+	for attempt := 1; ; attempt++ {
+		err := b.settle()
+		if err == nil {
+			close(b.settled)
+			return
 		}
-	})
+		if attempt == settleAttempts || s.ctx.Err() != nil {
+			s.log.Info("Settling a reservation failed; it counts as spent in full unless its lender has the report.", "host", b.host, "reservation", b.id, "spent", b.spent, "tries", attempt, "cause", err.Error())
+			return
+		}
+		tail.Sleep(s.ctx, pause)
+		pause *= 2
+	}
 }
 
 func (b *borrowed) settle() error {
--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"yuccausher/internal/core/budget"
 	"yuccausher/internal/gateway"
+	"yuccausher/internal/port"
 )
 
 // pendingClaim is a claim that is to be appended, or was appended and has no verdict
@@ -13,6 +16,11 @@
 	claim   budget.Claim
 	slice   *slice
 	waiters []*waiter
+	// settlements are those of turns that have ended before the claim was made.
+	settlements []chan struct{}
+	// confirmed and wasUndecided are the slice's as they were before the claim.
+	confirmed    int64
+	wasUndecided bool
 }
 
 // collect takes turns off the queue and returns the next batch of claims, one per
@@ -69,6 +77,7 @@
 // is settled.
 func (l *ledger) prepareClaim(p *pendingClaim) {
 	s := p.slice
+	p.confirmed, p.wasUndecided = s.Confirmed, s.isUndecided
 	var requested int64
 	for _, w := range p.waiters {
 		requested += w.maxTokens
@@ -86,19 +95,23 @@
 	case l.isOverdrawn(s):
 		// What is left of the slice beyond the need of the waiting turns is given back.
 		s.Confirmed = min(s.Confirmed, total)
-	case !p.waiters[0].isSingle:
+	case !p.waiters[0].isSingle && l.mayHoldAhead(s):
 		total = s.ClaimTotal(requested, s.budget, l.book.Claimed(s.program), l.isSlow() || l.isPreferredHost())
 	}
 	total = max(total, s.Confirmed)
 	s.waiting += len(p.waiters)
 	s.isClaiming = true
+	p.settlements, s.settlements = s.settlements, nil
 	l.sequence++
 	s.Sequence = l.sequence
 	p.claim = budget.Claim{Writer: l.writer, Sequence: l.sequence, Program: s.program, Budget: s.budget, Total: total, Settled: isSettled}
 }
 
-// requeue puts the turns of claims that could not be written back into the queue.
-func (l *ledger) requeue(batch []*pendingClaim) {
+// requeue puts the turns of claims that could not be written because of cause back into
+// the queue.
+func (l *ledger) requeue(batch []*pendingClaim, cause error) {
+	var failed *port.SharedLogError
+	hadNoEffect := errors.As(cause, &failed) && failed.Failure == port.LogRefused
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range batch {
@@ -106,6 +119,10 @@
 		s.waiting -= len(p.waiters)
 		s.isClaiming = false
 		s.isUndecided = true
+		if hadNoEffect {
+			s.Confirmed, s.isUndecided = p.confirmed, p.wasUndecided
+		}
+		l.settleLater(p)
 		for _, w := range p.waiters {
 			if !w.isAbandoned {
 				l.queue = append(l.queue, w)
@@ -130,9 +147,18 @@
 		s.isClaiming = false
 		s.isUndecided = false
 		s.usedAt = now
+		if verdict == budget.Refused {
+			// The total in the log is still that of an earlier claim.
+			l.settleLater(p)
+		}
+		p.settle()
 		for _, w := range p.waiters {
 			l.resolve(w, s, verdict)
 		}
+		if s.Unused() > 0 && !l.mayHoldAhead(s) {
+			// The turn that the tokens were claimed for has been given up.
+			l.releases[s.program] = s
+		}
 		if len(p.waiters) > 0 {
 			l.metrics.claims(verdict)
 			l.notifyIfNearlyClaimed(s)
--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -38,6 +38,8 @@
 	apart sync.Map
 	// loseAnswer holds the hosts whose next answer gets lost.
 	loseAnswer sync.Map
+	// down holds the hosts whose process has ended.
+	down sync.Map
 	// isBusy says that the store answers other calls of each host all the time.
 	isBusy atomic.Bool
 }
@@ -68,6 +70,34 @@
 	}
 }
 
+// kill ends the process of a host.
+func (f *fleet) kill(i int) {
+	f.down.Store(f.names[i], true)
+	_ = f.hosts[i].Stop(context.Background())
+}
+
+// revive starts a host that was killed.
+func (f *fleet) revive(t *testing.T, i int) {
+	t.Helper()
+	s := f.start(t, i)
+	f.mu.Lock()
+	f.hosts[i] = s
+	f.mu.Unlock()
+	f.down.Delete(f.names[i])
+}
+
+// fall kills all hosts and starts them again a second later.
+func (f *fleet) fall(t *testing.T) {
+	t.Helper()
+	for i := range f.hosts {
+		f.kill(i)
+	}
+	time.Sleep(time.Second)
+	for i := range f.hosts {
+		f.revive(t, i)
+	}
+}
+
 // start starts a run of a host's process.
 func (f *fleet) start(t *testing.T, i int) *Service {
 	t.Helper()
@@ -128,6 +158,9 @@
 	if p.fleet.isCutOff(p.self) || p.fleet.isCutOff(host) || p.fleet.isApart(p.self) != p.fleet.isApart(host) {
 		return nil, errors.New("cut off")
 	}
+	if _, isDown := p.fleet.down.Load(host); isDown {
+		return nil, &port.HostDownError{Host: host}
+	}
 	if _, isFrozen := p.fleet.frozen.Load(host); isFrozen {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -176,8 +209,7 @@
 	if err != nil {
 		return err
 	}
-	s.SettleLoan(reservation, spent)
-	return nil
+	return s.SettleLoan(ctx, reservation, spent)
 }
 
 func (p *testPeers) Note(ctx context.Context, host string, n port.BudgetNote) error {
@@ -189,6 +221,13 @@
 	return nil
 }
 
+// count returns how many reservations of other hosts are not settled.
+func (l *lending) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.granted)
+}
+
 // turn runs a turn that reserves maxTokens tokens and spends spent of them.
 func turn(s *Service, program string, budget, maxTokens, spent int64) error {
 	r, err := s.Reserve(context.Background(), program, budget, maxTokens)
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -145,7 +145,7 @@
 	w.isAbandoned = true
 	if w.reservation != nil {
 		// The claim was accepted just as the caller gave up.
-		w.reservation.slice.End(w.maxTokens, 0)
+		w.reservation.end()
 		return
 	}
 	l.releaseUndecided(w.program)
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -49,6 +49,8 @@
 	reservation gateway.Reservation
 	maxTokens   int64
 	grantedAt   time.Time
+	// isSettled says that the borrower has reported what it spent.
+	isSettled bool
 }
 
 // Lend reserves tokens for another host. It implements port.BudgetServer.
@@ -106,20 +108,26 @@
 	for id, old := range l.granted {
 		if now.Sub(old.grantedAt) > loanExpiry {
 			delete(l.granted, id)
-			old.reservation.Spend(old.maxTokens)
+			if !old.isSettled {
+				old.reservation.Spend(old.maxTokens)
+			}
 			old.reservation.Release()
 		}
 	}
 	l.granted[id] = grantedReservation{reservation: r, maxTokens: maxTokens, grantedAt: now}
 }
 
-// settle removes and returns a granted reservation. If there is none, it notes the
-// ID, so that the reservation is not granted later.
-func (l *lending) settle(id uint64, now time.Time) (grantedReservation, bool) {
+// settle spends tokens of a granted reservation, once, and returns it. If there is none,
+// it notes the ID, so that the reservation is not granted later.
+func (l *lending) settle(id uint64, spent int64, now time.Time) (gateway.Reservation, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	g, ok := l.granted[id]
-	delete(l.granted, id)
+	if ok && !g.isSettled {
+		g.reservation.Spend(spent)
+		g.isSettled = true
+		l.granted[id] = g
+	}
 	if !ok {
 		if l.settledEarly == nil {
 			l.settledEarly = make(map[uint64]time.Time)
@@ -127,18 +135,28 @@
 		maps.DeleteFunc(l.settledEarly, func(_ uint64, at time.Time) bool { return now.Sub(at) > earlySettlementTTL })
 		l.settledEarly[id] = now
 	}
-	return g, ok
+	return g.reservation, ok
+}
+
+// forget removes a reservation that is settled.
+func (l *lending) forget(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.granted, id)
 }
 
 // SettleLoan ends a reservation of another host, which has spent so many tokens of
 // it. It implements port.BudgetServer.
-func (s *Service) SettleLoan(reservation uint64, spent int64) {
-	g, ok := s.lending.settle(reservation, time.Now())
+func (s *Service) SettleLoan(ctx context.Context, reservation uint64, spent int64) error {
+	r, ok := s.lending.settle(reservation, spent, time.Now())
 	if !ok {
-		return
+		return nil
+	}
+	if err := r.Settle(ctx); err != nil {
+		return err
 	}
-	g.reservation.Spend(spent)
-	g.reservation.Release()
+	s.lending.forget(reservation)
+	return nil
 }
 
 // errNotLent says that the budget may not have room for the turn, as far as this host
--- a/internal/spending/metrics.go
+++ b/internal/spending/metrics.go
@@ -24,6 +24,10 @@
 	lendFailures tally.Counter
 	// preferredFailures counts requests that the preferred host did not serve.
 	preferredFailures tally.Counter
+	// settlement is the time from the end of a turn to the claim that counts what it has
+	// spent; lateSettlements counts waits for it that were given up.
+	settlement      tally.Histogram
+	lateSettlements tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -37,6 +41,8 @@
 		lent:              scope.Counter("lent"),
 		lendFailures:      scope.Counter("lend_failures"),
 		preferredFailures: scope.Counter("home_failures"),
+		settlement:        scope.Histogram("settlement", claimBuckets),
+		lateSettlements:   scope.Counter("late_settlements"),
 	}
 }
 
--- a/internal/spending/preferred_test.go
+++ b/internal/spending/preferred_test.go
@@ -164,7 +164,7 @@
 		is := is.New(t)
 		f := newFleet(t, 2)
 		preferred := f.host(f.order("p")[0])
-		preferred.SettleLoan(77, 0)
+		is.NoErr(preferred.SettleLoan(t.Context(), 77, 0))
 		preferred.Lend(t.Context(), port.LendRequest{Reservation: 77, Program: "p", Budget: 20000, MaxTokens: 280, MaxWait: maxClaimWait})
 		l := preferred.ledger("p")
 		l.mu.Lock()
--- a/internal/spending/service_test.go
+++ b/internal/spending/service_test.go
@@ -257,7 +257,7 @@
 			is.True(!f.hosts[i%4].ledger("runaway").isUnavailable())
 		}
 		is.True(granted <= 840)
-		is.Equal(len(f.hosts[0].lending.granted)+len(f.hosts[1].lending.granted), 0)
+		is.Equal(f.hosts[0].lending.count()+f.hosts[1].lending.count(), 0)
 	})
 }
 
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -26,6 +26,9 @@
 	// loan is the claim that covers what the host has lent; nil if it has lent
 	// nothing.
 	loan *budget.Claim
+	// settlements are closed once a claim is decided that counts what ended turns
+	// have spent.
+	settlements []chan struct{}
 }
 
 // reservation holds the tokens of a running turn. It implements gateway.Reservation.
@@ -34,24 +37,14 @@
 	slice     *slice
 	maxTokens int64
 	spent     int64
+	// settled is nil until the turn has ended, and closed once the log counts what it
+	// has spent.
+	settled <-chan struct{}
 }
 
 // Spend implements gateway.Reservation.
 func (r *reservation) Spend(tokens int64) { r.spent += tokens }
 
-// Release implements gateway.Reservation.
-func (r *reservation) Release() {
-	l := r.ledger
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	r.slice.End(r.maxTokens, r.spent)
-	r.slice.usedAt = time.Now()
-	if r.slice.Unused() == 0 && r.slice.Needed(0) > r.slice.Confirmed {
-		l.log.Info("Turn spent more than it reserved.", "program", r.slice.program,
-			"reserved", r.maxTokens, "spent", r.spent)
-	}
-}
-
 // begin starts a turn if the host's slice has enough claimed tokens left. Tokens without
 // a claim are lent anew for each turn, see lend.
 func (l *ledger) begin(program string, maxTokens int64) (gateway.Reservation, bool) {
@@ -93,9 +86,9 @@
 		idle := now.Sub(s.usedAt)
 		switch {
 		case s.waiting > 0 || s.isClaiming:
-		case idle > sliceTTL && s.Open == 0:
+		case idle > sliceTTL && s.Open == 0 && len(s.settlements) == 0:
 			delete(l.slices, program)
-		case idle > sliceIdleTimeout && s.Unused() > 0 && l.isNearlyClaimed(s) && !l.isSlow():
+		case idle > sliceIdleTimeout && s.Unused() > 0 && !l.mayHoldAhead(s) && !l.isSlow():
 			l.releases[program] = s
 		}
 	}
@@ -109,13 +102,13 @@
 	}
 }
 
-// nearlyClaimedTurns is how many turns of the largest size must fit the unclaimed
-// part of a budget for idle slices to be kept. It covers turns that other hosts may
-// have claimed since this host last read the log.
-const nearlyClaimedTurns = 4
+// holdAheadTurns is how many turns of the largest size must fit the unclaimed part of a
+// budget for a host to hold tokens beyond its turns under way. What a host holds when it
+// ends stays claimed.
+const holdAheadTurns = 16
 
-// isNearlyClaimed reports whether other hosts may soon need the tokens that the slice
-// holds.
-func (l *ledger) isNearlyClaimed(s *slice) bool {
-	return s.budget-l.book.Claimed(s.program) < nearlyClaimedTurns*s.largestTurn
+// mayHoldAhead reports whether the slice may hold tokens for which no turn is under way.
+// The caller holds l.mu.
+func (l *ledger) mayHoldAhead(s *slice) bool {
+	return s.budget-l.book.Claimed(s.program) >= holdAheadTurns*s.largestTurn
 }
--- a/internal/spending/writer.go
+++ b/internal/spending/writer.go
@@ -85,7 +85,7 @@
 	l.metrics.failures.Inc(1)
 	l.log.V(1).Info("Append of claims failed; retrying.", "partition", l.partition.Part, "claims", len(batch), "cause", err.Error())
 	tail.Sleep(ctx, firstRetry)
-	l.requeue(batch)
+	l.requeue(batch, err)
 }
 
 // appendBatch appends a batch and applies the log up to the end of the batch.
