spending: tokens of turns that outlive the host that reserved them are given back

Callers saw: a program whose turn was under way at one host while the preferred host of its partition was killed got that turn whole, and 402 for its next ones: with a budget of 900 the 572 that were reserved stayed claimed for 140 that were spent.

The report on what the turn has spent goes to the host that granted the reservation. Its new run does not know the reservation and answered as if it had recorded the report; nobody else lowered the claim of the run that had ended.

Change: a host names its writer with a grant and with the answer to a report. If the first report that was sent is answered by another writer than the one that granted, the run that granted has ended without it, and the reporting host gives the unspent tokens back by a claim with a negative total under a writer of its own. It travels like a loan: copies count once, and other hosts append it if this one ends. A report that may have arrived at the run that ended is never followed by this; neither is a grant of a loan, nor one of a build that does not name its writer. The claims of the ended run are not replaced, as late ones and loans may still arrive under its sequence numbers.

Left: a host that never comes back, and one that ended with a report of unknown effect (its machine lost power, so that the connection did not end). Those reservations count as spent in full, as before.

Test: TestTurnsOutliveTheHostThatReservedTheirTokens. Before, its case "killed" failed (572 claimed, not 140); without the check for a report that was sent, "killed once it had the report" fails.

--- a/internal/adapter/budgetrpc/client.go
+++ b/internal/adapter/budgetrpc/client.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return port.LendAnswer{}, errors.Annotatef(err, "reserve at host %s", host)
 	}
-	answer := port.LendAnswer{Decision: port.LendBusy, Loans: decodeLoans(reply.Loans)}
+	answer := port.LendAnswer{Decision: port.LendBusy, Loans: decodeLoans(reply.Loans), Writer: reply.Writer}
 	switch reply.Decision {
 	case spending.Decision_DECISION_GRANTED:
 		answer.Decision = port.LendGranted
@@ -120,14 +120,17 @@
 }
 
 // Settle implements port.BudgetPeers.
-func (c *Client) Settle(ctx context.Context, host string, reservation uint64, spent int64) error {
+func (c *Client) Settle(ctx context.Context, host string, reservation uint64, spent int64) (uint64, error) {
 	conn, err := c.Connect(ctx, host)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer conn.Close()
-	_, err = spending.NewDRPCBudgetsClient(conn).Settle(ctx, &spending.SettleRequest{Reservation: reservation, Spent: spent})
-	return errors.Annotatef(err, "settle at host %s", host)
+	reply, err := spending.NewDRPCBudgetsClient(conn).Settle(ctx, &spending.SettleRequest{Reservation: reservation, Spent: spent})
+	if err != nil {
+		return 0, errors.Annotatef(err, "settle at host %s", host)
+	}
+	return reply.Writer, nil
 }
 
 // Note implements port.BudgetPeers.
--- a/internal/adapter/budgetrpc/server.go
+++ b/internal/adapter/budgetrpc/server.go
@@ -52,7 +52,7 @@
 		Loans:       decodeLoans(r.Loans),
 		MaxWait:     time.Duration(r.PatienceMs) * time.Millisecond,
 	})
-	reply := &spending.ReserveReply{Loans: encodeLoans(answer.Loans)}
+	reply := &spending.ReserveReply{Loans: encodeLoans(answer.Loans), Writer: answer.Writer}
 	switch answer.Decision {
 	case port.LendGranted:
 		reply.Decision = spending.Decision_DECISION_GRANTED
@@ -71,7 +71,7 @@
 	if err := h.budgets.SettleLoan(ctx, r.Reservation, r.Spent); err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &spending.SettleReply{}, nil
+	return &spending.SettleReply{Writer: h.budgets.Writer()}, nil
 }
 
 // Note implements spending.DRPCBudgetsServer.
--- a/internal/port/lending.go
+++ b/internal/port/lending.go
@@ -55,6 +55,9 @@
 // LendAnswer is a host's answer to a LendRequest.
 type LendAnswer struct {
 	Decision LendDecision
+	// Writer is that of the claims which hold a granted reservation. It is zero for a
+	// loan and for a host that does not say.
+	Writer uint64
 	// Loans are the program's loans that the asked host knows.
 	Loans []Loan
 }
@@ -94,8 +97,10 @@
 	// nevertheless.
 	Reserve(ctx context.Context, host string, r LendRequest) (LendAnswer, error)
 	// Settle reports how many tokens of a reservation were spent. It returns once the
-	// shared log counts them, or an error if it may not.
-	Settle(ctx context.Context, host string, reservation uint64, spent int64) error
+	// shared log counts them, or an error if it may not. The report was not sent after a
+	// *HostDownError. writer is that of the claims of the host's present run, or zero if
+	// the host does not say.
+	Settle(ctx context.Context, host string, reservation uint64, spent int64) (writer uint64, err error)
 	// Note reports to a host what it may not have read.
 	Note(ctx context.Context, host string, n BudgetNote) error
 }
@@ -108,6 +113,8 @@
 	// tokens of it. It returns once the shared log counts them, or an error if it may
 	// not. It may be called again after an error.
 	SettleLoan(ctx context.Context, reservation uint64, spent int64) error
+	// Writer returns the writer of this run's claims.
+	Writer() uint64
 	// Note records what another host has reported.
 	Note(n BudgetNote)
 }
--- a/internal/spending/borrow.go
+++ b/internal/spending/borrow.go
@@ -4,14 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/port"
-	"yuccausher/internal/tail"
 )
 
 const (
@@ -29,12 +27,6 @@
 	// askAllTimeout bounds the requests to all hosts together, so that a turn that
 	// can't be served is refused soon.
 	askAllTimeout = 600 * time.Millisecond
-	// settleTimeout bounds one report of what a borrowed reservation spent.
-	settleTimeout = time.Second
-	// settleAttempts is how often the report is tried, over about 4 s. After a single
-	// attempt, a lender that briefly accepts no connections would keep the tokens
-	// reserved.
-	settleAttempts = 8
 	// allUnavailableTTL is how long the finding that no host reaches the log is used
 	// before hosts are asked again.
 	allUnavailableTTL = time.Second
@@ -190,8 +182,12 @@
 // reservation is settled as unspent, since the host may have granted it.
 func (s *Service) reserveAt(ctx context.Context, host string, r port.LendRequest) (*borrowed, port.LendAnswer, error) {
 	r.Reservation = rand.Uint64()
-	b := &borrowed{service: s, host: host, id: r.Reservation, settled: make(chan struct{})}
+	b := &borrowed{
+		service: s, host: host, id: r.Reservation, settled: make(chan struct{}),
+		program: r.Program, budget: r.Budget, maxTokens: r.MaxTokens,
+	}
 	answer, err := s.peers.Reserve(ctx, host, r)
+	b.writer = answer.Writer
 	var down *port.HostDownError
 	if err != nil && !errors.As(err, &down) {
 		b.Release()
@@ -216,60 +212,3 @@
 	s.metrics.borrowed.Inc(1)
 	return b, nil
 }
-
-// borrowed is a reservation granted by another host. It implements
-// gateway.Reservation.
-type borrowed struct {
-	service *Service
-	host    string
-	id      uint64
-	spent   int64
-	release sync.Once
-	// settled is closed when the lender has recorded what was spent.
-	settled chan struct{}
-}
-
-// Spend implements gateway.Reservation.
-func (b *borrowed) Spend(tokens int64) { b.spent += tokens }
-
-// Release reports what was spent to the lender, without waiting. It implements
-// gateway.Reservation. If no report arrives, the reservation counts as spent in full.
-func (b *borrowed) Release() {
-	b.release.Do(func() { b.service.done.Go(b.report) })
-}
-
-// Settle implements gateway.Reservation.
-func (b *borrowed) Settle(ctx context.Context) error {
-	b.Release()
-	select {
-	case <-b.settled:
-		return nil
-	case <-ctx.Done():
-		return errors.Trace(ctx.Err())
-	}
-}
-
-// report reports what was spent to the lender until that has recorded it.
-func (b *borrowed) report() {
-	s := b.service
-	pause := firstRetry
-	for attempt := 1; ; attempt++ {
-		err := b.settle()
-		if err == nil {
-			close(b.settled)
-			return
-		}
-		if attempt == settleAttempts || s.ctx.Err() != nil {
-			s.log.Info("Settling a reservation failed; it counts as spent in full unless its lender has the report.", "host", b.host, "reservation", b.id, "spent", b.spent, "tries", attempt, "cause", err.Error())
-			return
-		}
-		tail.Sleep(s.ctx, pause)
-		pause *= 2
-	}
-}
-
-func (b *borrowed) settle() error {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
-	return b.service.peers.Settle(ctx, b.host, b.id, b.spent)
-}
--- a/internal/spending/falls_test.go
+++ b/internal/spending/falls_test.go
@@ -73,6 +73,56 @@
 	})
 }
 
+// The preferred host ends while turns run that it has reserved the tokens for, and the turns
+// end whole before it is back. Their programs were refused for good, since nobody else gave
+// back what they had not spent. A run that has recorded the end of a turn must not be spoken
+// for, nor one of a build that does not name its writer.
+func TestTurnsOutliveTheHostThatReservedTheirTokens(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		isSilent, isLost bool
+		// claimed is what the log counts in the end.
+		claimed int64
+	}{
+		{name: "killed", claimed: 140},
+		{name: "of an earlier build", isSilent: true, claimed: 572},
+		{name: "killed once it had the report", isLost: true, claimed: 140},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const budget, maxTokens, spent = 900, 572, 140
+				f := newFleet(t, 3)
+				order := f.order("p")
+				preferred := f.index(order[0])
+				if c.isSilent {
+					f.silent.Store(order[0], true)
+				}
+				r, err := f.host(order[1]).Reserve(t.Context(), "p", budget, maxTokens)
+				is.NoErr(err)
+				if c.isLost {
+					f.loseSettlement.Store(order[0], true)
+				} else {
+					f.kill(preferred)
+				}
+				r.Spend(spent)
+				r.Release()
+				time.Sleep(firstRetry / 2)
+				if c.isLost {
+					f.kill(preferred)
+				}
+				time.Sleep(time.Second)
+				f.revive(t, preferred)
+				time.Sleep(3 * time.Second)
+				for _, s := range f.hosts {
+					is.NoErr(s.startedLedger(s.partitionOf("p")).probe(t.Context()))
+					is.Equal(s.ledger("p").claimed("p"), c.claimed)
+				}
+			})
+		})
+	}
+}
+
 // The end of a turn must not wait for a log that is unavailable.
 func TestSettlementFailsWhileTheLogIsUnavailable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -40,6 +41,10 @@
 	loseAnswer sync.Map
 	// down holds the hosts whose process has ended.
 	down sync.Map
+	// loseSettlement holds the hosts whose next answer to a settlement gets lost.
+	loseSettlement sync.Map
+	// silent holds the hosts of an earlier build, which do not name their writer.
+	silent sync.Map
 	// isBusy says that the store answers other calls of each host all the time.
 	isBusy atomic.Bool
 }
@@ -70,6 +75,9 @@
 	}
 }
 
+// index returns the index of a host.
+func (f *fleet) index(name string) int { return slices.Index(f.names, name) }
+
 // kill ends the process of a host.
 func (f *fleet) kill(i int) {
 	f.down.Store(f.names[i], true)
@@ -201,15 +209,28 @@
 		s.Lend(context.WithoutCancel(ctx), r)
 		return port.LendAnswer{}, errors.New("connection was reset")
 	}
-	return s.Lend(ctx, r), nil
+	answer := s.Lend(ctx, r)
+	if _, isOld := p.fleet.silent.Load(host); isOld {
+		answer.Writer = 0
+	}
+	return answer, nil
 }
 
-func (p *testPeers) Settle(ctx context.Context, host string, reservation uint64, spent int64) error {
+func (p *testPeers) Settle(ctx context.Context, host string, reservation uint64, spent int64) (uint64, error) {
 	s, err := p.connect(ctx, host)
 	if err != nil {
-		return err
+		return 0, err
+	}
+	if err := s.SettleLoan(ctx, reservation, spent); err != nil {
+		return 0, err
+	}
+	if _, isLost := p.fleet.loseSettlement.LoadAndDelete(host); isLost {
+		return 0, errors.New("connection was reset")
+	}
+	if _, isOld := p.fleet.silent.Load(host); isOld {
+		return 0, nil
 	}
-	return s.SettleLoan(ctx, reservation, spent)
+	return s.Writer(), nil
 }
 
 func (p *testPeers) Note(ctx context.Context, host string, n port.BudgetNote) error {
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -1,6 +1,7 @@
 package spending
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -38,8 +39,10 @@
 	shared    port.SharedLog
 	partition port.Partition
 	writer    uint64
-	log       logr.Logger
-	metrics   *metrics
+	// giveBackWriter is the writer of claims that give back tokens of hosts which ended.
+	giveBackWriter uint64
+	log            logr.Logger
+	metrics        *metrics
 	// writesDue signals runWriter that claims may have to be written.
 	writesDue    chan struct{}
 	availability *availability
@@ -79,6 +82,8 @@
 	releases map[string]*slice
 	// loans are those of other hosts that may not be in the log yet.
 	loans *budget.Loans
+	// givenBack holds what this host has given back for hosts that ended, by program.
+	givenBack map[string]givenBack
 	// notified holds what other hosts have reported of claims in the log.
 	notified map[string]notifiedClaims
 	// stoppedUntil holds the programs whose budget is spent, and until when their
@@ -102,6 +107,7 @@
 		shared:           shared,
 		partition:        p,
 		writer:           writer,
+		giveBackWriter:   rand.Uint64(),
 		log:              log,
 		metrics:          m,
 		writesDue:        make(chan struct{}, 1),
@@ -113,6 +119,7 @@
 		slices:           make(map[string]*slice),
 		releases:         make(map[string]*slice),
 		loans:            budget.NewLoans(),
+		givenBack:        make(map[string]givenBack),
 		notified:         make(map[string]notifiedClaims),
 		loansDue:         make(chan struct{}, 1),
 		stoppedUntil:     make(map[string]time.Time),
--- a/internal/spending/metrics.go
+++ b/internal/spending/metrics.go
@@ -28,6 +28,8 @@
 	// spent; lateSettlements counts waits for it that were given up.
 	settlement      tally.Histogram
 	lateSettlements tally.Counter
+	// givenBack counts tokens that this host gave back for hosts which ended.
+	givenBack tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -43,6 +45,7 @@
 		preferredFailures: scope.Counter("home_failures"),
 		settlement:        scope.Histogram("settlement", claimBuckets),
 		lateSettlements:   scope.Counter("late_settlements"),
+		givenBack:         scope.Counter("given_back_tokens"),
 	}
 }
 
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -96,6 +96,7 @@
 	oldest := now.Add(-max(retention, minRetention))
 	l.book.Forget(oldest)
 	l.loans.Forget(oldest)
+	maps.DeleteFunc(l.givenBack, func(_ string, g givenBack) bool { return g.at.Before(oldest) })
 	maps.DeleteFunc(l.notified, func(_ string, a notifiedClaims) bool { return a.receivedAt.Before(oldest) })
 	if len(l.releases) > 0 {
 		l.signalWriter()
