spending: hosts that reach the log fence the lenders before they claim

No process had ended.

Cause: a host that lends takes the word of the asking host that no host reaches the log, and nothing ends that word when a host does. The asking host keeps it for a second; the lender, still turned away, lends up to half of the budget by what it knew before, while the others claim all of it.

Ruled out: notes on claims that got lost (the loans are in the log 0.3 s later, as their notes say); a lender with an old book (it fails with an empty one too).

Change: before its first claim in a partition since its start, an outage, a pause of its process, or a reader's answer that it does not reach the log, a host fences the hosts that may lend there. They answer with the loans that may not be in the log, which are claimed first, and from then on lend only on findings that are younger than the fence. A request for a loan says how old its finding is; 0.3 s are added for the way, and the most it can be for hosts that do not say. A claim that was written across an outage is made again.

Hosts of earlier builds do not know the call, so that a fence has no effect there, as today; they claim and lend by the same records.

--- a/internal/adapter/budgetrpc/client.go
+++ b/internal/adapter/budgetrpc/client.go
@@ -94,7 +94,7 @@
 		return port.LendAnswer{}, err
 	}
 	defer conn.Close()
-	reply, err := spending.NewDRPCBudgetsClient(conn).Reserve(ctx, &spending.ReserveRequest{
+	request := &spending.ReserveRequest{
 		Reservation: r.Reservation,
 		Program:     []byte(r.Program),
 		Budget:      r.Budget,
@@ -103,7 +103,11 @@
 		MayLend:     r.MayLend,
 		Loans:       encodeLoans(r.Loans),
 		PatienceMs:  r.MaxWait.Milliseconds(),
-	})
+	}
+	if !r.FoundAt.IsZero() {
+		request.FindingAgeUs = max(time.Since(r.FoundAt).Microseconds(), 1)
+	}
+	reply, err := spending.NewDRPCBudgetsClient(conn).Reserve(ctx, request)
 	if err != nil {
 		return port.LendAnswer{}, errors.Annotatef(err, "reserve at host %s", host)
 	}
@@ -149,5 +153,23 @@
 	return errors.Annotatef(err, "note at host %s", host)
 }
 
+// Fence implements port.BudgetPeers.
+func (c *Client) Fence(ctx context.Context, host string, part int) ([]port.ProgramLoan, error) {
+	conn, err := c.Connect(ctx, host)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	reply, err := spending.NewDRPCBudgetsClient(conn).Fence(ctx, &spending.FenceRequest{Partition: uint32(part)})
+	if err != nil {
+		return nil, errors.Annotatef(err, "fence at host %s", host)
+	}
+	loans := make([]port.ProgramLoan, 0, len(reply.Loans))
+	for _, l := range reply.Loans {
+		loans = append(loans, port.ProgramLoan{Program: string(l.Program), Loan: decodeLoan(l.Loan)})
+	}
+	return loans, nil
+}
+
 // Close closes all idle connections.
 func (c *Client) Close() error { return c.pool.Close() }
--- a/internal/adapter/budgetrpc/server.go
+++ b/internal/adapter/budgetrpc/server.go
@@ -15,6 +15,10 @@
 	"yuccausher/internal/port"
 )
 
+// maxTransit is how long a request between hosts may be under way: one lost packet is sent
+// again in it.
+const maxTransit = 300 * time.Millisecond
+
 // Server serves requests of other hosts.
 type Server struct{ drpc *drpcserver.Server }
 
@@ -42,7 +46,7 @@
 
 // Reserve implements spending.DRPCBudgetsServer.
 func (h *handler) Reserve(ctx context.Context, r *spending.ReserveRequest) (*spending.ReserveReply, error) {
-	answer := h.budgets.Lend(ctx, port.LendRequest{
+	request := port.LendRequest{
 		Reservation: r.Reservation,
 		Program:     string(r.Program),
 		Budget:      r.Budget,
@@ -51,7 +55,12 @@
 		MayLend:     r.MayLend,
 		Loans:       decodeLoans(r.Loans),
 		MaxWait:     time.Duration(r.PatienceMs) * time.Millisecond,
-	})
+	}
+	if r.FindingAgeUs > 0 {
+		age := time.Duration(r.FindingAgeUs) * time.Microsecond
+		request.FoundAt = time.Now().Add(-age - maxTransit)
+	}
+	answer := h.budgets.Lend(ctx, request)
 	reply := &spending.ReserveReply{Loans: encodeLoans(answer.Loans), Writer: answer.Writer}
 	switch answer.Decision {
 	case port.LendGranted:
@@ -74,6 +83,16 @@
 	return &spending.SettleReply{Writer: h.budgets.Writer()}, nil
 }
 
+// Fence implements spending.DRPCBudgetsServer.
+func (h *handler) Fence(_ context.Context, r *spending.FenceRequest) (*spending.FenceReply, error) {
+	loans := h.budgets.Fence(int(r.Partition))
+	reply := &spending.FenceReply{Loans: make([]*spending.ProgramLoan, 0, len(loans))}
+	for _, l := range loans {
+		reply.Loans = append(reply.Loans, &spending.ProgramLoan{Program: []byte(l.Program), Loan: encodeLoan(l.Loan)})
+	}
+	return reply, nil
+}
+
 // Note implements spending.DRPCBudgetsServer.
 func (h *handler) Note(_ context.Context, r *spending.NoteRequest) (*spending.NoteReply, error) {
 	h.budgets.Note(port.BudgetNote{Program: string(r.Program), Loans: decodeLoans(r.Loans), Claimed: r.Claimed, Offset: r.Offset})
--- a/internal/core/budget/loans.go
+++ b/internal/core/budget/loans.go
@@ -86,5 +86,14 @@
 	delete(l.byProgram, program)
 }
 
+// Claims returns the number of loans of all programs.
+func (l *Loans) Claims() int {
+	n := 0
+	for _, list := range l.byProgram {
+		n += len(list)
+	}
+	return n
+}
+
 // Len returns the number of programs with loans.
 func (l *Loans) Len() int { return len(l.byProgram) }
--- a/internal/port/lending.go
+++ b/internal/port/lending.go
@@ -20,6 +20,9 @@
 	// MayLend permits a reservation without a claim in the shared log, because none
 	// of the hosts asked before reaches it.
 	MayLend bool
+	// FoundAt is when the asking host began to ask them. It is the zero time if that host
+	// does not say.
+	FoundAt time.Time
 	// MaxWait is how long the asked host may take to claim. With zero, that host
 	// decides.
 	MaxWait time.Duration
@@ -36,6 +39,12 @@
 	Budget, Total    int64
 }
 
+// ProgramLoan is a loan of a program's budget.
+type ProgramLoan struct {
+	Program string
+	Loan    Loan
+}
+
 // LendDecision is another host's answer.
 type LendDecision int
 
@@ -103,6 +112,9 @@
 	Settle(ctx context.Context, host string, reservation uint64, spent int64) (writer uint64, err error)
 	// Note reports to a host what it may not have read.
 	Note(ctx context.Context, host string, n BudgetNote) error
+	// Fence makes a host stop lending of the budgets of a partition, because this host
+	// is about to claim there. It returns the loans that the log may not contain.
+	Fence(ctx context.Context, host string, part int) ([]ProgramLoan, error)
 }
 
 // BudgetServer serves the requests of other hosts.
@@ -117,4 +129,7 @@
 	Writer() uint64
 	// Note records what another host has reported.
 	Note(n BudgetNote)
+	// Fence stops lending of the budgets of a partition for a while and returns the loans
+	// that the log may not contain.
+	Fence(part int) []ProgramLoan
 }
--- a/internal/spending/borrow.go
+++ b/internal/spending/borrow.go
@@ -50,23 +50,31 @@
 		return nil, cause
 	}
 	order := s.hostOrder(l.partition.Part)
-	if time.Now().UnixNano() > l.allUnavailableUntil.Load() {
-		result := s.askForClaim(ctx, order, r)
-		if result.reservation != nil || result.err != nil {
-			return result.reservation, result.err
+	if found := l.foundUnavailable.Load(); found != nil && time.Since(*found) < allUnavailableTTL {
+		r.FoundAt = *found
+		g, err := s.askForLoan(ctx, l, order, r, cause)
+		var unknown *gateway.BudgetUnknownError
+		isOutdated := errors.As(err, &unknown) && l.foundUnavailable.Load() != found
+		if !isOutdated || ctx.Err() != nil || !l.isUnavailable() {
+			return g, err
 		}
-		s.lending.isIsolated.Store(result.unavailable+result.busy == 0)
-		switch {
-		case result.unavailable+result.busy == 0:
-			// A host that reaches no other host does not know what they lend.
-			return nil, unknownBudget(r.Program, errors.Annotate(errNoHost, cause.Error()))
-		case result.busy > 0:
-			return nil, unknownBudget(r.Program, errors.Annotate(errBusy, cause.Error()))
-		case !result.isOutage():
-			return nil, unknownBudget(r.Program, errors.Annotate(errMinority, cause.Error()))
-		}
-		l.allUnavailableUntil.Store(time.Now().Add(allUnavailableTTL).UnixNano())
 	}
+	r.FoundAt = time.Now()
+	result := s.askForClaim(ctx, order, r)
+	if result.reservation != nil || result.err != nil {
+		return result.reservation, result.err
+	}
+	s.lending.isIsolated.Store(result.unavailable+result.busy == 0)
+	switch {
+	case result.unavailable+result.busy == 0:
+		// A host that reaches no other host does not know what they lend.
+		return nil, unknownBudget(r.Program, errors.Annotate(errNoHost, cause.Error()))
+	case result.busy > 0:
+		return nil, unknownBudget(r.Program, errors.Annotate(errBusy, cause.Error()))
+	case !result.isOutage():
+		return nil, unknownBudget(r.Program, errors.Annotate(errMinority, cause.Error()))
+	}
+	l.foundUnavailable.Store(&r.FoundAt)
 	return s.askForLoan(ctx, l, order, r, cause)
 }
 
@@ -159,6 +167,7 @@
 			// The host is shutting down or has not read the log yet.
 			continue
 		case port.LendBusy:
+			l.foundUnavailable.Store(nil)
 			return nil, cause
 		}
 		return s.acceptDecision(r, b, answer)
--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -73,6 +73,13 @@
 	return batch
 }
 
+// hasWrites reports whether collect may return a batch.
+func (l *ledger) hasWrites() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue)+len(l.releases) > 0
+}
+
 // prepareClaim fills in the claim of p: its total, its sequence number and whether it
 // is settled.
 func (l *ledger) prepareClaim(p *pendingClaim) {
--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -233,6 +233,17 @@
 	return s.Writer(), nil
 }
 
+func (p *testPeers) Fence(ctx context.Context, host string, part int) ([]port.ProgramLoan, error) {
+	s, err := p.connect(ctx, host)
+	if err != nil {
+		return nil, err
+	}
+	if _, isOld := p.fleet.silent.Load(host); isOld {
+		return nil, errors.New("unknown rpc")
+	}
+	return s.Fence(part), nil
+}
+
 func (p *testPeers) Note(ctx context.Context, host string, n port.BudgetNote) error {
 	s, err := p.connect(ctx, host)
 	if err != nil {
@@ -279,6 +290,17 @@
 	time.Sleep(500 * time.Millisecond)
 }
 
+// outageOf makes the store refuse some hosts and waits until they have detected it.
+func (f *fleet) outageOf(names []string) {
+	for _, name := range names {
+		f.store.SetFaults(name, metastore.Faults{Refuse: true})
+	}
+	for i, name := range names {
+		_ = turn(f.host(name), fmt.Sprint("probe", i), 20000, 280, 70)
+	}
+	time.Sleep(500 * time.Millisecond)
+}
+
 // disconnect cuts a host off from the other hosts and from the store.
 func (f *fleet) disconnect(host string) {
 	f.cutOff.Store(host, true)
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -1,6 +1,7 @@
 package spending
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -57,9 +58,9 @@
 	isCurrent atomic.Bool
 	// isCatchingUp says that such a read is in progress.
 	isCatchingUp atomic.Bool
-	// allUnavailableUntil is until when the partition counts as unavailable for all
-	// hosts, in Unix nanoseconds.
-	allUnavailableUntil atomic.Int64
+	// foundUnavailable is when this host last began to ask others whether they reach the
+	// partition, if none did; nil if one does.
+	foundUnavailable atomic.Pointer[time.Time]
 	// readSlot admits one read at a time, since each read advances the book.
 	readSlot chan struct{}
 	// loansDue signals runLoanClaims that loans of other hosts may have to be
@@ -71,6 +72,8 @@
 	// onNearlyClaimed receives the claimed tokens of a budget once loans of it might
 	// no longer fit.
 	onNearlyClaimed func(port.BudgetNote)
+	// fenceLenders fences the other hosts that may lend, see fence.go.
+	fenceLenders func(context.Context) fenceResult
 	// isPreferredHost reports whether this host is the partition's preferred host,
 	// isReader whether it reads the partition from the start.
 	isPreferredHost, isReader func() bool
@@ -90,6 +93,12 @@
 	// turns are refused without a further claim.
 	stoppedUntil map[string]time.Time
 	queue        []*waiter
+	// hasFenced says that the lenders are fenced. fenceEpoch changes when they no longer
+	// are.
+	hasFenced  bool
+	fenceEpoch uint64
+	// fencedAt is when another host that reached the log last fenced this one.
+	fencedAt time.Time
 	// applied is the offset of the first record that the book does not include.
 	applied  int64
 	sequence uint64
@@ -115,6 +124,7 @@
 		readSlot:         make(chan struct{}, 1),
 		initialReadSlots: initialReadSlots,
 		onNearlyClaimed:  func(port.BudgetNote) {},
+		fenceLenders:     func(context.Context) fenceResult { return fenceResult{} },
 		book:             budget.NewBook(),
 		slices:           make(map[string]*slice),
 		releases:         make(map[string]*slice),
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -217,6 +217,13 @@
 func (l *ledger) lend(r port.LendRequest) (gateway.Reservation, loanOutcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.isFenced(r) {
+		l.metrics.fencedLoans.Inc(1)
+		l.foundUnavailable.Store(nil)
+		l.log.Info("Refused to lend because another host may reach the log.", "program", r.Program,
+			"fenced_ms", time.Since(l.fencedAt).Milliseconds(), "found_ms", time.Since(r.FoundAt).Milliseconds())
+		return nil, loanRefused
+	}
 	s := l.sliceOf(r.Program, r.Budget)
 	claimed := max(l.claimedLocked(r.Program), r.Claimed)
 	unclaimed := l.loans.UnrecordedTokens(l.book, r.Program)
@@ -272,9 +279,8 @@
 			continue
 		}
 		s.loan = nil
-		if _, isMore := s.Settle(); isMore {
-			l.releases[program] = s
-		}
+		s.Settle()
+		l.releases[program] = s
 	}
 	l.signalLoansDue()
 	l.signalWriter()
--- a/internal/spending/metrics.go
+++ b/internal/spending/metrics.go
@@ -30,6 +30,9 @@
 	lateSettlements tally.Counter
 	// givenBack counts tokens that this host gave back for hosts which ended.
 	givenBack tally.Counter
+	// fences counts how often this host has fenced the lenders of a partition, fencedLoans
+	// the loans it refused because it was fenced.
+	fences, fencedLoans tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -46,6 +49,8 @@
 		settlement:        scope.Histogram("settlement", claimBuckets),
 		lateSettlements:   scope.Counter("late_settlements"),
 		givenBack:         scope.Counter("given_back_tokens"),
+		fences:            scope.Counter("fences"),
+		fencedLoans:       scope.Counter("fenced_loans"),
 	}
 }
 
--- a/internal/spending/notify.go
+++ b/internal/spending/notify.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -67,12 +68,16 @@
 	loans := make([]port.Loan, 0, len(claims))
 	for _, c := range claims {
 		if !l.book.Has(c) {
-			loans = append(loans, port.Loan{Writer: c.Writer, Sequence: c.Sequence, Budget: c.Budget, Total: c.Total})
+			loans = append(loans, loanOf(c))
 		}
 	}
 	return loans
 }
 
+func loanOf(c budget.Claim) port.Loan {
+	return port.Loan{Writer: c.Writer, Sequence: c.Sequence, Budget: c.Budget, Total: c.Total}
+}
+
 // addLoans adds loans that another host has reported.
 func (l *ledger) addLoans(program string, loans []port.Loan) {
 	if len(loans) == 0 {
@@ -182,36 +187,55 @@
 	}
 }
 
-// appendLoans appends claims for loans of other hosts that are not in the log.
+// appendKnownLoans appends claims for all loans of other hosts that the host knows of. It makes
+// no call if there are none.
+func (l *ledger) appendKnownLoans(ctx context.Context) error {
+	l.mu.Lock()
+	known := len(l.loans.UnrecordedClaims(l.book, 1))
+	l.mu.Unlock()
+	if known == 0 {
+		return nil
+	}
+	return l.appendLoans(ctx)
+}
+
+// appendLoans appends claims for all loans of other hosts that are not in the log.
 func (l *ledger) appendLoans(ctx context.Context) error {
-	if err := l.catchUp(ctx, 0); err != nil {
-		return err
+	for {
+		isDone, err := l.appendSomeLoans(ctx)
+		if err != nil || isDone {
+			return err
+		}
+	}
+}
+
+// appendSomeLoans appends up to maxBatch claims for loans of other hosts that are not in the
+// log. It reports whether the log now contains all that the host knows of.
+func (l *ledger) appendSomeLoans(ctx context.Context) (bool, error) {
+	if err := l.catchUp(ctx, math.MaxInt64); err != nil {
+		return false, err
 	}
 	l.mu.Lock()
 	claims := l.loans.UnrecordedClaims(l.book, maxBatch)
 	l.mu.Unlock()
 	if len(claims) == 0 {
-		return nil
+		return true, nil
 	}
 	records, err := encodeAll(claims)
 	if err != nil {
-		return err
+		return false, err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	offset, err := l.shared.Append(callCtx, l.partition, records)
 	if err != nil {
-		return err
+		return false, err
 	}
 	l.log.Info("Claimed loans of other hosts.", "partition", l.partition.Part, "claims", len(claims), "offset", offset)
 	if err := l.catchUp(ctx, offset+int64(len(claims))); err != nil {
-		return err
+		return false, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.loans.UnrecordedClaims(l.book, 1)) > 0 {
-		// One append does not hold all of them.
-		l.signalLoansDue()
-	}
-	return nil
+	return len(l.loans.UnrecordedClaims(l.book, 1)) == 0, nil
 }
--- a/internal/spending/order.go
+++ b/internal/spending/order.go
@@ -91,6 +91,7 @@
 func (s *Service) invalidateReads() {
 	for _, l := range s.ledgers {
 		l.isCurrent.Store(false)
+		l.unfence()
 	}
 	s.log.Info("Process was paused; not lending until the log has been read again.")
 }
--- a/internal/spending/preferred.go
+++ b/internal/spending/preferred.go
@@ -119,6 +119,8 @@
 		scope, limit := allPartitions, maxExclusion
 		if err == nil {
 			scope, limit, err = part, minExclusion, errPreferredUnavailable
+			// That host may have lent in an outage that this one has not noticed.
+			l.unfence()
 		}
 		pause := s.exclusions.add(host, scope, limit, time.Now())
 		s.metrics.preferredFailures.Inc(1)
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -115,7 +115,11 @@
 		l.availability.onAnswer = func() { s.answeredAt.Store(time.Now().UnixNano()) }
 		l.availability.hasAnsweredSince = func(t time.Time) bool { return p.LogAnsweredAt().After(t) }
 		l.availability.onSlowRead = func() { s.suspectAfterSlowRead(part) }
-		l.availability.onUnavailable = func() { s.suspectOthers(part) }
+		l.availability.onUnavailable = func() {
+			l.unfence()
+			s.suspectOthers(part)
+		}
+		l.fenceLenders = func(ctx context.Context) fenceResult { return s.fenceLenders(ctx, l) }
 		l.availability.isProbeDelegated = func() bool { return s.isProbeDelegated(part) }
 		l.availability.onRecovered = func() {
 			l.claimOwnLoans()
--- a/internal/spending/writer.go
+++ b/internal/spending/writer.go
@@ -57,14 +57,22 @@
 			// The writer is signalled again when the log answers.
 			continue
 		}
-		for batch := l.collect(); len(batch) > 0; batch = l.collect() {
+		for l.hasWrites() {
+			epoch, ok := l.prepareToClaim(ctx)
+			if !ok {
+				break
+			}
+			batch := l.collect()
+			if len(batch) == 0 {
+				break
+			}
 			select {
 			case slots <- struct{}{}:
 			case <-ctx.Done():
 				return
 			}
 			appends.Go(func() {
-				l.writeBatch(ctx, batch)
+				l.writeBatch(ctx, batch, epoch)
 				<-slots
 				l.signalWriter()
 			})
@@ -73,11 +81,15 @@
 }
 
 // writeBatch appends a batch of claims and resolves the turns that wait for them.
-// After an error it puts the turns back into the queue.
-func (l *ledger) writeBatch(ctx context.Context, batch []*pendingClaim) {
+// After an error it puts the turns back into the queue, as it does if the fence of the
+// lenders has not held since epoch.
+func (l *ledger) writeBatch(ctx context.Context, batch []*pendingClaim, epoch uint64) {
 	started := time.Now()
 	err := l.appendBatch(ctx, batch)
 	l.metrics.claim.RecordDuration(time.Since(started))
+	if _, now := l.fenceState(); err == nil && now != epoch && !isReleaseOnly(batch) {
+		err = errUnfenced
+	}
 	if err == nil {
 		l.resolveBatch(batch)
 		return
