gateway, upstream: the answers of all targets share a limit of memory

Operators saw: a faulty replica sent bytes that were no answer without end, the host that had called it kept them and was killed for its memory, with the requests of all its other callers.

What the kernel holds for a connection that is read slowly came on top, up to megabytes each.

Change: incomplete events, the output of turns, the buffered start of other answers and long headers take their bytes from one budget of 12 MB, beyond a kilobyte (4 KB of header) that each request has. The fuller the budget, the less a single answer may hold, so that few large answers do not cut many small ones. An answer that gets no memory ends like one that breaks off; one that is only buffered so that it can be replaced is passed on unbuffered. Connections to targets hold 32 KB in the kernel.

Elsewhere: request bodies have had such a limit; pages of the log, the store's answers and requests between hosts are bounded for each call and few at a time. Not changed: faulty targets that answer in no time attract most requests of their service.

--- a/internal/gateway/conversation.go
+++ b/internal/gateway/conversation.go
@@ -89,12 +89,30 @@
 	if !j.route.KeepsConversations {
 		return nil
 	}
-	if data, ok := e.data(); ok {
-		j.output = append(append(j.output, data...), '\n')
+	data, ok := e.data()
+	if !ok {
+		return nil
 	}
-	if len(j.output) > maxTurnOutputBytes {
+	if len(j.output)+len(data) >= maxTurnOutputBytes {
 		return errTurnTooLong
 	}
+	if err := j.keep(len(e.raw) + len(data)); err != nil {
+		return err
+	}
+	j.output = append(append(j.output, data...), '\n')
+	return nil
+}
+
+// keep accounts for n bytes that are kept beside the output of the turn. It returns an error
+// if the host has no memory for them.
+func (j *job) keep(n int) error {
+	if n += len(j.output); n <= uncountedAnswerBytes {
+		return nil
+	}
+	if err := j.memory.Cover(int64(n)); err != nil {
+		j.g.metrics.answersOverMemory.Inc(1)
+		return errors.Annotatef(err, "answer of %d bytes or more", n)
+	}
 	return nil
 }
 
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -9,8 +9,13 @@
 	"github.com/juju/errors"
 )
 
-// maxEventBytes limits one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits one event of a stream.
+	maxEventBytes = 1 << 20
+	// keptBufferBytes is the size up to which the buffer of an event is kept for the next
+	// one.
+	keptBufferBytes = 16 << 10
+)
 
 // event is one event of a stream.
 type event struct {
@@ -24,10 +29,12 @@
 type eventReader struct {
 	reader *bufio.Reader
 	raw    []byte
+	// keep accounts for the bytes of an incomplete event, or returns an error.
+	keep func(bytes int) error
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 1<<10)}
+func newEventReader(r io.Reader, keep func(bytes int) error) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, 1<<10), keep: keep}
 }
 
 // errNotAnEvent reports a block of a stream that is no event, such as an error that a
@@ -36,12 +43,18 @@
 
 // next returns the next complete event. Its bytes are valid until the next call. It
 // returns io.EOF at the end of the stream, io.ErrUnexpectedEOF if the stream ends
-// inside an event and errNotAnEvent for a block that is none.
+// inside an event, errNotAnEvent for a block that is none and the error of keep.
 func (r *eventReader) next() (event, error) {
 	r.raw = r.raw[:0]
+	if cap(r.raw) > keptBufferBytes {
+		r.raw = nil
+	}
 	var e event
 	for {
 		line, err := r.reader.ReadSlice('\n')
+		if err := r.keep(len(r.raw) + len(line)); err != nil {
+			return event{}, err
+		}
 		r.raw = append(r.raw, line...)
 		switch {
 		case len(r.raw) > maxEventBytes:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,9 +13,14 @@
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/occupancy"
 	"yuccausher/internal/core/route"
+	"yuccausher/internal/memory"
 	"yuccausher/internal/upstream"
 )
 
+// maxTotalAnswerBytes limits what the host keeps of the answers of all targets. It is a small
+// part of a host's memory, since buffers that grow take up to three times as much for a while.
+const maxTotalAnswerBytes = 12 << 20
+
 // Reservation is the part of a program's budget that one turn may spend, in tokens.
 type Reservation interface {
 	// Spend counts tokens that were sent to the caller.
@@ -256,6 +261,8 @@
 	// closing is set while every answer closes its connection.
 	closing atomic.Bool
 	bodies  bodyBudget
+	// answers is the memory for what targets have sent and callers have not got yet.
+	answers *memory.Budget
 
 	silentRetries *silentRetryBudget
 	stopping      stopping
@@ -279,7 +286,9 @@
 		log:            p.Log.WithName("gateway"),
 		metrics:        newMetrics(p.Scope.SubScope("gateway")),
 		silentRetries:  newSilentRetryBudget(),
+		answers:        memory.NewBudget(maxTotalAnswerBytes),
 	}
+	p.Pool.SetMemory(g.answers)
 	g.stopping.givenUp, g.stopping.giveUp = context.WithCancel(context.Background())
 	return g
 }
@@ -325,8 +334,9 @@
 	if g.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{g: g, w: w, r: r, sender: s, started: time.Now(), call: g.protocol.ParseCall(r.Header), stopCancel: func() {}}
+	j := &job{g: g, memory: g.answers.NewShare(), w: w, r: r, sender: s, started: time.Now(), call: g.protocol.ParseCall(r.Header), stopCancel: func() {}}
 	defer j.report()
+	defer j.memory.Release()
 	table := g.tables.Current()
 	if table == nil {
 		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "unconfigured", retryAfter: unconfiguredRetryAfter})
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -11,6 +11,7 @@
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/fault"
+	"yuccausher/internal/memory"
 	"yuccausher/internal/upstream"
 )
 
@@ -35,6 +36,8 @@
 	chain conversation.Chain
 	// output is the output of the turn so far, on routes that keep conversations.
 	output []byte
+	// memory is what the request keeps of the answers of targets.
+	memory *memory.Share
 	// times are the parts of the request's time so far.
 	times times
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,6 +40,8 @@
 	// lateSettlements counts answers that ended before the log counted what the turn had
 	// spent.
 	lateSettlements tally.Counter
+	// answersOverMemory counts how often the memory for answers was used up.
+	answersOverMemory tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -58,6 +60,8 @@
 		cutOffRuns:       scope.Counter("cut_off_runs"),
 		leavingTargets:   scope.Counter("leaving_targets"),
 		lateSettlements:  scope.Counter("late_settlements"),
+
+		answersOverMemory: scope.Counter("answers_over_memory"),
 	}
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -21,6 +21,10 @@
 // replaced by that of another target.
 const bufferedAnswerBytes = 64 << 10
 
+// uncountedAnswerBytes is what each request may keep of an answer without taking it from the
+// memory for answers.
+const uncountedAnswerBytes = 1 << 10
+
 // errAltered reports an answer that is not as the target sent it. Targets use no
 // content encoding and state the request ID in each successful answer.
 var errAltered = errors.New("answer has an unrequested content encoding or lacks its request ID")
@@ -139,14 +143,14 @@
 // target states in it that it is leaving.
 func (j *job) relayAnswer(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, response *http.Response, sent time.Time, isLeaving bool) result {
 	first := time.Since(sent)
-	head, err := io.ReadAll(io.LimitReader(response.Body, bufferedAnswerBytes))
+	head, isWhole, err := j.readHead(response.Body)
 	if err != nil {
 		j.cause = err
 		conn.Abort()
 		choice.End(time.Now(), failureOutcome(ctx, fleet.Broken), 0)
 		return outcomeUnknown
 	}
-	if len(head) < bufferedAnswerBytes && j.hasCrashed(ctx, choice, isLeaving) {
+	if isWhole && j.hasCrashed(ctx, choice, isLeaving) {
 		conn.Abort()
 		choice.End(time.Now(), fleet.Broken, first)
 		return outcomeUnknown
@@ -154,7 +158,7 @@
 	j.sendHeader(response)
 	j.firstByte = time.Since(j.started)
 	_, err = j.w.Write(head)
-	if err == nil && len(head) == bufferedAnswerBytes {
+	if err == nil && !isWhole {
 		_, err = io.Copy(j.w, response.Body)
 		if err == nil && j.hasCrashed(ctx, choice, isLeaving) {
 			err = j.cause
@@ -178,6 +182,30 @@
 	return completed
 }
 
+// readHead reads the first bufferedAnswerBytes of a body, or less if the host has no memory for
+// them. isWhole says that it has read the body to its end.
+func (j *job) readHead(body io.Reader) (head []byte, isWhole bool, _ error) {
+	head = make([]byte, 0, uncountedAnswerBytes)
+	for len(head) < bufferedAnswerBytes {
+		if len(head) == cap(head) {
+			size := min(2*cap(head), bufferedAnswerBytes)
+			if j.keep(size) != nil {
+				break
+			}
+			head = append(make([]byte, 0, size), head...)
+		}
+		n, err := body.Read(head[len(head):cap(head)])
+		head = head[:len(head)+n]
+		if errors.Is(err, io.EOF) {
+			return head, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return head, false, nil
+}
+
 // sendHeader sends the header of the first answer to the caller.
 func (j *job) sendHeader(response *http.Response) {
 	if j.headerSent {
@@ -227,7 +255,7 @@
 func (j *job) relayStream(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, response *http.Response, sent time.Time, isLeaving bool) result {
 	j.sendHeader(response)
 	flusher := http.NewResponseController(j.w)
-	events := newEventReader(response.Body)
+	events := newEventReader(response.Body, j.keep)
 	first := time.Duration(0)
 	isResumed := j.events > 0
 	j.recordResumption(choice, isResumed)
--- a/internal/socket/deadpeer.go
+++ b/internal/socket/deadpeer.go
@@ -32,6 +32,26 @@
 	return net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setAckTimeout}
 }
 
+// WithReceiveBuffer returns a dialer whose connections hold about so many bytes that have
+// arrived and are not read yet. The peer waits then.
+func WithReceiveBuffer(d net.Dialer, bytes int) net.Dialer {
+	control := d.Control
+	d.Control = func(network, address string, c syscall.RawConn) error {
+		if err := control(network, address, c); err != nil {
+			return err
+		}
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+		})
+		if err != nil {
+			return errors.Trace(err)
+		}
+		return errors.Annotate(failed, "set the size of the receive buffer")
+	}
+	return d
+}
+
 // ListenConfig returns a configuration for listening with the same effect on accepted connections.
 func ListenConfig() net.ListenConfig {
 	return net.ListenConfig{KeepAliveConfig: keepAlive, Control: setAckTimeout}
--- a/internal/socket/deadpeer_test.go
+++ b/internal/socket/deadpeer_test.go
@@ -94,3 +94,25 @@
 	}
 	is.True(isGivenUp(0, time.Hour))
 }
+
+// Megabytes of an answer without end waited in the kernel for a caller that read slowly.
+func TestReceiveBufferIsBounded(t *testing.T) {
+	is := is.New(t)
+	config := ListenConfig()
+	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	const bytes = 32 << 10
+	dialer := WithReceiveBuffer(Dialer(time.Second), bytes)
+	c, err := dialer.DialContext(t.Context(), "tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	var size int
+	is.NoErr(raw.Control(func(fd uintptr) { size, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF) }))
+	is.NoErr(err)
+	is.True(size <= 2*bytes) // the kernel adds as much for its own records
+	ack, _, _, _ := options(t, c)
+	is.Equal(ack, ackTimeout)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -97,15 +97,10 @@
 // request.
 func (c *Conn) receive(method string, isOwn func(http.Header) bool) (_ *http.Response, garbled bool, _ error) {
 	for range maxStrayAnswers {
-		c.source.reset(maxHeaderBytes)
-		if _, err := c.reader.Peek(1); err != nil {
-			return nil, false, err
-		}
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		response, garbled, err := c.receiveHeader(method)
 		if err != nil {
-			return nil, !isTimeout(err), err
+			return nil, garbled, err
 		}
-		c.source.reset(maxAnswerBytes)
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -123,6 +118,21 @@
 	return nil, true, errors.New("received only answers to other requests")
 }
 
+// receiveHeader reads the header of the next answer. garbled is set if the received bytes are
+// not one.
+func (c *Conn) receiveHeader(method string) (_ *http.Response, garbled bool, _ error) {
+	c.source.beginHeader(c.pool.memory)
+	defer c.source.beginBody()
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, false, err
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, !isTimeout(err), err
+	}
+	return response, false, nil
+}
+
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"strconv"
+
+	"yuccausher/internal/memory"
 )
 
 const (
@@ -11,6 +13,11 @@
 	// maxAnswerBytes limits the body of an answer. A target that never ends its answer
 	// must not occupy its connection and that of the caller forever.
 	maxAnswerBytes = 64 << 20
+	// uncountedHeaderBytes is how long a header may be without taking memory from the
+	// pool's budget. Beyond that a byte takes headerByteCost, as a field of a few bytes
+	// does when it is decoded.
+	uncountedHeaderBytes = 4 << 10
+	headerByteCost       = 8
 )
 
 // AnswerTooLongError reports that a target sent a longer answer than allowed.
@@ -26,10 +33,23 @@
 type limitedReader struct {
 	io.Reader
 	limit, remaining int64
+	// header is the memory for the header that is being read; nil for a body, which
+	// is not kept here.
+	header *memory.Share
 }
 
-// reset allows n further bytes.
-func (s *limitedReader) reset(n int64) { s.limit, s.remaining = n, n }
+// beginHeader allows a header, which takes its memory from a budget.
+func (s *limitedReader) beginHeader(b *memory.Budget) {
+	s.limit, s.remaining = maxHeaderBytes, maxHeaderBytes
+	s.header = b.NewShare()
+}
+
+// beginBody allows a body, after the header has been read or has failed.
+func (s *limitedReader) beginBody() {
+	s.limit, s.remaining = maxAnswerBytes, maxAnswerBytes
+	s.header.Release()
+	s.header = nil
+}
 
 // Read implements io.Reader.
 func (s *limitedReader) Read(p []byte) (int, error) {
@@ -38,5 +58,10 @@
 	}
 	n, err := s.Reader.Read(p[:min(int64(len(p)), s.remaining)])
 	s.remaining -= int64(n)
+	if s.header != nil {
+		if full := s.header.Cover(headerByteCost * (s.limit - s.remaining - uncountedHeaderBytes)); full != nil {
+			return 0, full
+		}
+	}
 	return n, err
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"yuccausher/internal/core/retry"
+	"yuccausher/internal/memory"
 	"yuccausher/internal/socket"
 )
 
@@ -40,6 +41,11 @@
 	// readBufferBytes is the size of a connection's read buffer. Most events and
 	// non-streamed answers fit.
 	readBufferBytes = 2 << 10
+	// receiveBufferBytes is how much of an answer the kernel holds for a connection until
+	// it is read. By itself it would hold megabytes for a caller that reads slowly.
+	receiveBufferBytes = 32 << 10
+	// defaultMemoryBytes is the memory for headers of a pool without SetMemory.
+	defaultMemoryBytes = 16 << 20
 )
 
 // Target identifies one run of a target.
@@ -72,8 +78,10 @@
 type Pool struct {
 	dialer   net.Dialer
 	observer Observer
-	mu       sync.Mutex
-	idle     map[Target][]*Conn
+	// memory is what the headers of answers take while they are read.
+	memory *memory.Budget
+	mu     sync.Mutex
+	idle   map[Target][]*Conn
 	// timeout is that of connections for requests. It is guarded by mu.
 	timeout retry.Timeout
 	opened  tally.Counter
@@ -85,7 +93,8 @@
 func NewPool(scope tally.Scope) *Pool {
 	s := scope.SubScope("upstream")
 	return &Pool{
-		dialer:   socket.Dialer(0),
+		dialer:   socket.WithReceiveBuffer(socket.Dialer(0), receiveBufferBytes),
+		memory:   memory.NewBudget(defaultMemoryBytes),
 		observer: noObserver{},
 		idle:     make(map[Target][]*Conn),
 		timeout:  retry.Timeout{Min: minDialTimeout, Max: maxDialTimeout},
@@ -99,6 +108,10 @@
 // used.
 func (p *Pool) SetObserver(o Observer) { p.observer = o }
 
+// SetMemory sets the budget of memory for the headers of answers. It must be called before the
+// pool is used.
+func (p *Pool) SetMemory(b *memory.Budget) { p.memory = b }
+
 // Conn is a connection to a target that carries one request at a time.
 type Conn struct {
 	net.Conn
