spending: a reservation that ends while the service stops starts nothing

A process would have ended with a panic on its way out, as a late grant or the end of a stream may come after Stop has begun to wait.

Change: goroutines are started under a lock that Stop takes first, and none after it. What is not reported counts as spent in full at the host that granted it, as when a host ends.

--- a/internal/spending/fence.go
+++ b/internal/spending/fence.go
@@ -96,7 +96,7 @@
 		if !s.exclusions.isExcluded(host, allPartitions, time.Now()) {
 			awaited++
 		}
-		s.done.Go(func() {
+		s.run(func() {
 			answered := s.fenceHost(s.ctx, l, host)
 			answers <- answered
 			if !answered {
--- a/internal/spending/notify.go
+++ b/internal/spending/notify.go
@@ -121,7 +121,7 @@
 	if s.peers == nil {
 		return
 	}
-	s.done.Go(func() {
+	s.run(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
 		defer cancel()
 		self := s.peers.Self()
--- a/internal/spending/order.go
+++ b/internal/spending/order.go
@@ -77,7 +77,7 @@
 	if l.isCurrent.Load() || !l.isCatchingUp.CompareAndSwap(false, true) {
 		return
 	}
-	s.done.Go(func() {
+	s.run(func() {
 		defer l.isCatchingUp.Store(false)
 		if l.isUnavailable() || l.readInitially(ctx) != nil {
 			return
--- a/internal/spending/preferred.go
+++ b/internal/spending/preferred.go
@@ -154,7 +154,7 @@
 	defer cancel()
 	r.MaxWait = maxClaimWait
 	answered := make(chan askResult, 1)
-	s.done.Go(func() {
+	s.run(func() {
 		b, answer, err := s.reserveAt(askCtx, host, r)
 		answered <- askResult{reservation: b, answer: answer, err: err}
 	})
@@ -193,7 +193,7 @@
 // releaseLateGrant ends a reservation that is granted after its caller has stopped
 // waiting.
 func (s *Service) releaseLateGrant(answered <-chan askResult) {
-	s.done.Go(func() {
+	s.run(func() {
 		a := <-answered
 		if a.err == nil && a.answer.Decision == port.LendGranted {
 			a.reservation.Release()
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -96,6 +96,9 @@
 	ctx  context.Context
 	stop context.CancelFunc
 	done sync.WaitGroup
+	// running guards hasStopped and the start of further goroutines.
+	running    sync.Mutex
+	hasStopped bool
 }
 
 var _ gateway.Budgets = (*Service)(nil)
@@ -139,10 +142,10 @@
 			l.availability.assumeUnavailable()
 		}
 		l.isStarted.Store(true)
-		s.done.Go(func() { l.availability.runProbes(s.ctx, l.probe) })
-		s.done.Go(func() { l.runInitialRead(s.ctx) })
-		s.done.Go(func() { l.runWriter(s.ctx) })
-		s.done.Go(func() { l.runLoanClaims(s.ctx) })
+		s.run(func() { l.availability.runProbes(s.ctx, l.probe) })
+		s.run(func() { l.runInitialRead(s.ctx) })
+		s.run(func() { l.runWriter(s.ctx) })
+		s.run(func() { l.runLoanClaims(s.ctx) })
 	})
 	return l
 }
@@ -151,20 +154,33 @@
 func (s *Service) Start(context.Context) error {
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.log.Info("Spending service started.", "writer", s.writer, "partitions", len(s.ledgers))
-	s.done.Go(func() { s.runReaders(s.ctx) })
-	s.done.Go(func() { s.sweep(s.ctx) })
-	s.done.Go(func() { s.runMissedNotes(s.ctx) })
+	s.run(func() { s.runReaders(s.ctx) })
+	s.run(func() { s.sweep(s.ctx) })
+	s.run(func() { s.runMissedNotes(s.ctx) })
 	return nil
 }
 
 // Stop ends the service and waits for its goroutines. The tokens that the host holds
 // stay claimed.
 func (s *Service) Stop(context.Context) error {
+	s.running.Lock()
+	s.hasStopped = true
+	s.running.Unlock()
 	s.stop()
 	s.done.Wait()
 	return nil
 }
 
+// run calls f in a goroutine that Stop waits for. It does nothing once the service stops, as a
+// reservation may end after that.
+func (s *Service) run(f func()) {
+	s.running.Lock()
+	defer s.running.Unlock()
+	if !s.hasStopped {
+		s.done.Go(f)
+	}
+}
+
 // sweep calls the ledgers' sweep at intervals and detects pauses of the process,
 // until ctx ends.
 func (s *Service) sweep(ctx context.Context) {
