--- a/internal/port/lending.go
+++ b/internal/port/lending.go
@@ -64,8 +64,8 @@
 // LendAnswer is a host's answer to a LendRequest.
 type LendAnswer struct {
 	Decision LendDecision
-	// Writer is that of the claims which hold a granted reservation. It is zero for a
-	// loan and for a host that does not say.
+	// Writer is that of the claims which hold a granted reservation, or of the loan which
+	// does. It is zero for a host that does not say.
 	Writer uint64
 	// Loans are the program's loans that the asked host knows.
 	Loans []Loan
--- a/internal/spending/borrow.go
+++ b/internal/spending/borrow.go
@@ -196,7 +196,7 @@
 		program: r.Program, budget: r.Budget, maxTokens: r.MaxTokens,
 	}
 	answer, err := s.peers.Reserve(ctx, host, r)
-	b.writer = answer.Writer
+	b.identify(answer, r.MayLend)
 	var down *port.HostDownError
 	if err != nil && !errors.As(err, &down) {
 		b.Release()
--- a/internal/spending/borrowed.go
+++ b/internal/spending/borrowed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	settleAttempts = 8
 	// maxSettlePause bounds the pause between two reports.
 	maxSettlePause = time.Second
+	// giveBackPollInterval is how often a host checks whether the log contains what it gives
+	// back for another.
+	giveBackPollInterval = 20 * time.Millisecond
 )
 
 // borrowed is a reservation granted by another host. It implements
@@ -30,21 +34,36 @@
 	program           string
 	budget, maxTokens int64
 	spent             int64
-	// writer is that of the claims which hold the reservation; zero if it is not known or
-	// no claim does.
-	writer  uint64
+	// writer is that of the claims which hold the reservation; zero if it is not known.
+	writer uint64
+	// loan is set if a loan may hold it.
+	loan    *port.Loan
 	release sync.Once
 	// settled is closed when what was spent is recorded.
 	settled chan struct{}
 }
 
+// identify takes from the answer of the lender which claims hold the reservation.
+func (b *borrowed) identify(answer port.LendAnswer, mayBeLoan bool) {
+	b.writer = answer.Writer
+	if !mayBeLoan {
+		return
+	}
+	i := slices.IndexFunc(answer.Loans, func(l port.Loan) bool { return l.Writer == answer.Writer })
+	if i < 0 {
+		b.writer = 0
+		return
+	}
+	b.loan = &answer.Loans[i]
+}
+
 // Spend implements gateway.Reservation.
 func (b *borrowed) Spend(tokens int64) { b.spent += tokens }
 
 // Release reports what was spent to the lender, without waiting. It implements
 // gateway.Reservation. If no report arrives, the reservation counts as spent in full.
 func (b *borrowed) Release() {
-	b.release.Do(func() { b.service.done.Go(b.report) })
+	b.release.Do(func() { b.service.run(b.report) })
 }
 
 // Settle implements gateway.Reservation.
@@ -74,10 +93,9 @@
 		if err == nil {
 			// If an earlier report was sent, the run that granted the reservation may have
 			// recorded it before it ended.
-			if sent == 1 && b.writer != 0 && writer != 0 && writer != b.writer {
-				s.startedLedger(s.partitionOf(b.program)).giveBackForEndedHost(b)
+			if sent > 1 || b.writer == 0 || writer == 0 || writer == b.writer || b.giveBackForEndedHost() {
+				close(b.settled)
 			}
-			close(b.settled)
 			return
 		}
 		if sent == settleAttempts || time.Since(started) > loanExpiry || s.ctx.Err() != nil {
@@ -102,15 +120,47 @@
 	at     time.Time
 }
 
-// giveBackForEndedHost gives back the unspent tokens of a reservation whose lender has ended.
+// giveBackForEndedHost gives back the unspent tokens and waits until the log contains the claim.
+// It returns false if that takes too long.
+func (b *borrowed) giveBackForEndedHost() bool {
+	s := b.service
+	l := s.startedLedger(s.partitionOf(b.program))
+	if b.loan != nil && !l.awaitClaim(s.ctx, budget.Claim{Program: b.program, Writer: b.loan.Writer, Sequence: b.loan.Sequence}) {
+		// Nothing may be subtracted from a loan that the log does not count.
+		return false
+	}
+	c, isNeeded := l.giveBackForEndedHost(b)
+	if !isNeeded {
+		return true
+	}
+	s.notify(port.BudgetNote{Program: b.program, Loans: l.loansOf(b.program)}, loanReceivers)
+	return l.awaitClaim(s.ctx, c)
+}
+
+// awaitClaim waits until the log contains a claim or a later one of its writer, as far as this
+// host has read. It returns false if that takes longer than loanExpiry.
+func (l *ledger) awaitClaim(ctx context.Context, c budget.Claim) bool {
+	for started := time.Now(); time.Since(started) < loanExpiry && ctx.Err() == nil; tail.Sleep(ctx, giveBackPollInterval) {
+		l.mu.Lock()
+		isContained := l.book.Has(c)
+		l.mu.Unlock()
+		if isContained {
+			return true
+		}
+	}
+	return false
+}
+
+// giveBackForEndedHost gives back the unspent tokens of a reservation whose lender has ended. It
+// returns the claim, and false if there are no such tokens.
 // The lender's claims hold all of the reservation and only its own run may lower them, since
 // it may have claimed more in the meantime. The tokens are therefore subtracted under a writer
 // that never claims any. Like a loan, the claim is passed on to other hosts until it is
 // in the log.
-func (l *ledger) giveBackForEndedHost(b *borrowed) {
+func (l *ledger) giveBackForEndedHost(b *borrowed) (budget.Claim, bool) {
 	unspent := b.maxTokens - b.spent
 	if unspent <= 0 {
-		return
+		return budget.Claim{}, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -118,14 +168,16 @@
 	g := givenBack{tokens: l.givenBack[b.program].tokens + unspent, at: now}
 	l.givenBack[b.program] = g
 	l.sequence++
-	l.loans.Add(budget.Claim{
+	c := budget.Claim{
 		Writer: l.giveBackWriter, Sequence: l.sequence, Program: b.program,
 		Budget: b.budget, Total: -g.tokens, Settled: true,
-	}, now)
+	}
+	l.loans.Add(c, now)
 	l.metrics.givenBack.Inc(unspent)
 	l.log.Info("Giving back tokens that were reserved at a host which has ended.", "program", b.program, "host", b.host,
 		"reservation", b.id, "reserved", b.maxTokens, "spent", b.spent, "writer", b.writer)
 	if !l.isUnavailable() {
 		l.signalLoansDue()
 	}
+	return c, true
 }
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -64,7 +64,6 @@
 	claimCtx, cancel := context.WithTimeout(ctx, max(claimTimeout, r.MaxWait))
 	defer cancel()
 	reservation, err := l.reserve(claimCtx, r.Program, r.Budget, r.MaxTokens)
-	writer := s.writer
 	var spent *gateway.BudgetSpentError
 	switch {
 	case err == nil:
@@ -75,7 +74,6 @@
 	case !r.MayLend || !s.mayLend(l):
 		return port.LendAnswer{Decision: port.LendUnavailable, Loans: l.loansOf(r.Program)}
 	default:
-		writer = 0
 		reservation, err = s.lend(claimCtx, l, r)
 		if errors.As(err, &spent) {
 			return port.LendAnswer{Decision: port.LendSpent, Loans: l.loansOf(r.Program)}
@@ -91,7 +89,7 @@
 	}
 	s.metrics.lent.Inc(1)
 	s.lending.add(r.Reservation, reservation, r.MaxTokens, time.Now())
-	return port.LendAnswer{Decision: port.LendGranted, Loans: l.loansOf(r.Program), Writer: writer}
+	return port.LendAnswer{Decision: port.LendGranted, Loans: l.loansOf(r.Program), Writer: s.writer}
 }
 
 // Writer implements port.BudgetServer.
--- a/internal/spending/settlement.go
+++ b/internal/spending/settlement.go
@@ -57,6 +57,7 @@
 	}
 	l, s := r.ledger, r.slice
 	s.End(r.maxTokens, r.spent)
+	s.largestTurn = max(s.largestTurn, r.maxTokens)
 	s.usedAt = time.Now()
 	if s.Unused() == 0 && s.Needed(0) > s.Confirmed {
 		l.log.Info("Turn spent more than it reserved.", "program", s.program, "reserved", r.maxTokens, "spent", r.spent)
