spending: a refused claim does not hide a loan

Cause: a claim of a writer, also a refused one, takes the place of those with lower sequence numbers. When the log came back to a lender while turns waited there, their claim went first, was refused, and the settled claim for its loans was dropped as covered by it. The loans that other hosts knew of counted as recorded, since a later claim of their writer was in the log. Besides, a loan that waited for running turns was granted after the log was back, when nothing would claim it any more.

Change: a writer first claims what its turns have already got, and turns wait for that claim. Nothing is lent once the log answers the lender; the request claims.

--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -43,6 +43,13 @@
 		}
 		p := byProgram[w.program]
 		s := l.sliceOf(w.program, w.budget)
+		if p == nil && s.Needed(0) > s.Confirmed {
+			// What turns have already got is claimed first: it counts in any case, and a
+			// refused claim would take its place in the log.
+			l.releases[w.program] = s
+			rest = append(rest, w)
+			continue
+		}
 		needsOwnClaim := p != nil && (w.isSingle || p.waiters[0].isSingle)
 		if needsOwnClaim || p == nil && s.isClaiming || len(batch) >= maxBatch {
 			rest = append(rest, w)
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -167,7 +167,8 @@
 var errNotLent = errors.New("budget may not have room for the turn")
 
 // lend starts a turn without a claim and notifies the hosts that would lend next. It
-// waits while other turns of the program may still give back tokens, until ctx ends.
+// waits while other turns of the program may still give back tokens, until ctx ends. Once the
+// log is back it claims instead.
 // Its errors are *gateway.BudgetSpentError and *gateway.BudgetUnknownError.
 func (s *Service) lend(ctx context.Context, l *ledger, r port.LendRequest) (gateway.Reservation, error) {
 	for {
@@ -180,6 +181,9 @@
 			l.markStopped(r.Program)
 			return nil, &gateway.BudgetSpentError{Program: r.Program, Budget: r.Budget}
 		case loanRefused:
+			if !l.isUnavailable() {
+				return l.reserve(ctx, r.Program, r.Budget, r.MaxTokens)
+			}
 			return nil, unknownBudget(r.Program, errNotLent)
 		}
 		tail.Sleep(ctx, lendPollInterval)
@@ -215,6 +219,10 @@
 func (l *ledger) lend(r port.LendRequest) (gateway.Reservation, loanOutcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.isUnavailable() {
+		// What is lent is claimed when the log comes back, so that it must not be lent later.
+		return nil, loanRefused
+	}
 	if l.isFenced(r) {
 		l.metrics.fencedLoans.Inc(1)
 		l.foundUnavailable.Store(nil)
--- a/internal/spending/loans_test.go
+++ b/internal/spending/loans_test.go
@@ -349,3 +349,43 @@
 		is.True(granted <= budget)
 	})
 }
+
+// Turns ask a lender for tokens just when the log comes back to it. Their claim took the place of
+// the one for its loans and was refused, so that nobody counted the loans: a program got 3,920
+// tokens of 2,800 + 280.
+func TestRefusedClaimDoesNotHideALoan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const budget, maxTokens, loans = 2800, 280, 5
+		f := newFleet(t, 4)
+		f.outage()
+		order := f.order("p")
+		lender := f.host(order[0])
+		for range loans {
+			_, err := lender.Reserve(t.Context(), "p", budget, maxTokens)
+			is.NoErr(err)
+		}
+		granted := int64(loans * maxTokens)
+		f.store.SetFaults(metastore.EveryHost, metastore.Faults{})
+		var asking sync.WaitGroup
+		var mu sync.Mutex
+		for range maxRetry / time.Millisecond {
+			for range 2 * loans {
+				asking.Go(func() {
+					if _, err := lender.Reserve(t.Context(), "p", budget, maxTokens); err == nil {
+						mu.Lock()
+						defer mu.Unlock()
+						granted += maxTokens
+					}
+				})
+			}
+			time.Sleep(time.Millisecond)
+		}
+		// The others do not reach the lender and claim by themselves.
+		f.cutOff.Store(order[0], true)
+		others := f.runawayAt(t, order[1:], "p", 15, budget, maxTokens)
+		asking.Wait()
+		is.True(granted+others <= budget+maxTokens)
+		is.True(granted+others > budget-maxTokens)
+	})
+}
--- /dev/null
+++ b/internal/spending/machine_test.go
@@ -0,0 +1,303 @@
+package spending
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yuccausher/internal/gateway"
+	"yuccausher/internal/standin/metastore"
+)
+
+const (
+	machineSeeds = 400
+	machineSteps = 60
+	machineHosts = 4
+	// turnsAhead is how many turns a host holds tokens for beyond those under way, while the
+	// budget has room for holdAheadTurns.
+	turnsAhead = 2
+	// burstTurns is how many turns of a program begin at once when it runs away.
+	burstTurns = 12
+	// settleRetry is how often the end of a turn that could not be recorded is tried again.
+	settleRetry = 100 * time.Millisecond
+)
+
+// machine plays random turns of programs while hosts end, the store is away for all hosts or comes
+// back to one later, and appends are late or lose their answers.
+type machine struct {
+	t      *testing.T
+	f      *fleet
+	random *rand.Rand
+
+	mu       sync.Mutex
+	programs []*machineProgram
+	isOutage bool
+	late     int
+	isOver   atomic.Bool
+	// trace holds what happened, for a failure.
+	trace   []string
+	started time.Time
+}
+
+func (m *machine) note(format string, args ...any) {
+	m.trace = append(m.trace, fmt.Sprintf("%.3f ", time.Since(m.started).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// machineProgram is what callers of a program know.
+type machineProgram struct {
+	name              string
+	budget, maxTokens int64
+	// runsAway says that each turn spends all that it may.
+	runsAway bool
+	// delivered is what callers were handed, counting turns under way on a host that ended at
+	// their most.
+	delivered int64
+	// stranded is the most that may stay claimed: for turns whose host, or whose request for
+	// tokens, ended with a host.
+	stranded int64
+	asking   int
+	// ending counts turns whose end is being recorded.
+	ending int
+	open   []*machineTurn
+}
+
+type machineTurn struct {
+	host        int
+	reservation gateway.Reservation
+}
+
+func (m *machine) upHost() int {
+	for {
+		i := m.random.IntN(machineHosts)
+		if _, isDown := m.f.down.Load(m.f.names[i]); !isDown {
+			return i
+		}
+	}
+}
+
+func (m *machine) downHosts() []int {
+	var down []int
+	for i, name := range m.f.names {
+		if _, isDown := m.f.down.Load(name); isDown {
+			down = append(down, i)
+		}
+	}
+	return down
+}
+
+// begin asks for the tokens of a turn.
+func (m *machine) begin(p *machineProgram) {
+	host := m.upHost()
+	s := m.f.host(m.f.names[host])
+	m.mu.Lock()
+	p.asking++
+	m.mu.Unlock()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		r, err := s.Reserve(ctx, p.name, p.budget, p.maxTokens)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		p.asking--
+		m.note("%s asks %s: %v", p.name, m.f.names[host], err)
+		if err != nil {
+			return
+		}
+		if m.f.host(m.f.names[host]) != s || s.ctx.Err() != nil {
+			// The host has ended, and the turn with it.
+			p.delivered += p.maxTokens
+			return
+		}
+		p.open = append(p.open, &machineTurn{host: host, reservation: r})
+	}()
+}
+
+// end ends a turn whole.
+func (m *machine) end(p *machineProgram) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(p.open) == 0 {
+		return
+	}
+	i := m.random.IntN(len(p.open))
+	turn := p.open[i]
+	p.open = append(p.open[:i], p.open[i+1:]...)
+	spent := m.random.Int64N(p.maxTokens + 1)
+	if p.runsAway {
+		spent = p.maxTokens
+	}
+	p.delivered += spent
+	turn.reservation.Spend(spent)
+	m.note("%s spent %d at %s", p.name, spent, m.f.names[turn.host])
+	p.ending++
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		for turn.reservation.Settle(ctx) != nil {
+			if m.isOver.Load() {
+				return
+			}
+			time.Sleep(settleRetry)
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.note("%s is settled at %s", p.name, m.f.names[turn.host])
+		p.ending--
+	}()
+}
+
+// kill ends a host. Turns under way there may have handed out all of their most.
+func (m *machine) kill(host int) {
+	m.mu.Lock()
+	for _, p := range m.programs {
+		var kept []*machineTurn
+		for _, turn := range p.open {
+			if turn.host != host {
+				kept = append(kept, turn)
+				continue
+			}
+			p.delivered += p.maxTokens
+		}
+		p.open = kept
+		p.stranded += int64(p.asking+p.ending) * p.maxTokens
+		if p.budget >= holdAheadTurns*p.maxTokens {
+			p.stranded += turnsAhead * p.maxTokens
+		}
+	}
+	m.note("%s ends", m.f.names[host])
+	m.mu.Unlock()
+	m.f.kill(host)
+}
+
+func (m *machine) step() {
+	p := m.programs[m.random.IntN(len(m.programs))]
+	switch k := m.random.IntN(24); {
+	case k >= 22:
+		m.note("%s bursts", p.name)
+		for range burstTurns {
+			m.begin(p)
+		}
+	case k >= 20:
+		host := m.f.names[m.random.IntN(machineHosts)]
+		m.note("%s loses the answer to a report", host)
+		m.f.loseSettlement.Store(host, true)
+	case k < 8:
+		for range 1 + m.random.IntN(3) {
+			m.begin(p)
+		}
+	case k < 13:
+		m.end(p)
+	case k < 14 && !m.isOutage && len(m.downHosts()) == 0:
+		m.kill(m.random.IntN(machineHosts))
+	case k < 15 && !m.isOutage && len(m.downHosts()) == 0:
+		for i := range machineHosts {
+			m.kill(i)
+		}
+		time.Sleep(time.Duration(m.random.IntN(1000)) * time.Millisecond)
+		for i := range machineHosts {
+			m.f.revive(m.t, i)
+		}
+	case k < 16:
+		for _, i := range m.downHosts() {
+			m.note("%s starts", m.f.names[i])
+			m.f.revive(m.t, i)
+		}
+	case k < 17 && !m.isOutage && len(m.downHosts()) == 0:
+		m.isOutage = true
+		m.note("store is away")
+		m.f.store.SetFaults(metastore.EveryHost, metastore.Faults{Refuse: true})
+	case k < 18 && m.isOutage:
+		m.note("store is back but for one host")
+		m.late = m.random.IntN(machineHosts)
+		m.f.store.SetFaults(m.f.names[m.late], metastore.Faults{Refuse: true})
+		m.f.store.SetFaults(metastore.EveryHost, metastore.Faults{})
+		time.Sleep(time.Duration(m.random.IntN(800)) * time.Millisecond)
+		for range burstTurns {
+			m.begin(p)
+		}
+	case k < 19:
+		if m.isOutage {
+			m.heal()
+		} else {
+			host, faults := m.random.IntN(machineHosts), metastore.Faults{Late: m.random.IntN(3), LoseAnswers: m.random.IntN(3)}
+			m.note("%s: %d late, %d lost", m.f.names[host], faults.Late, faults.LoseAnswers)
+			m.f.store.SetFaults(m.f.names[host], faults)
+		}
+	case k < 20:
+		m.f.store.Flush()
+	}
+	time.Sleep(time.Duration(m.random.IntN(300)) * time.Millisecond)
+}
+
+// heal ends the faults of the store.
+func (m *machine) heal() {
+	m.isOutage = false
+	m.note("store is sound")
+	for _, name := range append([]string{metastore.EveryHost}, m.f.names...) {
+		m.f.store.SetFaults(name, metastore.Faults{})
+	}
+	m.f.store.Flush()
+}
+
+func (m *machine) checkBudgets(seed uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.programs {
+		if p.delivered > p.budget+p.maxTokens {
+			m.t.Errorf("seed %d: program %s got %d tokens of %d + %d", seed, p.name, p.delivered, p.budget, p.maxTokens)
+		}
+	}
+}
+
+// Programs run away while hosts end, outages come and go, and appends are late: no program
+// gets more than its budget and the most of one turn. What frees the tokens of hosts that ended
+// must not give them out twice. In the end each program whose budget holds a further turn gets
+// it, counting at their most only the turns that were under way when a host ended.
+func TestBudgetsHoldAndNothingIsStrandedOverFalls(t *testing.T) {
+	for seed := range uint64(machineSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			m := &machine{t: t, f: newFleet(t, machineHosts), random: rand.New(rand.NewPCG(seed, 1)), started: time.Now()}
+			for i, budget := range []int64{900, 2800, 6000} {
+				m.programs = append(m.programs, &machineProgram{name: fmt.Sprint("p", i), budget: budget, maxTokens: []int64{572, 280, 280}[i], runsAway: i == 1})
+			}
+			for range machineSteps {
+				m.step()
+			}
+			m.checkBudgets(seed)
+			m.heal()
+			for _, i := range m.downHosts() {
+				m.f.revive(t, i)
+			}
+			time.Sleep(3 * time.Second)
+			for _, p := range m.programs {
+				for len(p.open) > 0 {
+					m.end(p)
+				}
+			}
+			time.Sleep(5 * time.Second)
+			for _, p := range m.programs {
+				if p.budget-p.delivered-p.stranded < p.maxTokens {
+					continue
+				}
+				if err := settledTurn(t, m.f.hosts[m.random.IntN(machineHosts)], p.name, p.budget, p.maxTokens, 0); err != nil {
+					t.Errorf("seed %d: program %s got %d tokens of %d, %d may be stranded, and its next turn: %v", seed, p.name, p.delivered, p.budget, p.stranded, err)
+				}
+			}
+			m.checkBudgets(seed)
+			m.isOver.Store(true)
+			time.Sleep(time.Minute)
+			if t.Failed() {
+				t.Log(strings.Join(m.trace, "\n"))
+			}
+		})
+		if t.Failed() {
+			return
+		}
+	}
+}
