--- a/internal/spending/machine_test.go
+++ b/internal/spending/machine_test.go
@@ -40,12 +40,15 @@
 	isOutage bool
 	late     int
 	isOver   atomic.Bool
-	// trace holds what happened, for a failure.
+	// trace holds what happened, for a failure. It is guarded by tracing.
 	trace   []string
+	tracing sync.Mutex
 	started time.Time
 }
 
 func (m *machine) note(format string, args ...any) {
+	m.tracing.Lock()
+	defer m.tracing.Unlock()
 	m.trace = append(m.trace, fmt.Sprintf("%.3f ", time.Since(m.started).Seconds())+fmt.Sprintf(format, args...))
 }
 
