spending: a claim for a loan that the log refused is made again

Found on reading the change: since a refused append is taken for one without effect, the claim for a lender's loans was dropped if the store refused its first append after an outage, until a further turn came or its turns ended. Hosts that had been told of the loan claimed it meanwhile.

Test: TestRefusedAppendOfALoanIsTriedAgain, failed before.

--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -136,6 +136,9 @@
 		if hadNoEffect {
 			s.Confirmed, s.isUndecided = p.confirmed, p.wasUndecided
 		}
+		if len(p.waiters) == 0 {
+			l.releases[s.program] = s
+		}
 		l.settleLater(p)
 		for _, w := range p.waiters {
 			if !w.isAbandoned {
--- a/internal/spending/fence_test.go
+++ b/internal/spending/fence_test.go
@@ -175,3 +175,28 @@
 		is.True(granted <= budget+maxTokens)
 	})
 }
+
+// The store refuses the first append of a lender after an outage. Its loans were claimed by the
+// hosts that knew of them only, or at the end of their turns.
+func TestRefusedAppendOfALoanIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3)
+		f.outage()
+		order := f.order("p")
+		lender := f.host(order[0])
+		_, err := lender.Reserve(t.Context(), "p", 2800, 280)
+		is.NoErr(err)
+		l := lender.ledger("p")
+		l.mu.Lock()
+		s := l.slices["p"]
+		s.Settle()
+		p := &pendingClaim{slice: s}
+		l.prepareClaim(p)
+		l.mu.Unlock()
+		l.requeue([]*pendingClaim{p}, &port.SharedLogError{Failure: port.LogRefused})
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		is.True(l.releases["p"] == s)
+	})
+}
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -77,8 +77,7 @@
 	return s
 }
 
-// sweep gives back the unused parts of idle slices of budgets that are nearly
-// claimed, and drops the state of programs without recent turns.
+// sweep gives back the unused parts of idle slices that may not hold tokens ahead, and drops the state of programs without recent turns.
 func (l *ledger) sweep(now time.Time, retention time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
