spending: a fence that ends while it is made is made again

Found on reading the change: if another reader's answer ended the fence while the host was making it, the writer stopped without a signal, and turns in its queue stood still until a further turn came or they were given up after 1.2 s.

Test: TestFenceThatEndsWhileItIsMadeIsMadeAgain, failed before. The end of a report has a method of its own, and a give-back that fails a log line.

--- a/internal/spending/borrowed.go
+++ b/internal/spending/borrowed.go
@@ -91,11 +91,7 @@
 			sent++
 		}
 		if err == nil {
-			// If an earlier report was sent, the run that granted the reservation may have
-			// recorded it before it ended.
-			if sent > 1 || b.writer == 0 || writer == 0 || writer == b.writer || b.giveBackForEndedHost() {
-				close(b.settled)
-			}
+			b.finish(writer, sent)
 			return
 		}
 		if sent == settleAttempts || time.Since(started) > loanExpiry || s.ctx.Err() != nil {
@@ -108,6 +104,19 @@
 	}
 }
 
+// finish ends the settlement after writer has answered one of the reports that were sent. The run
+// that granted the reservation has ended if it is another one. If it may have recorded an earlier
+// report, nothing is given back for it.
+func (b *borrowed) finish(writer uint64, sent int) {
+	hasLenderEnded := b.writer != 0 && writer != 0 && writer != b.writer
+	if hasLenderEnded && sent == 1 && !b.giveBackForEndedHost() {
+		b.service.log.Info("Unspent tokens of a host that ended could not be given back; the reservation counts as spent in full.",
+			"host", b.host, "reservation", b.id, "program", b.program, "reserved", b.maxTokens, "spent", b.spent)
+		return
+	}
+	close(b.settled)
+}
+
 func (b *borrowed) settle() (writer uint64, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
@@ -129,7 +138,7 @@
 		// Nothing may be subtracted from a loan that the log does not count.
 		return false
 	}
-	c, isNeeded := l.giveBackForEndedHost(b)
+	c, isNeeded := l.subtractUnspent(b)
 	if !isNeeded {
 		return true
 	}
@@ -151,13 +160,14 @@
 	return false
 }
 
-// giveBackForEndedHost gives back the unspent tokens of a reservation whose lender has ended. It
-// returns the claim, and false if there are no such tokens.
+// subtractUnspent makes a claim that gives back the unspent tokens of a reservation whose lender
+// has ended. It returns false if there are none.
+//
 // The lender's claims hold all of the reservation and only its own run may lower them, since
 // it may have claimed more in the meantime. The tokens are therefore subtracted under a writer
 // that never claims any. Like a loan, the claim is passed on to other hosts until it is
 // in the log.
-func (l *ledger) giveBackForEndedHost(b *borrowed) (budget.Claim, bool) {
+func (l *ledger) subtractUnspent(b *borrowed) (budget.Claim, bool) {
 	unspent := b.maxTokens - b.spent
 	if unspent <= 0 {
 		return budget.Claim{}, false
--- a/internal/spending/fence.go
+++ b/internal/spending/fence.go
@@ -73,7 +73,11 @@
 		l.metrics.fences.Inc(1)
 		l.log.Info("Fenced the lenders of a partition.", "partition", l.partition.Part, "answered", fenced.answered, "silent", fenced.silent, "took", time.Since(started).String())
 	}
-	return epoch, l.fenceEpoch == epoch
+	if l.fenceEpoch != epoch {
+		l.signalWriter()
+		return epoch, false
+	}
+	return epoch, true
 }
 
 // fenceResult counts the hosts that have answered a fence and those that have not.
--- a/internal/spending/fence_test.go
+++ b/internal/spending/fence_test.go
@@ -1,6 +1,7 @@
 package spending
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -200,3 +201,26 @@
 		is.True(l.releases["p"] == s)
 	})
 }
+
+// The fence stops holding while it is being made, as a reader has said that it does not reach the
+// log. Turns that waited for it stood still until a further one came.
+func TestFenceThatEndsWhileItIsMadeIsMadeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2)
+		preferred := f.host(f.order("p")[0])
+		l := preferred.startedLedger(preferred.partitionOf("p"))
+		fenceLenders, isFirst := l.fenceLenders, true
+		l.fenceLenders = func(ctx context.Context) fenceResult {
+			if isFirst {
+				isFirst = false
+				l.unfence()
+			}
+			return fenceLenders(ctx)
+		}
+		l.unfence()
+		started := time.Now()
+		is.NoErr(turn(preferred, "p", 900, 280, 70))
+		is.True(time.Since(started) < preferredTimeout)
+	})
+}
