--- a/internal/conversation/service_test.go
+++ b/internal/conversation/service_test.go
@@ -167,7 +167,7 @@
 			}
 		}
 		// A page takes about 100 ms.
-		f.store.BytesPerSecond = 10 * stored / partitions
+		f.store.SetBytesPerSecond(10 * stored / partitions)
 		f.store.ReadBytes = 0
 		f.restart(t, f.names...)
 		var going sync.WaitGroup
--- a/internal/spending/reader_test.go
+++ b/internal/spending/reader_test.go
@@ -84,7 +84,7 @@
 			}
 			largest = max(largest, size)
 		}
-		f.store.BytesPerSecond = largest * 10 / 7 // the largest partition takes 700 ms
+		f.store.SetBytesPerSecond(largest * 10 / 7) // the largest partition takes 700 ms
 		f.isBusy.Store(true)
 		f.restart(t)
 		for i := range 40 {
--- a/internal/spending/service_test.go
+++ b/internal/spending/service_test.go
@@ -350,7 +350,7 @@
 			is.NoErr(err)
 		}
 		// A page arrives within readTimeout. The whole log would not.
-		f.store.BytesPerSecond = 4 * pageBytes
+		f.store.SetBytesPerSecond(4 * pageBytes)
 		restarted := f.start(t, 0)
 		time.Sleep(10 * time.Second)
 		for i := range 8 {
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -43,8 +43,8 @@
 	// Timeout is when a client gives up a call, beyond the time that the call
 	// asks to wait; zero means never.
 	Timeout time.Duration
-	// BytesPerSecond is how fast records are read; zero means at once.
-	BytesPerSecond int
+	// bytesPerSecond is how fast records are read; zero means at once.
+	bytesPerSecond int
 	// ReadBytes counts the bytes of records that were read. It is only looked at while
 	// no call is under way.
 	ReadBytes int
@@ -368,16 +368,26 @@
 	}
 }
 
+// SetBytesPerSecond sets how fast records are read from now on; zero means at once.
+func (s *Store) SetBytesPerSecond(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bytesPerSecond = n
+}
+
 // transfer is how long records take to be read.
 func (s *Store) transfer(records [][]byte) time.Duration {
-	if s.BytesPerSecond <= 0 {
+	s.mu.Lock()
+	perSecond := s.bytesPerSecond
+	s.mu.Unlock()
+	if perSecond <= 0 {
 		return 0
 	}
 	total := 0
 	for _, r := range records {
 		total += len(r)
 	}
-	return time.Duration(total) * time.Second / time.Duration(s.BytesPerSecond)
+	return time.Duration(total) * time.Second / time.Duration(perSecond)
 }
 
 // firstOf returns the first records, one at least, of up to most bytes in all;
