storecall: all calls of a host to the store go through one limiter, and are counted

Cause: spending, conversations, origins and the followers of streams each repeat failed calls with pauses of their own; nothing bounds their sum over all hosts. Calls that requests wait for go before those in the background; a call that can't be sent in time is not made. A 429 has a failure of its own, which says that the call had no effect.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -17,6 +17,7 @@
 	"yuccausher/internal/adapter/logging"
 	"yuccausher/internal/front"
 	"yuccausher/internal/settings"
+	"yuccausher/internal/storecall"
 	"yuccausher/platform"
 )
 
@@ -118,10 +119,10 @@
 }
 
 func frontOptions(s *settings.Front, platformSettings platform.Settings, logger logr.Logger) front.Options {
-	store := platform.NewStore(platformSettings.Store.Address)
-	hosts := platform.KeyedTopic{Store: store, Partition: platform.HostsPartition}
-	crashes := platform.KeyedTopic{Store: store, Partition: platform.CrashesPartition}
-	releases := platform.KeyedTopic{Store: store, Partition: platform.ReleasesPartition}
+	calls := storecall.New(platform.NewStore(platformSettings.Store.Address), platformSettings.Store.ReadsPerSecond, platformSettings.Store.WritesPerSecond, logger)
+	hosts := platform.KeyedTopic{Store: calls, Partition: platform.HostsPartition}
+	crashes := platform.KeyedTopic{Store: calls, Partition: platform.CrashesPartition}
+	releases := platform.KeyedTopic{Store: calls, Partition: platform.ReleasesPartition}
 	metricsAddress := ""
 	if s.MetricsPort > 0 {
 		metricsAddress = net.JoinHostPort(platformSettings.IP, strconv.FormatInt(s.MetricsPort, 10))
@@ -144,11 +145,12 @@
 		Seed:           rand.Uint64(),
 		Logger:         logger,
 		Platform: front.Platform{
-			Log:                 store,
-			Configuration:       platform.KeyedTopic{Store: store, Partition: platform.ConfigurationPartition},
+			Log:                 calls,
+			Calls:               calls,
+			Configuration:       platform.KeyedTopic{Store: calls, Partition: platform.ConfigurationPartition},
 			ConfigurationKey:    platform.ConfigurationKey,
 			DecodeConfiguration: platform.DecodeConfiguration,
-			Targets:             platform.KeyedTopic{Store: store, Partition: platform.TargetsPartition},
+			Targets:             platform.KeyedTopic{Store: calls, Partition: platform.TargetsPartition},
 			DecodeTarget:        platform.DecodeTarget,
 			Hosts:               hosts,
 			PutHost:             hosts.Put,
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -161,6 +161,14 @@
 	return list
 }
 
+// Count returns the number of hosts in the list, which includes this one as a rule; zero until the
+// list has been read.
+func (h *Hosts) Count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.entries)
+}
+
 func (h *Hosts) reset(records []port.KeyedRecord) {
 	kept := make(map[string]bool, len(records))
 	for _, r := range records {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,12 +34,15 @@
 	"yuccausher/internal/quarantine"
 	"yuccausher/internal/reach"
 	"yuccausher/internal/spending"
+	"yuccausher/internal/storecall"
 	"yuccausher/internal/upstream"
 )
 
 // Platform holds the platform's interfaces that a host uses.
 type Platform struct {
-	Log                 port.SharedLog
+	Log port.SharedLog
+	// Calls limits the calls to Log and to the streams below; nil if they are not limited.
+	Calls               *storecall.Log
 	Configuration       port.KeyedStream
 	ConfigurationKey    string
 	DecodeConfiguration func([]byte) (route.Document, error)
@@ -192,6 +195,9 @@
 		Put:        o.Platform.PutHost,
 		Logger:     o.Logger,
 	})
+	if o.Platform.Calls != nil {
+		o.Platform.Calls.SetHosts(h.Count)
+	}
 	lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
 	return h
 }
--- a/internal/port/shared.go
+++ b/internal/port/shared.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // KeyedRecord is the newest record of a key in a keyed stream. A record without a
@@ -70,11 +72,14 @@
 	LogTrimmed
 	// LogInvalid answers could not be decoded.
 	LogInvalid
+	// LogThrottled calls had no effect: the log, or this host itself, makes hosts call it less
+	// often. The log may be available all the same.
+	LogThrottled
 )
 
 // String names the failure.
 func (f SharedLogFailure) String() string {
-	return [...]string{"unreachable", "refused", "trimmed", "invalid"}[f]
+	return [...]string{"unreachable", "refused", "trimmed", "invalid", "throttled"}[f]
 }
 
 // SharedLogError is a failure of the shared log.
@@ -101,5 +106,27 @@
 	return s
 }
 
+// HadNoEffect reports whether the call had no effect and never will.
+func (e *SharedLogError) HadNoEffect() bool {
+	return e.Failure == LogRefused || e.Failure == LogThrottled
+}
+
+// IsThrottled reports whether an error says that the log is called too often.
+func IsThrottled(err error) bool {
+	var failed *SharedLogError
+	return errors.As(err, &failed) && failed.Failure == LogThrottled
+}
+
+type backgroundKey struct{}
+
+// InBackground returns a context for calls that no request waits for. They are sent after those
+// that one waits for.
+func InBackground(ctx context.Context) context.Context {
+	return context.WithValue(ctx, backgroundKey{}, true)
+}
+
+// IsInBackground reports whether no request waits for the calls of a context.
+func IsInBackground(ctx context.Context) bool { return ctx.Value(backgroundKey{}) != nil }
+
 // Unwrap returns the cause.
 func (e *SharedLogError) Unwrap() error { return e.Cause }
