spending, conversation: a store that is called too often is not unavailable

Cause: a read that was refused with 429 counted as an outage; the first read that succeeded probed all other partitions at once, whose reads were refused in turn. Now a 429 is no outage while the store answers this host, and a recovery probes only the partitions whose recovery the host has to detect, spread over 300 ms.

--- a/internal/conversation/service.go
+++ b/internal/conversation/service.go
@@ -162,7 +162,7 @@
 			isPreferred := s.order(p.name.Part)[0] == s.params.Peers.Self()
 			if isPreferred && !p.isPreloaded && !p.isUnavailable() {
 				// A read that fails is repeated in the next round.
-				p.isPreloaded = p.catchUp(s.ctx) == nil
+				p.isPreloaded = p.catchUp(port.InBackground(s.ctx)) == nil
 			}
 			p.isPreloaded = p.isPreloaded && isPreferred
 		}
@@ -234,11 +234,18 @@
 	return s.reach.IsUnavailable(time.Now())
 }
 
+// throttledTolerance is how long after its last answer a log that makes this host call less often
+// still counts as available.
+const throttledTolerance = time.Second
+
 // observe records the outcome of a call to the log and the time at which it started.
 func (s *Service) observe(part *part, started time.Time, err error) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if port.IsThrottled(err) && s.reach.HasAnsweredWithin(throttledTolerance, now) {
+		return
+	}
 	wasUnavailable := s.reach.IsUnavailable(now)
 	if err == nil {
 		if wasUnavailable {
--- a/internal/core/conversation/availability.go
+++ b/internal/core/conversation/availability.go
@@ -28,6 +28,11 @@
 	}
 }
 
+// HasAnsweredWithin reports whether the log has answered a call within a time.
+func (a *Availability) HasAnsweredWithin(d time.Duration, now time.Time) bool {
+	return !a.answeredAt.IsZero() && now.Sub(a.answeredAt) < d
+}
+
 // IsUnavailable reports whether the log has not answered any call for
 // unavailableAfter.
 func (a *Availability) IsUnavailable(now time.Time) bool {
--- a/internal/spending/availability.go
+++ b/internal/spending/availability.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"yuccausher/internal/port"
 )
 
 // delegatedRetry is the pause between probes of a partition while another unavailable
@@ -34,6 +37,8 @@
 	probesDue          chan struct{}
 	// skipPause ends the pause after a failed probe.
 	skipPause chan struct{}
+	// isPauseDelegated is set during a pause of delegatedRetry.
+	isPauseDelegated atomic.Bool
 
 	mu sync.Mutex
 	// unavailableSince is when reads began to fail; zero while the log answers.
@@ -77,11 +82,16 @@
 func (a *availability) signalProbe() { signal(a.probesDue) }
 
 // probeOnDemand requests a probe because a turn needs the partition. It does nothing
-// if the probing is delegated to another partition.
+// if the probing is delegated to another partition. If it was, and the log has answered since, it
+// ends the long pause.
 func (a *availability) probeOnDemand() {
-	if !a.isProbeDelegated() {
-		a.signalProbe()
+	if a.isProbeDelegated() {
+		return
+	}
+	if a.isPauseDelegated.Load() {
+		signal(a.skipPause)
 	}
+	a.signalProbe()
 }
 
 // probeNow probes the partition without a further pause if it is unavailable.
@@ -100,8 +110,16 @@
 	}
 }
 
-// observe records the result of a read and calls the callbacks.
+// throttledTolerance is how long after its last answer a log that makes this host call less often
+// still counts as available.
+const throttledTolerance = time.Second
+
+// observe records the result of a read and calls the callbacks. A log that is called too often is
+// not unavailable: to take it for that, and to probe it more often, would keep it overloaded.
 func (a *availability) observe(err error) {
+	if port.IsThrottled(err) && a.hasAnsweredSince(time.Now().Add(-throttledTolerance)) {
+		return
+	}
 	a.mu.Lock()
 	since := a.unavailableSince
 	switch {
@@ -155,6 +173,8 @@
 func (a *availability) pauseAfterFailure(ctx context.Context, pause time.Duration) {
 	if a.isProbeDelegated() {
 		pause = delegatedRetry
+		a.isPauseDelegated.Store(true)
+		defer a.isPauseDelegated.Store(false)
 	}
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -125,7 +125,7 @@
 // the queue.
 func (l *ledger) requeue(batch []*pendingClaim, cause error) {
 	var failed *port.SharedLogError
-	hadNoEffect := errors.As(cause, &failed) && failed.Failure == port.LogRefused
+	hadNoEffect := errors.As(cause, &failed) && failed.HadNoEffect()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range batch {
--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -16,6 +16,7 @@
 	"yuccausher/internal/gateway"
 	"yuccausher/internal/port"
 	"yuccausher/internal/standin/metastore"
+	"yuccausher/internal/storecall"
 )
 
 const (
@@ -27,7 +28,9 @@
 
 // fleet is a number of hosts that share one store.
 type fleet struct {
-	store *metastore.Store
+	// perSecond is how many calls the store accepts in a second; zero means all.
+	perSecond int
+	store     *metastore.Store
 	// mu guards hosts, since a host may be asked while it is restarted.
 	mu    sync.Mutex
 	hosts []*Service
@@ -51,7 +54,15 @@
 
 func newFleet(t *testing.T, n int) *fleet {
 	t.Helper()
-	f := &fleet{store: metastore.New()}
+	return newLimitedFleet(t, n, 0)
+}
+
+// newLimitedFleet returns a fleet whose hosts know that the store accepts a number of calls a
+// second; zero means that it accepts all.
+func newLimitedFleet(t *testing.T, n, perSecond int) *fleet {
+	t.Helper()
+	f := &fleet{store: metastore.New(), perSecond: perSecond}
+	f.store.SetPerSecond(perSecond)
 	f.store.Latency = latency
 	f.store.Timeout = time.Second
 	for i := range n {
@@ -109,7 +120,9 @@
 // start starts a run of a host's process.
 func (f *fleet) start(t *testing.T, i int) *Service {
 	t.Helper()
-	log := port.NewAnsweredLog(f.store.Client(f.names[i]))
+	calls := storecall.New(f.store.Client(f.names[i]), float64(f.perSecond), float64(f.perSecond), logr.Discard())
+	calls.SetHosts(func() int { return len(f.names) })
+	log := port.NewAnsweredLog(calls)
 	s := New(Params{
 		Log: log,
 		LogAnsweredAt: func() time.Time {
--- a/internal/spending/outage.go
+++ b/internal/spending/outage.go
@@ -1,6 +1,7 @@
 package spending
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -29,13 +30,20 @@
 	}
 }
 
-// probeOthersNow probes the other unavailable partitions at once, because one has
-// recovered.
-func (s *Service) probeOthersNow(recovered int) {
+// recoverySpread is the time over which a host probes its other partitions after one has recovered,
+// so that the hosts do not all call the log at the moment at which it answers again.
+const recoverySpread = 300 * time.Millisecond
+
+// probeOthersSoon probes those of the other unavailable partitions whose recovery this host has to
+// detect, because one has recovered. The others are probed when turns need them:
+// the reads of a recovery grow with the number of partitions, not with that times the number of
+// hosts.
+func (s *Service) probeOthersSoon(recovered int) {
 	for part, l := range s.ledgers {
-		if part != recovered {
-			l.availability.probeNow()
+		if part == recovered || !l.isUnavailable() || !l.mustDetectRecovery() {
+			continue
 		}
+		time.AfterFunc(rand.N(recoverySpread), l.availability.probeNow)
 	}
 }
 
--- a/internal/spending/reader.go
+++ b/internal/spending/reader.go
@@ -51,7 +51,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	if err := l.catchUp(ctx, math.MaxInt64); err != nil {
+	if err := l.catchUp(port.InBackground(ctx), math.MaxInt64); err != nil {
 		return err
 	}
 	l.isRead.Store(true)
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -126,7 +126,7 @@
 		l.availability.isProbeDelegated = func() bool { return s.isProbeDelegated(part) }
 		l.availability.onRecovered = func() {
 			l.claimOwnLoans()
-			s.probeOthersNow(part)
+			s.probeOthersSoon(part)
 		}
 		l.onNearlyClaimed = func(n port.BudgetNote) { s.notify(n, nearlyClaimedReceivers) }
 		s.ledgers = append(s.ledgers, l)
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -55,7 +55,12 @@
 	views  map[string]func(value []byte) []byte
 	faults map[string]Faults
 	calls  int
-	late   []func()
+	// perSecond is how many calls are accepted in a second; the others are refused as throttled.
+	// Zero means all.
+	perSecond int
+	// second is the current second, and callsInSecond the calls in it.
+	second, callsInSecond int64
+	late                  []func()
 }
 
 type partition struct {
@@ -231,6 +236,7 @@
 func (c *Client) enter(ctx context.Context, op string, p port.Partition) error {
 	c.store.mu.Lock()
 	c.store.calls++
+	isThrottled := c.store.isThrottled(time.Now())
 	every, own := c.store.faults[EveryHost], c.store.faults[c.host]
 	c.store.mu.Unlock()
 	if !every.befall(p) {
@@ -240,6 +246,8 @@
 		own = Faults{}
 	}
 	switch {
+	case isThrottled:
+		return &port.SharedLogError{Op: op, Partition: p, Failure: port.LogThrottled}
 	case every.Refuse || own.Refuse:
 		return &port.SharedLogError{Op: op, Partition: p, Failure: port.LogRefused}
 	case every.Silent || own.Silent:
@@ -249,6 +257,15 @@
 	return c.pause(ctx, op, p, c.store.Latency/2+every.Delay+own.Delay)
 }
 
+// isThrottled counts a call and reports whether it exceeds perSecond. The caller holds s.mu.
+func (s *Store) isThrottled(now time.Time) bool {
+	if second := now.Unix(); second != s.second {
+		s.second, s.callsInSecond = second, 0
+	}
+	s.callsInSecond++
+	return s.perSecond > 0 && s.callsInSecond > int64(s.perSecond)
+}
+
 func (f Faults) befall(p port.Partition) bool {
 	return len(f.Only) == 0 || slices.Contains(f.Only, p.Part)
 }
@@ -368,6 +385,14 @@
 	}
 }
 
+// SetPerSecond sets how many calls are accepted in a second from now on; the others are refused as
+// throttled. Zero means all.
+func (s *Store) SetPerSecond(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.perSecond = n
+}
+
 // SetBytesPerSecond sets how fast records are read from now on; zero means at once.
 func (s *Store) SetBytesPerSecond(n int) {
 	s.mu.Lock()
