spending: claims of waiting turns go before those that give tokens back

Cause: on an overloaded store each turn makes two appends to the claims, and both wait for the same rate; answers waited 400 ms for the second one. Appends that only give tokens back are calls in the background, and an answer no longer waits for them while the store makes this host call it less often.

--- a/internal/core/callrate/limiter.go
+++ b/internal/core/callrate/limiter.go
@@ -20,8 +20,12 @@
 	// maxShares is how many equal shares one host may use while no call is refused: callers
 	// are spread unevenly over hosts.
 	maxShares = 8
-	// refusedShare is the largest rate after a refusal, in equal shares. If all hosts call at it,
-	// their sum stays below what the service accepts.
+	// refusedFactor is what a refusal leaves of the rate. Callers are spread unevenly over hosts, so
+	// that a rate at the equal share after one refusal would leave much of what the service accepts
+	// unused.
+	refusedFactor = 0.7
+	// refusedShare is the rate, in equal shares, below which the refusal of some calls does not lower
+	// it. If all hosts call at it, their sum stays below what the service accepts.
 	refusedShare = 0.9
 	// growthPerSecond is how many equal shares the rate of a host grows in a second. A host that
 	// was refused at a moment of overload has its largest rate again after some seconds.
@@ -47,9 +51,10 @@
 )
 
 // Limiter is the rate limiter of one host. It follows the refusals of the service: the rate falls
-// to an equal share or less at a refusal and grows again while calls are answered. The sum over
-// all hosts is therefore at most refusedShare of what the service accepts once it has refused a
-// call of each host, and grows by no more than the whole in a second from then on. Limiter is not safe for concurrent use.
+// while calls are refused, to the equal share within seven times refusalWindow, and grows again while
+// calls are answered. The sum over all hosts is therefore at most refusedShare of what the service
+// accepts once it has refused calls of each host for that time, and grows by no more than the whole
+// in a second from then on. Limiter is not safe for concurrent use.
 type Limiter struct {
 	// total is what the service accepts from all hosts, in calls per second; zero if unknown.
 	total float64
@@ -144,7 +149,9 @@
 		l.loweredAt = now
 		l.rate = max(l.rate/2, min(minPerSecond, l.rate))
 	}
-	l.rate = min(l.rate, refusedShare*l.share())
+	if floor := refusedShare * l.share(); l.rate > floor {
+		l.rate = max(refusedFactor*l.rate, floor)
+	}
 	l.tokens = min(l.tokens, l.burst())
 }
 
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -74,6 +74,10 @@
 	onNearlyClaimed func(port.BudgetNote)
 	// fenceLenders fences the other hosts that may lend, see fence.go.
 	fenceLenders func(context.Context) fenceResult
+	// onThrottled is called when the log has made this host call it less often. isOverloaded reports
+	// whether it has done so lately.
+	onThrottled  func()
+	isOverloaded func() bool
 	// isPreferredHost reports whether this host is the partition's preferred host,
 	// isReader whether it reads the partition from the start.
 	isPreferredHost, isReader func() bool
@@ -124,6 +128,8 @@
 		readSlot:         make(chan struct{}, 1),
 		initialReadSlots: initialReadSlots,
 		onNearlyClaimed:  func(port.BudgetNote) {},
+		onThrottled:      func() {},
+		isOverloaded:     func() bool { return false },
 		fenceLenders:     func(context.Context) fenceResult { return fenceResult{} },
 		book:             budget.NewBook(),
 		slices:           make(map[string]*slice),
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -34,6 +34,9 @@
 	unavailablePollInterval = 50 * time.Millisecond
 	// unknownRetryAfter is when callers may retry while the store is unavailable.
 	unknownRetryAfter = 100 * time.Millisecond
+	// overloadTTL is how long a log counts as overloaded after it has made this host call it less
+	// often: the time in which the rate of the host grows again by a share.
+	overloadTTL = time.Second
 	// sweepInterval is how often the host looks for unused parts of slices.
 	sweepInterval = 150 * time.Millisecond
 	// sliceIdleTimeout is the idle time after which the unused part of a slice is
@@ -89,6 +92,8 @@
 	pauses     pauseDetector
 	// answeredAt is when the log last answered, in Unix nanoseconds.
 	answeredAt atomic.Int64
+	// throttledAt is when the log last made this host call it less often, in Unix nanoseconds.
+	throttledAt atomic.Int64
 	// suspectedAt is when a slow read last made the host probe the log, in Unix
 	// nanoseconds.
 	suspectedAt atomic.Int64
@@ -114,6 +119,8 @@
 			_, isOther := s.preferredHost(part)
 			return !isOther
 		}
+		l.onThrottled = func() { s.throttledAt.Store(time.Now().UnixNano()) }
+		l.isOverloaded = func() bool { return time.Since(time.Unix(0, s.throttledAt.Load())) < overloadTTL }
 		l.isReader = func() bool { return s.isReader(part) }
 		l.availability.onAnswer = func() { s.answeredAt.Store(time.Now().UnixNano()) }
 		l.availability.hasAnsweredSince = func(t time.Time) bool { return p.LogAnsweredAt().After(t) }
--- a/internal/spending/settlement.go
+++ b/internal/spending/settlement.go
@@ -18,7 +18,11 @@
 	r.end()
 }
 
-// Settle implements gateway.Reservation. It fails at once while the log is unavailable.
+// errOverloaded says that the log has lately made this host call it less often.
+var errOverloaded = errors.New("shared log is called too often")
+
+// Settle implements gateway.Reservation. It fails at once while the log is unavailable or called
+// too often: claims of turns that wait go first, and the answer need not wait for them.
 func (r *reservation) Settle(ctx context.Context) error {
 	l := r.ledger
 	l.mu.Lock()
@@ -38,6 +42,10 @@
 			l.metrics.lateSettlements.Inc(1)
 			return errUnavailable
 		}
+		if l.isOverloaded() {
+			l.metrics.lateSettlements.Inc(1)
+			return errOverloaded
+		}
 		select {
 		case <-settled:
 		case <-ticker.C:
--- a/internal/spending/writer.go
+++ b/internal/spending/writer.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"yuccausher/internal/core/budget"
+	"yuccausher/internal/port"
 	"yuccausher/internal/tail"
 )
 
@@ -95,6 +96,9 @@
 		return
 	}
 	l.metrics.failures.Inc(1)
+	if port.IsThrottled(err) {
+		l.onThrottled()
+	}
 	l.log.V(1).Info("Append of claims failed; retrying.", "partition", l.partition.Part, "claims", len(batch), "cause", err.Error())
 	tail.Sleep(ctx, firstRetry)
 	l.requeue(batch, err)
@@ -112,6 +116,9 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
+	if isReleaseOnly(batch) {
+		callCtx = port.InBackground(callCtx)
+	}
 	started := time.Now()
 	appended := make(chan appendResult, 1)
 	go func() {
