--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -73,6 +73,8 @@
 	KeepsConversations bool
 	// Retention is how long a turn is stored after its end.
 	Retention time.Duration
+	// IsPublic means that the route's requests need no key of an organisation.
+	IsPublic bool
 }
 
 // IsIdempotent reports whether a request may run again after an unknown outcome.
@@ -137,6 +139,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Organisations are those whose callers have keys. If there are none, no key is required.
+	Organisations []Member
 }
 
 // Table is an immutable index of one version of the configuration.
@@ -145,6 +149,8 @@
 	Limits   Limits
 	byHost   map[string][]*Route
 	services map[string]*Service
+	// organisations is nil if the configuration has none.
+	organisations *organisations
 }
 
 // NewTable returns the table of a document.
@@ -154,6 +160,8 @@
 		Limits:   d.Limits,
 		byHost:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(d.Services)),
+
+		organisations: newOrganisations(d.Organisations),
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -27,6 +27,9 @@
 	// tableVersion is that of the configuration.
 	tableVersion int64
 	route        *route.Route
+	// organisation is that of the caller; nil on public routes and without organisations in the
+	// configuration.
+	organisation *route.Organisation
 	service      string
 	body         []byte
 	// prompt is the body sent to targets: the turns that the request continues,
