urgency, route: bands of priorities in engines

The priority of an organisation decides before the time left until a program is due, but engines tell only ten levels apart. Each of the different priorities of a configuration gets an equal range of them, within which the time left orders requests. With one priority the order is as before.

--- a/internal/core/route/organisation.go
+++ b/internal/core/route/organisation.go
@@ -29,21 +29,45 @@
 type organisations struct {
 	keys   *organisation.Keys[*Organisation]
 	byName map[string]*Organisation
-	faults []string
+	// priorities are the different priorities that requests may have, in ascending order.
+	priorities []int
+	faults     []string
 }
 
-// newOrganisations returns the index of some organisations, or nil if there are none.
-func newOrganisations(members []Member) *organisations {
-	if len(members) == 0 {
+// newOrganisations returns the index of the organisations of a document, or nil if there are none.
+func newOrganisations(d *Document) *organisations {
+	n := len(d.Organisations)
+	if n == 0 {
 		return nil
 	}
-	o := &organisations{keys: organisation.NewKeys[*Organisation](len(members)), byName: make(map[string]*Organisation, len(members))}
-	for i := range members {
-		o.add(&members[i])
+	o := &organisations{keys: organisation.NewKeys[*Organisation](n), byName: make(map[string]*Organisation, n)}
+	for i := range d.Organisations {
+		o.add(&d.Organisations[i])
 	}
+	o.priorities = o.prioritiesOn(d.Routes)
 	return o
 }
 
+// prioritiesOn returns the different priorities that requests on some routes may have, in ascending
+// order.
+func (o *organisations) prioritiesOn(routes []Route) []int {
+	var list []int
+	isRouteUsed := false
+	for _, member := range o.byName {
+		isRouteUsed = isRouteUsed || !member.HasPriority
+		if member.HasPriority {
+			list = append(list, member.Priority)
+		}
+	}
+	for i := range routes {
+		if isRouteUsed || routes[i].IsPublic {
+			list = append(list, routes[i].Priority)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // add adds an organisation. Several entries with one name are one organisation, for which the first
 // entry states the priority and the limit.
 func (o *organisations) add(m *Member) {
@@ -89,6 +113,16 @@
 	return o, ok
 }
 
+// PriorityRank returns the rank of a priority among the count different ones that requests may have, 0
+// for the most urgent. count is zero if the configuration has no organisations.
+func (t *Table) PriorityRank(priority int) (rank, count int) {
+	if t.organisations == nil {
+		return 0, 0
+	}
+	rank, _ = slices.BinarySearch(t.organisations.priorities, priority)
+	return rank, len(t.organisations.priorities)
+}
+
 // OrganisationCount returns the number of organisations.
 func (t *Table) OrganisationCount() int {
 	if t.organisations == nil {
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -161,7 +161,7 @@
 		byHost:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(d.Services)),
 
-		organisations: newOrganisations(d.Organisations),
+		organisations: newOrganisations(&d),
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
--- a/internal/core/urgency/urgency.go
+++ b/internal/core/urgency/urgency.go
@@ -44,3 +44,33 @@
 	}
 	return distantLevel
 }
+
+// levels is the number of levels that engines tell apart, from 0 on.
+const levels = 10
+
+// firstLevel and usedLevels are the range of the levels that LevelFor returns.
+const (
+	firstLevel = 2
+	usedLevels = int(Overdue) - firstLevel + 1
+)
+
+// Band is the range of levels of the requests with one priority. Requests of a more urgent band run
+// before all others at an engine; within a band, the level by the time left orders them.
+type Band struct {
+	// Rank is that of the priority among Count different ones, 0 for the most urgent. The zero
+	// Band means that there are no priorities.
+	Rank, Count int
+}
+
+// Level returns the level within the band for a level by the time left. Levels that the band is too
+// narrow to tell apart become one.
+func (b Band) Level(l Level) Level {
+	if b.Count <= 0 {
+		return l
+	}
+	rank := min(max(b.Rank, 0), b.Count-1)
+	first := rank * levels / b.Count
+	width := max((rank+1)*levels/b.Count-first, 1)
+	step := min(max(int(l)-firstLevel, 0), usedLevels-1)
+	return Level(first + step*width/usedLevels)
+}
