conversation: turns record the organisation that ran them

Hosts have to refuse turns of other organisations, so the record of a turn names its organisation in a new field.

--- a/internal/core/conversation/record.go
+++ b/internal/core/conversation/record.go
@@ -123,6 +123,8 @@
 		StartedMs: t.ChainStartedAt.UnixMilli(),
 		Input:     t.Input,
 		Output:    t.Output,
+
+		Organisation: []byte(t.Organisation),
 	}
 }
 
@@ -139,6 +141,7 @@
 		ID:             string(m.Id),
 		Previous:       string(m.Previous),
 		Program:        string(m.Program),
+		Organisation:   string(m.Organisation),
 		Partition:      partition,
 		EndedAt:        time.UnixMilli(m.EndedMs),
 		ChainStartedAt: time.UnixMilli(m.StartedMs),
--- a/internal/core/conversation/turn.go
+++ b/internal/core/conversation/turn.go
@@ -13,6 +13,8 @@
 	// contains all earlier turns.
 	Previous string
 	Program  string
+	// Organisation is the one whose caller ran the turn; empty if it is not known.
+	Organisation string
 	// Partition is the partition of the log that holds the turn's record.
 	Partition int
 	EndedAt   time.Time
@@ -29,7 +31,7 @@
 
 // Size returns the approximate memory of the turn, in bytes.
 func (t *Turn) Size() int {
-	return turnOverhead + len(t.ID) + len(t.Previous) + len(t.Program) + len(t.Input) + len(t.Output)
+	return turnOverhead + len(t.ID) + len(t.Previous) + len(t.Program) + len(t.Organisation) + len(t.Input) + len(t.Output)
 }
 
 // Chain is a turn and all turns that it continues, the oldest first.
@@ -38,6 +40,18 @@
 // Last returns the newest turn. The chain must not be empty.
 func (c Chain) Last() *Turn { return c[len(c)-1] }
 
+// IsOpenTo reports whether an organisation may continue the chain: no turn of it belongs to another
+// one. Turns whose organisation is not known, such as those of the earlier build, are open to all,
+// because refusing them would lose them.
+func (c Chain) IsOpenTo(organisation string) bool {
+	for _, t := range c {
+		if t.Organisation != "" && t.Organisation != organisation {
+			return false
+		}
+	}
+	return true
+}
+
 // Size returns the length of the chain's prompt, in bytes.
 func (c Chain) Size() int {
 	n := 0
