follow: log the organisations of a configuration that apply in part

A key of two organisations is refused and a name that occurs twice is one organisation. Operators see that in at most ten log lines for each version, which contain no keys.

--- a/internal/follow/configuration.go
+++ b/internal/follow/configuration.go
@@ -41,7 +41,19 @@
 		return
 	}
 	c.version.Update(float64(table.Version))
-	c.log.Info("Configuration was applied.", "version", table.Version, "routes", table.Len(), "offset", r.Offset)
+	c.log.Info("Configuration was applied.", "version", table.Version, "routes", table.Len(), "organisations", table.OrganisationCount(), "offset", r.Offset)
+	c.reportFaults(table)
+}
+
+// maxReportedFaults limits the log lines about one configuration.
+const maxReportedFaults = 10
+
+// reportFaults logs the organisations of a configuration that are applied only in part.
+func (c *configuration) reportFaults(table *route.Table) {
+	faults := table.OrganisationFaults()
+	for _, fault := range faults[:min(len(faults), maxReportedFaults)] {
+		c.log.Info("Organisation of the configuration is applied in part.", "version", table.Version, "fault", fault, "faults", len(faults))
+	}
 }
 
 func (c *configuration) afterRead(time.Time) {}
