gateway: callers identify themselves with keys of organisations

Configurations may have organisations, whose callers send a key. A request with an unknown key, with none, or with keys of several organisations gets 401 before its body is read, unless its route is public. Targets get the name of the organisation in place of the key, whatever the caller states. The priority of the organisation overrides that of the route in engines and under rate limits, and a turn of another organisation is answered like an unknown one.

internal/gateway, platform, core/{route,urgency,conversation}, conversation, handoverrpc, handover and follow pass with -race.

--- a/internal/adapter/handoverrpc/client.go
+++ b/internal/adapter/handoverrpc/client.go
@@ -50,7 +50,17 @@
 		return port.HandoverOffer{}, errors.Annotatef(err, "offer a request to host %s", host)
 	}
 	a := &answer{stream: stream, conn: conn, cancel: cancel, detach: detach, request: r}
-	head := &pb.RequestHead{Method: r.Method, Uri: r.URI, Host: r.Host, Fields: encodeFields(r.Header), From: c.Host, Recorded: r.IsRecorded, Attempts: int32(r.Attempts)}
+	head := &pb.RequestHead{
+		Method:       r.Method,
+		Uri:          r.URI,
+		Host:         r.Host,
+		Fields:       encodeFields(r.Header),
+		From:         c.Host,
+		Recorded:     r.IsRecorded,
+		Attempts:     int32(r.Attempts),
+		Identified:   r.IsIdentified,
+		Organisation: []byte(r.Organisation),
+	}
 	err = stream.Send(&pb.RequestPart{Head: head})
 	var first *pb.AnswerPart
 	if err == nil {
--- a/internal/adapter/handoverrpc/server.go
+++ b/internal/adapter/handoverrpc/server.go
@@ -38,7 +38,7 @@
 		return err
 	}
 	w := &answerWriter{stream: stream, header: make(http.Header)}
-	from := port.HandoverSender{Host: part.GetHead().GetFrom(), IsRecorded: part.GetHead().GetRecorded(), Attempts: int(max(part.GetHead().GetAttempts(), 0))}
+	from := decodeSender(part.GetHead())
 	if !serve(h.server, w, r, from) {
 		return errors.New("answer was broken off")
 	}
@@ -68,6 +68,16 @@
 	return pb.Decision_DECISION_LEAVING
 }
 
+func decodeSender(head *pb.RequestHead) port.HandoverSender {
+	return port.HandoverSender{
+		Host:         head.GetFrom(),
+		IsRecorded:   head.GetRecorded(),
+		Attempts:     int(max(head.GetAttempts(), 0)),
+		IsIdentified: head.GetIdentified(),
+		Organisation: string(head.GetOrganisation()),
+	}
+}
+
 func newRequest(ctx context.Context, head *pb.RequestHead, body io.Reader) (*http.Request, error) {
 	target, err := url.ParseRequestURI(head.GetUri())
 	if err != nil {
--- a/internal/gateway/conversation.go
+++ b/internal/gateway/conversation.go
@@ -47,6 +47,11 @@
 		j.refuseWithoutConversation(l.err)
 		return false
 	}
+	if j.isIdentified && !l.chain.IsOpenTo(j.organisationName()) {
+		j.g.metrics.deniedTurns.Inc(1)
+		j.refuseWithoutConversation(&DeniedTurnError{Turn: j.call.PreviousTurn})
+		return false
+	}
 	if !j.g.bodies.acquire(l.chain.Size()) {
 		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "bodies_full", retryAfter: fullRetryAfter})
 		return false
@@ -62,7 +67,8 @@
 // refuseWithoutConversation refuses a request whose earlier turns were not found.
 func (j *job) refuseWithoutConversation(err error) {
 	var unknown *UnknownTurnError
-	if errors.As(err, &unknown) {
+	var denied *DeniedTurnError
+	if errors.As(err, &unknown) || errors.As(err, &denied) {
 		j.refuse(refusal{status: http.StatusNotFound, reason: "unknown_turn", cause: err})
 		return
 	}
@@ -78,6 +84,15 @@
 	j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "turn_uncertain", cause: err, retryAfter: retryAfter})
 }
 
+// DeniedTurnError reports that a turn belongs to another organisation. Callers get the same answer as
+// for a turn that does not exist.
+type DeniedTurnError struct{ Turn string }
+
+// Error implements error.
+func (e *DeniedTurnError) Error() string {
+	return "turn " + e.Turn + " belongs to another organisation"
+}
+
 // maxTurnOutputBytes limits the stored output of a turn.
 const maxTurnOutputBytes = 4 << 20
 
@@ -128,10 +143,11 @@
 	settled := j.startSettlement(ctx)
 	started := time.Now()
 	err := j.g.conversations.Save(ctx, j.chain, conversation.Turn{
-		ID:      j.call.RequestID,
-		Program: j.call.Program,
-		Input:   bytes.Clone(j.body),
-		Output:  j.output,
+		ID:           j.call.RequestID,
+		Program:      j.call.Program,
+		Organisation: j.organisationName(),
+		Input:        bytes.Clone(j.body),
+		Output:       j.output,
 	})
 	since(&j.times.save, started)
 	if err != nil {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -12,7 +12,6 @@
 	"yuccausher/internal/core/occupancy"
 	"yuccausher/internal/core/reach"
 	"yuccausher/internal/core/route"
-	"yuccausher/internal/core/urgency"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/upstream"
 )
@@ -482,11 +481,8 @@
 }
 
 func (j *job) request(choice *fleet.Choice, now time.Time) upstream.Request {
-	d := Dispatch{TargetID: choice.ID, TimeLeft: j.deadline().Sub(now), ResumeAfter: j.lastEvent}
-	if j.route.Kind == route.Stream && j.call.HasFinish {
-		d.HasPriority = true
-		d.Priority = int(urgency.LevelFor(j.call.FinishIn - now.Sub(j.started)))
-	}
+	d := Dispatch{TargetID: choice.ID, TimeLeft: j.deadline().Sub(now), ResumeAfter: j.lastEvent, Identity: j.identity()}
+	j.setEnginePriority(&d, now.Sub(j.started))
 	h := j.g.protocol.DispatchHeader(j.r.Header, d)
 	return upstream.Request{Method: j.r.Method, URI: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.prompt}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -348,6 +348,10 @@
 		j.refuse(refusal{status: http.StatusNotFound, reason: "no_route"})
 		return
 	}
+	if !j.identify(table) {
+		return
+	}
+	j.band.Rank, j.band.Count = table.PriorityRank(j.priority())
 	if !j.readBody(table.Limits) {
 		return
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -44,6 +44,7 @@
 	// Resumes and ResumeAfter are those of a stream of which the caller has events; empty
 	// otherwise.
 	Resumes, ResumeAfter string
+	Identity
 }
 
 // ServeHandover answers a request that another host has handed over. It is not handed over
@@ -114,7 +115,7 @@
 }
 
 func (j *job) handoverRequest() port.HandoverRequest {
-	p := Progress{Elapsed: time.Since(j.started), TimeLeft: time.Until(j.deadline()), ResumeAfter: j.lastEvent}
+	p := Progress{Elapsed: time.Since(j.started), TimeLeft: time.Until(j.deadline()), ResumeAfter: j.lastEvent, Identity: j.identity()}
 	if p.ResumeAfter != "" && j.call.ResumeAfter == "" {
 		p.Resumes = j.call.RequestID
 	}
@@ -125,8 +126,10 @@
 		Header: j.g.protocol.HandoverHeader(j.r.Header, p),
 		Body:   j.body,
 
-		IsRecorded: j.isRecorded,
-		Attempts:   j.attempts(),
+		IsRecorded:   j.isRecorded,
+		Attempts:     j.attempts(),
+		IsIdentified: p.IsIdentified,
+		Organisation: p.Organisation,
 	}
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -10,6 +10,7 @@
 	"yuccausher/internal/core/conversation"
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
+	"yuccausher/internal/core/urgency"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/memory"
 	"yuccausher/internal/upstream"
@@ -30,8 +31,12 @@
 	// organisation is that of the caller; nil on public routes and without organisations in the
 	// configuration.
 	organisation *route.Organisation
-	service      string
-	body         []byte
+	// isIdentified is set if the caller's key, unless the route is public, was checked.
+	isIdentified bool
+	// band is that of the request's priority in engines.
+	band    urgency.Band
+	service string
+	body    []byte
 	// prompt is the body sent to targets: the turns that the request continues,
 	// followed by the caller's body.
 	prompt []byte
@@ -169,7 +174,7 @@
 	if j.choice != nil {
 		cost, before = j.choice.Cost, j.choice.InFlight
 	}
-	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "route", name,
+	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "organisation", j.organisationName(), "route", name,
 		"config", j.tableVersion, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target, "handed_to", j.handedTo, "handed_over_by", j.sender.Host,
 		"expected_ms", cost.Milliseconds(), "in_flight", before, "prompt_tokens", j.call.PromptTokens, "private_tokens", j.call.PrivateTokens,
 		"in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -40,10 +40,10 @@
 	}
 }
 
-// level returns the urgency of the request under rate limits: by its route, and behind
-// others of the route if its program is late already.
+// level returns the urgency of the request under rate limits: by its priority, and behind
+// others of that priority if its program is late already.
 func (j *job) level() int {
-	level := j.route.Priority
+	level := j.priority()
 	if j.call.HasFinish && j.call.FinishIn <= time.Since(j.started) {
 		level++
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,6 +40,8 @@
 	// lateSettlements counts answers that ended before the log counted what the turn had
 	// spent.
 	lateSettlements tally.Counter
+	// deniedTurns counts requests that named a turn of another organisation.
+	deniedTurns tally.Counter
 	// answersOverMemory counts how often the memory for answers was used up.
 	answersOverMemory tally.Counter
 }
@@ -61,6 +63,7 @@
 		leavingTargets:   scope.Counter("leaving_targets"),
 		lateSettlements:  scope.Counter("late_settlements"),
 
+		deniedTurns:       scope.Counter("denied_turns"),
 		answersOverMemory: scope.Counter("answers_over_memory"),
 	}
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -54,6 +54,17 @@
 	// ResumeAfter is the ID of the last event that the caller has received from an
 	// earlier run; empty for the first run.
 	ResumeAfter string
+	Identity
+}
+
+// Identity is what a host knows of the organisation that a request belongs to.
+type Identity struct {
+	// IsIdentified is set if the configuration has organisations, so that the host has checked
+	// the key unless the route is public. The key and what the caller states as its
+	// organisation are then not passed on.
+	IsIdentified bool
+	// Organisation is the name of the organisation; empty on public routes.
+	Organisation string
 }
 
 // Answer holds what the header of a target's answer states.
@@ -82,6 +93,8 @@
 type Protocol interface {
 	// ParseCall parses the header of a caller's request.
 	ParseCall(http.Header) Call
+	// ParseKeys returns the keys in the header of a caller's request, in order.
+	ParseKeys(http.Header) []string
 	// DispatchHeader returns the header to send to a target for the header of a
 	// caller's request.
 	DispatchHeader(http.Header, Dispatch) http.Header
--- a/internal/port/handover.go
+++ b/internal/port/handover.go
@@ -37,14 +37,20 @@
 	IsRecorded bool
 	// Attempts is how many targets have run the request that count as attempts.
 	Attempts int
+	// IsIdentified is set if the host has checked the caller's key, which is then not in Header.
+	// Organisation is the name of the one that the key belongs to; empty on public routes.
+	IsIdentified bool
+	Organisation string
 }
 
 // HandoverSender is the host that passes a request on.
 type HandoverSender struct {
 	Host string
-	// IsRecorded and Attempts are those of the request.
-	IsRecorded bool
-	Attempts   int
+	// IsRecorded, Attempts, IsIdentified and Organisation are those of the request.
+	IsRecorded   bool
+	Attempts     int
+	IsIdentified bool
+	Organisation string
 }
 
 // HandoverOffer is the result of asking a host to take a request. Answer is set if it does.
