--- a/internal/core/route/organisation.go
+++ b/internal/core/route/organisation.go
@@ -77,7 +77,9 @@
 	}
 	owner := o.byName[m.Name]
 	if owner == nil {
-		owner = &m.Organisation
+		// A pointer into m would keep its keys in memory.
+		copied := m.Organisation
+		owner = &copied
 		o.byName[m.Name] = owner
 	} else {
 		o.faults = append(o.faults, "organisation "+m.Name+" occurs several times: priority and limit of the first entry apply")
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -95,6 +95,11 @@
 }
 
 func newFixtureWithPlacement(t *testing.T, placement gateway.Placement) *fixture {
+	t.Helper()
+	return newFixtureWithLog(t, placement, logr.Discard(), tally.NoopScope)
+}
+
+func newFixtureWithLog(t *testing.T, placement gateway.Placement, log logr.Logger, scope tally.Scope) *fixture {
 	t.Helper()
 	s := &fixture{t: t, refreshTargets: func(context.Context) error { return nil }, tables: &route.Holder{}, fleet: fleet.New("here", 1), budgets: &budgets{}, turnStore: &turnStore{turns: make(map[string]conversation.Chain)}, replicas: make(map[string]*replica.Replica)}
 	pool := upstream.NewPool(tally.NoopScope)
@@ -115,8 +120,8 @@
 		Quarantine:     s.quarantine,
 		TargetsReadAt:  func() time.Time { return time.Now().Add(-s.viewAge) },
 		RefreshTargets: func(ctx context.Context) error { return s.refreshTargets(ctx) },
-		Log:            logr.Discard(),
-		Scope:          tally.NoopScope,
+		Log:            log,
+		Scope:          scope,
 	})
 	s.tables.StoreIfNewer(route.NewTable(document()))
 	s.server = httptest.NewServer(s.gateway)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -33,6 +33,8 @@
 	organisation *route.Organisation
 	// isIdentified is set if the caller's key, unless the route is public, was checked.
 	isIdentified bool
+	// organisationCount is the number of organisations in the configuration.
+	organisationCount int
 	// band is that of the request's priority in engines.
 	band    urgency.Band
 	service string
@@ -81,6 +83,8 @@
 	eventVersions []string
 	// headerSent is set once the header of an answer was sent to the caller.
 	headerSent bool
+	// isRefused is set if the host itself has made the answer and the request has not run.
+	isRefused bool
 
 	// Fields for the log line of the request.
 	// handedTo is the host that has taken the request.
@@ -131,6 +135,11 @@
 	return f.status == http.StatusServiceUnavailable || f.status == http.StatusTooManyRequests
 }
 
+// mayHaveRun reports whether a target may have run the request.
+func (f refusal) mayHaveRun() bool {
+	return f.status == http.StatusBadGateway || f.status == http.StatusGatewayTimeout
+}
+
 // refuse sends a refusal as the final answer.
 func (j *job) refuse(f refusal) {
 	retryAfter := time.Duration(-1)
@@ -145,7 +154,7 @@
 	j.w.WriteHeader(f.status)
 	// The caller may have disconnected, which the server notices by itself.
 	_, _ = j.w.Write([]byte(`{"error":"` + f.reason + `"}`))
-	j.headerSent = true
+	j.headerSent, j.isRefused = true, !f.mayHaveRun()
 	j.status = f.status
 	j.outcome = f.reason
 	j.cause = f.cause
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -44,6 +44,7 @@
 	deniedTurns tally.Counter
 	// answersOverMemory counts how often the memory for answers was used up.
 	answersOverMemory tally.Counter
+	organisations     *organisationMetrics
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -65,12 +66,16 @@
 
 		deniedTurns:       scope.Counter("denied_turns"),
 		answersOverMemory: scope.Counter("answers_over_memory"),
+		organisations:     newOrganisationMetrics(scope),
 	}
 }
 
 // recordRequest counts a request by its outcome and records its latency.
 func (m *metrics) recordRequest(j *job, total time.Duration) {
 	m.scope.Tagged(map[string]string{"outcome": j.outcome}).Counter("requests").Inc(1)
+	if j.isIdentified {
+		m.organisations.count(j.organisationName(), j.organisationCount, j.isRefused)
+	}
 	m.requestTime.RecordDuration(total)
 	if j.firstByte > 0 {
 		m.firstByte.RecordDuration(j.firstByte)
--- a/internal/gateway/organisation.go
+++ b/internal/gateway/organisation.go
@@ -29,6 +29,7 @@
 
 // identify finds the organisation of the request. It returns false after it has refused the request.
 func (j *job) identify(table *route.Table) bool {
+	j.organisationCount = table.OrganisationCount()
 	if j.sender.isHost && j.sender.IsIdentified {
 		return j.identifyBySender(table)
 	}
