organisations: tests of the index of keys, priorities, records and headers

Each guards against a failure: a key that leads to a wrong organisation, contradictory entries, keys in logs, spellings of header names that targets may mix up, requests of a less urgent organisation that run first, and turns without an owner that get lost.

--- a/internal/adapter/handoverrpc/handover_test.go
+++ b/internal/adapter/handoverrpc/handover_test.go
@@ -107,7 +107,7 @@
 		is.NoErr(http.NewResponseController(w).Flush())
 	}}
 	sent := request(body)
-	sent.IsRecorded, sent.Attempts = true, 1
+	sent.IsRecorded, sent.Attempts, sent.IsIdentified, sent.Organisation = true, 1, true, "o"
 	offer, err := newClient(t, s).Offer(t.Context(), "b", sent)
 	is.NoErr(err)
 	is.Equal(offer.Decision, port.HandoverTaken)
@@ -120,7 +120,7 @@
 	is.Equal(got, body)
 	offer.Answer.Close()
 	<-s.released
-	is.Equal(s.from, port.HandoverSender{Host: "a", IsRecorded: true, Attempts: 1})
+	is.Equal(s.from, port.HandoverSender{Host: "a", IsRecorded: true, Attempts: 1, IsIdentified: true, Organisation: "o"})
 }
 
 func TestAnswerWithoutABodyIsComplete(t *testing.T) {
--- a/internal/core/conversation/conversation_test.go
+++ b/internal/core/conversation/conversation_test.go
@@ -109,6 +109,30 @@
 	})
 }
 
+// A turn whose owner is not known, as the earlier build writes them, must not be lost, and a known
+// owner anywhere in the chain keeps others out.
+func TestChainIsOpenToItsOrganisation(t *testing.T) {
+	is := is.New(t)
+	chain := func(owners ...string) Chain {
+		var c Chain
+		for _, o := range owners {
+			c = append(c, &Turn{Organisation: o})
+		}
+		return c
+	}
+	is.True(chain("", "").IsOpenTo("a"))
+	is.True(chain("", "a").IsOpenTo("a"))
+	is.True(chain("a", "").IsOpenTo("a"))
+	is.True(!chain("", "a").IsOpenTo("b"))
+	is.True(!chain("a", "").IsOpenTo("b"))
+	is.True(!chain("a").IsOpenTo(""))
+	is.True(Chain(nil).IsOpenTo("a"))
+	// What is repeated or relocated keeps its owner.
+	next := chain("", "a").Next(Turn{ID: "n", Organisation: "a", Partition: 5}, epoch, time.Minute)
+	is.Equal(next.Organisation, "a")
+	is.Equal(Chain{next}.Relocate(&Turn{ID: "m", Previous: "n", Organisation: "a"}, 9).Organisation, "a")
+}
+
 // The decoder must return each turn complete although the records of turns are
 // interleaved, recorded twice, or mixed with records that can't be parsed.
 func TestDecoderAssemblesTurns(t *testing.T) {
@@ -120,7 +144,8 @@
 		for i := range rapid.IntRange(1, 6).Draw(t, "turns") {
 			turn := &Turn{
 				ID: fmt.Sprint("turn", i), Previous: rapid.SampledFrom([]string{"", "before"}).Draw(t, "previous"), Program: "p",
-				Partition: 2, EndedAt: epoch, ChainStartedAt: epoch.Add(-time.Second),
+				Organisation: rapid.SampledFrom([]string{"", "o"}).Draw(t, "organisation"),
+				Partition:    2, EndedAt: epoch, ChainStartedAt: epoch.Add(-time.Second),
 				Input:  rapid.SliceOfN(rapid.Byte(), 0, 500).Draw(t, "input"),
 				Output: rapid.SliceOfN(rapid.Byte(), 0, 500).Draw(t, "output"),
 			}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/juju/errors"
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
@@ -266,3 +268,25 @@
 		is.NoErr(b.Stop(context.Background()))
 	})
 }
+
+// Operators must learn which organisations a configuration applies in part, in a bounded number of
+// lines.
+func TestContradictoryOrganisationsAreLogged(t *testing.T) {
+	is := is.New(t)
+	var d route.Document
+	for range 2 * maxReportedFaults {
+		d.Organisations = append(d.Organisations, route.Member{Organisation: route.Organisation{Name: "a"}, Keys: []string{"secret"}})
+	}
+	d.Version = 1
+	var lines []string
+	c := configuration{
+		key:     "config",
+		decode:  func([]byte) (route.Document, error) { return d, nil },
+		tables:  &route.Holder{},
+		log:     funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{}),
+		version: tally.NoopScope.Gauge("version"),
+	}
+	c.apply(port.KeyedRecord{Key: "config"})
+	is.Equal(len(lines), 1+maxReportedFaults)
+	is.True(!strings.Contains(strings.Join(lines, " "), "secret"))
+}
