--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -10,6 +10,7 @@
 	"yuccausher/internal/core/conversation"
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
+	"yuccausher/internal/core/urgency"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/memory"
 	"yuccausher/internal/upstream"
@@ -27,8 +28,17 @@
 	// tableVersion is that of the configuration.
 	tableVersion int64
 	route        *route.Route
-	service      string
-	body         []byte
+	// organisation is that of the caller; nil on public routes and without organisations in the
+	// configuration.
+	organisation *route.Organisation
+	// isIdentified is set if the caller's key, unless the route is public, was checked.
+	isIdentified bool
+	// organisationCount is the number of organisations in the configuration.
+	organisationCount int
+	// band is that of the request's priority in engines.
+	band    urgency.Band
+	service string
+	body    []byte
 	// prompt is the body sent to targets: the turns that the request continues,
 	// followed by the caller's body.
 	prompt []byte
@@ -73,6 +83,8 @@
 	eventVersions []string
 	// headerSent is set once the header of an answer was sent to the caller.
 	headerSent bool
+	// isRefused is set if the host itself has made the answer and the request has not run.
+	isRefused bool
 
 	// Fields for the log line of the request.
 	// handedTo is the host that has taken the request.
@@ -123,6 +135,11 @@
 	return f.status == http.StatusServiceUnavailable || f.status == http.StatusTooManyRequests
 }
 
+// mayHaveRun reports whether a target may have run the request.
+func (f refusal) mayHaveRun() bool {
+	return f.status == http.StatusBadGateway || f.status == http.StatusGatewayTimeout
+}
+
 // refuse sends a refusal as the final answer.
 func (j *job) refuse(f refusal) {
 	retryAfter := time.Duration(-1)
@@ -137,7 +154,7 @@
 	j.w.WriteHeader(f.status)
 	// The caller may have disconnected, which the server notices by itself.
 	_, _ = j.w.Write([]byte(`{"error":"` + f.reason + `"}`))
-	j.headerSent = true
+	j.headerSent, j.isRefused = true, !f.mayHaveRun()
 	j.status = f.status
 	j.outcome = f.reason
 	j.cause = f.cause
@@ -166,7 +183,7 @@
 	if j.choice != nil {
 		cost, before = j.choice.Cost, j.choice.InFlight
 	}
-	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "route", name,
+	j.g.log.Info("Request ended.", "request", j.call.RequestID, "program", j.call.Program, "organisation", j.organisationName(), "route", name,
 		"config", j.tableVersion, "targets_age_ms", j.g.targetsAge().Milliseconds(), "target", j.target, "handed_to", j.handedTo, "handed_over_by", j.sender.Host,
 		"expected_ms", cost.Milliseconds(), "in_flight", before, "prompt_tokens", j.call.PromptTokens, "private_tokens", j.call.PrivateTokens,
 		"in_progress", j.place.InProgress, "asked", j.place.Asked, "finish_in_ms", j.call.FinishIn.Milliseconds(), "status", j.status, "outcome", j.outcome,
