--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -352,7 +352,7 @@
 		return
 	}
 	since(&j.times.body, j.started)
-	defer g.bodies.release(len(j.body))
+	defer g.bodies.release(j.bodyHeld)
 	j.serve(table)
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -29,6 +29,8 @@
 	route        *route.Route
 	service      string
 	body         []byte
+	// bodyHeld is what body takes of the budget for bodies.
+	bodyHeld int
 	// prompt is the body sent to targets: the turns that the request continues,
 	// followed by the caller's body.
 	prompt []byte
