connlimit: bound the connections and unfinished requests of clients

Callers saw: a crowd that opens connections, or sends heads, trailers or messages between hosts without end, took all descriptors (954 of 300) and, at the port between hosts, up to 1,024 MB of 112.

Cause: no listener had a limit on its connections, and nothing counted over all connections what clients send before it is a request. net/http bounds each head by itself (64 KB, 500 fields) and answers empty lines with 400; drpc buffers up to 4 MB of each unfinished message, twice and more while the buffer grows. Requests to the ready and metrics ports, and requests without a route, could take forever to arrive.

Change: all listeners accept through connlimit.Listener. It counts connections, bytes of unfinished heads, and bytes of unfinished drpc messages against budgets that follow from limits.ram_mb and limits.max_fds. Over a budget it closes the connection that has waited for its client for longest, those without a request so far first; if all connections are being answered, a new caller gets 503. Probes have 10 s and callers' requests without a route 30 s to arrive.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -141,6 +141,7 @@
 		RecordBytes:    platformSettings.Store.RecordBytes,
 		CallBytes:      platformSettings.Store.CallBytes,
 		MemoryBytes:    platformSettings.MemoryBytes,
+		MaxDescriptors: platformSettings.MaxDescriptors,
 		Seed:           rand.Uint64(),
 		Logger:         logger,
 		Platform: front.Platform{
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -90,6 +90,8 @@
 	RecordBytes, CallBytes int
 	// MemoryBytes is the host's memory; zero if unknown.
 	MemoryBytes int64
+	// MaxDescriptors is how many descriptors the host may have open; zero if unknown.
+	MaxDescriptors int
 	// Seed determines the choice between equivalent targets.
 	Seed     uint64
 	Platform Platform
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -9,10 +9,12 @@
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
 	"yuccausher/internal/adapter/budgetrpc"
 	"yuccausher/internal/adapter/metrics"
+	"yuccausher/internal/connlimit"
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/gateway"
@@ -31,6 +33,11 @@
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes limits a request's header before the operators' limit is checked.
 	maxHeaderBytes = 64 << 10
+	// bodyTimeout limits the time to receive a request of a caller before its route's timeout is
+	// known. It is the timeout of routes without one.
+	bodyTimeout = 30 * time.Second
+	// probeTimeout limits the time to receive a probe and to write its answer.
+	probeTimeout = 10 * time.Second
 	// sweepInterval is how often idle connections are swept.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -44,19 +51,26 @@
 	fleet      *fleet.Fleet
 	pool       *upstream.Pool
 	peerServer *budgetrpc.Server
+	scope      tally.Scope
 	log        logr.Logger
 	// callers is the server for callers. It is also in httpServers.
 	callers *http.Server
 	// callerListener accepts the connections of callers.
 	callerListener net.Listener
 	httpServers    []httpServer
+	peerLimits     connlimit.Limits
 	ready          atomic.Bool
 	stop           context.CancelFunc
 }
 
+// httpServer is a server, with the name of its port and the limits of its connections.
 type httpServer struct {
 	server  *http.Server
+	port    string
 	address string
+	limits  connlimit.Limits
+	// refusal is written to connections that are refused.
+	refusal []byte
 }
 
 type serverParams struct {
@@ -71,6 +85,7 @@
 	Pool       *upstream.Pool
 	PeerServer *budgetrpc.Server
 	Metrics    *metrics.Metrics
+	Scope      tally.Scope
 }
 
 func newServers(p serverParams) *servers {
@@ -82,29 +97,45 @@
 		fleet:      p.Fleet,
 		pool:       p.Pool,
 		peerServer: p.PeerServer,
+		scope:      p.Scope,
 		log:        p.Options.Logger.WithName("front"),
 	}
 	probes := http.NewServeMux()
 	probes.HandleFunc(p.Options.Platform.ReadyPath, s.handleReady)
-	s.callers = s.add(p.Options.CallerAddress, p.Gateway)
-	s.add(p.Options.ReadyAddress, probes)
+	budget := connlimit.NewBudget(p.Options.MemoryBytes, p.Options.MaxDescriptors)
+	s.peerLimits = budget.Peers
+	s.callers = s.add(httpServer{port: "callers", address: p.Options.CallerAddress, limits: budget.Callers, refusal: refusedConnection}, p.Gateway)
+	s.callers.ReadTimeout = bodyTimeout
+	s.addProbes(httpServer{port: "ready", address: p.Options.ReadyAddress, limits: budget.Probes}, probes)
 	if p.Options.MetricsAddress != "" {
 		mux := http.NewServeMux()
 		mux.Handle("/metrics", p.Metrics.Handler)
-		s.add(p.Options.MetricsAddress, mux)
+		s.addProbes(httpServer{port: "metrics", address: p.Options.MetricsAddress, limits: budget.Probes}, mux)
 	}
 	p.Lifecycle.Append(fx.Hook{OnStart: s.start, OnStop: s.close})
 	return s
 }
 
-func (s *servers) add(address string, h http.Handler) *http.Server {
+// refusedConnection is sent on connections that are closed at once because all others are in use.
+// Nothing of a request has been read, so that it has not run.
+var refusedConnection = []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n")
+
+// addProbes adds a server for requests that are short and have no body.
+func (s *servers) addProbes(v httpServer, h http.Handler) {
+	server := s.add(v, h)
+	server.ReadTimeout, server.WriteTimeout = probeTimeout, probeTimeout
+}
+
+func (s *servers) add(v httpServer, h http.Handler) *http.Server {
 	server := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	s.httpServers = append(s.httpServers, httpServer{address: address, server: server})
+	connlimit.Configure(server)
+	v.server = server
+	s.httpServers = append(s.httpServers, v)
 	return server
 }
 
@@ -118,8 +149,9 @@
 		if v.server == s.callers {
 			s.callerListener = l
 		}
+		limited := s.limit(l, v.port, v.limits, v.refusal)
 		go func() {
-			err := v.server.Serve(l)
+			err := v.server.Serve(limited)
 			isClosed := errors.Is(err, http.ErrServerClosed) || v.server == s.callers && s.readiness.leaving.Load()
 			if !isClosed {
 				s.log.Error(err, "HTTP server failed.", "address", v.address)
@@ -133,7 +165,7 @@
 		return errors.Annotatef(err, "listen at %s", s.options.PeerAddress)
 	}
 	go func() {
-		if err := s.peerServer.Serve(run, l); err != nil && run.Err() == nil {
+		if err := s.peerServer.Serve(run, s.limit(l, "peers", s.peerLimits, nil).Framed()); err != nil && run.Err() == nil {
 			s.log.Error(err, "Server for other hosts failed.", "address", s.options.PeerAddress)
 		}
 	}()
@@ -141,6 +173,11 @@
 	return nil
 }
 
+// limit returns l with limits on its connections.
+func (s *servers) limit(l net.Listener, port string, limits connlimit.Limits, refusal []byte) *connlimit.Listener {
+	return connlimit.Listen(l, connlimit.Options{Port: port, Limits: limits, Refusal: refusal, Logger: s.log, Scope: s.scope})
+}
+
 func (s *servers) close(context.Context) error {
 	s.stop()
 	for _, v := range s.httpServers {
