violations: two attacks against a host of the users' smallest size

2,000 clients with 4,000 connections against 112 MB and 3,075 descriptors: bodies that never end, which exceed the memory before the descriptors, and messages between hosts that never end. The crowd and the bounds of the other tests are unchanged.

--- a/internal/violations/host_test.go
+++ b/internal/violations/host_test.go
@@ -26,6 +26,8 @@
 	hostMegabytes = 112
 	// maxDescriptors is the settings' limit of descriptors, lowered so that a small crowd exceeds it.
 	maxDescriptors = 500
+	// fullDescriptors is the limit of descriptors of the smallest host of the users.
+	fullDescriptors = 3075
 	// reservedDescriptors of them are the platform's.
 	reservedDescriptors = 200
 	// headerBytes and bodyBytes are the limits of the test's configuration; the first is the users'.
@@ -70,11 +72,14 @@
 	log     string
 	// The addresses of the ports, all IP:PORT.
 	callers, ready, metrics, peers string
+	// maxDescriptors is the settings' limit.
+	maxDescriptors int
 	// descriptors is the largest number of open descriptors that was seen.
 	descriptors int
 }
 
-func startHost(t *testing.T) *host {
+// startHost starts a process whose settings allow it so many descriptors.
+func startHost(t *testing.T, descriptors int) *host {
 	t.Helper()
 	store := metastore.New()
 	server := httptest.NewServer(store.Handler())
@@ -100,13 +105,13 @@
 			}
 		}
 	}()
-	h := &host{t: t, ended: make(chan struct{}), callers: testutil.FreeAddress(t), ready: testutil.FreeAddress(t), metrics: testutil.FreeAddress(t), peers: testutil.FreeAddress(t)}
+	h := &host{t: t, maxDescriptors: descriptors, ended: make(chan struct{}), callers: testutil.FreeAddress(t), ready: testutil.FreeAddress(t), metrics: testutil.FreeAddress(t), peers: testutil.FreeAddress(t)}
 	peerPort := port(h.peers)
 	settings, err := json.Marshal(map[string]any{
 		"node": "host-1", "ip": "127.0.0.1", "zone": "here", "zones": map[string]string{"here": "region"},
 		"listen":       map[string]string{"front": h.callers, "ready": h.ready},
 		"port_range":   []int{peerPort, peerPort},
-		"limits":       map[string]int{"ram_mb": hostMegabytes, "max_fds": maxDescriptors},
+		"limits":       map[string]int{"ram_mb": hostMegabytes, "max_fds": descriptors},
 		"heartbeat_ms": heartbeat.Milliseconds(),
 		"bounds":       map[string]int{"drain_ms": 1500, "grace_s": 5},
 		"platform":     map[string]any{"addr": server.Listener.Addr().String(), "form": "log", "parts": 4, "retention_s": 300, "record_bytes": 1 << 18, "call_bytes": 1 << 21},
--- a/internal/violations/violations_test.go
+++ b/internal/violations/violations_test.go
@@ -15,6 +15,8 @@
 const (
 	// crowd is the number of clients. It is above the descriptors that the host may use.
 	crowd = 400
+	// fullCrowd is the number of clients that a host with fullDescriptors meets.
+	fullCrowd = 2000
 	// rounds is how many connections each client opens, one after the other. It leaves all open.
 	rounds = 2
 	// endlessBytes is what a client sends of something without end, on one connection. It is above
@@ -40,6 +42,9 @@
 	chunkedHead = postLine + "Transfer-Encoding: chunked\r\n\r\n"
 )
 
+// heldBody is a body without its last byte.
+var heldBody = strings.Repeat("x", bodyBytes-1)
+
 // endless sends head and then unit until it has sent endlessBytes.
 func endless(head, unit string) attack {
 	data := []byte(strings.Repeat(unit, 1+(16<<10)/len(unit)))
@@ -82,7 +87,7 @@
 	}
 	for _, name := range []string{"callers", "ready", "metrics", "peers"} {
 		t.Run(name, func(t *testing.T) {
-			h := startHost(t)
+			h := startHost(t, maxDescriptors)
 			address, path := h.callers, "/lookup/x"
 			switch name {
 			case "ready":
@@ -92,18 +97,19 @@
 			case "peers":
 				address, path = h.peers, "/"
 			}
-			playAt(t, h, address, path, a)
+			playAt(t, h, crowd, address, path, a)
 		})
 	}
 }
 
-func playAt(t *testing.T, h *host, address, path string, a attack) {
+// playAt lets a number of clients loose on one port.
+func playAt(t *testing.T, h *host, clients int, address, path string, a attack) {
 	t.Helper()
 	stop := make(chan struct{})
 	var watching sync.WaitGroup
 	watching.Go(func() { h.watch(stop) })
 	var sending sync.WaitGroup
-	for range crowd {
+	for range clients {
 		sending.Go(func() {
 			for range rounds {
 				dialer := net.Dialer{Timeout: writePatience}
@@ -130,8 +136,8 @@
 	if peak > hostMegabytes<<20 {
 		t.Errorf("the process used %d MB of %d", peak>>20, hostMegabytes)
 	}
-	if h.descriptors > maxDescriptors-reservedDescriptors {
-		t.Errorf("the process had %d descriptors open of %d", h.descriptors, maxDescriptors-reservedDescriptors)
+	if h.descriptors > h.maxDescriptors-reservedDescriptors {
+		t.Errorf("the process had %d descriptors open of %d", h.descriptors, h.maxDescriptors-reservedDescriptors)
 	}
 }
 
@@ -179,11 +185,20 @@
 }
 
 // Guards against bodies within the limit whose last byte never comes.
-func TestHeldBodies(t *testing.T) {
-	body := strings.Repeat("x", bodyBytes-1)
-	play(t, func(c net.Conn, path string) {
-		_, _ = fmt.Fprintf(c, postLine+"Content-Length: %d\r\n\r\n%s", path, bodyBytes, body)
-	})
+func TestHeldBodies(t *testing.T) { play(t, holdBody) }
+
+// Guards against the same on a host whose descriptors allow more connections, each with a part of a
+// body, than its memory.
+func TestHeldBodiesAtFullSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	h := startHost(t, fullDescriptors)
+	playAt(t, h, fullCrowd, h.callers, "/lookup/x", holdBody)
+}
+
+func holdBody(c net.Conn, path string) {
+	_, _ = fmt.Fprintf(c, postLine+"Content-Length: %d\r\n\r\n%s", path, bodyBytes, heldBody)
 }
 
 // Guards against an extension of a chunk without end.
@@ -228,14 +243,28 @@
 	})
 }
 
+// endlessMessage is a frame of drpc that announces four times endlessBytes, and these.
+func endlessMessage() attack {
+	// Kind and flags, stream, message and length, all numbers of variable length.
+	const kindMessage = 2 << 1
+	return endless(string(append([]byte{kindMessage, 1, 1}, encoding.AppendUvarint(nil, 4*endlessBytes)...)), "x")
+}
+
 // Guards against messages between hosts that are announced, sent in part, and never end.
 func TestEndlessMessageBetweenHosts(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	// A frame of drpc: kind and flags, stream, message and length, all variable-length numbers.
-	const kindMessage = 2 << 1
-	head := append([]byte{kindMessage, 1, 1}, encoding.AppendUvarint(nil, 4*endlessBytes)...)
-	h := startHost(t)
-	playAt(t, h, h.peers, "", endless(string(head), "x"))
+	h := startHost(t, maxDescriptors)
+	playAt(t, h, crowd, h.peers, "", endlessMessage())
+}
+
+// Guards against the same from a crowd whose messages come faster than the memory of closed
+// connections becomes free.
+func TestEndlessMessageBetweenHostsAtFullSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	h := startHost(t, fullDescriptors)
+	playAt(t, h, fullCrowd, h.peers, "", endlessMessage())
 }
