--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -39,6 +39,8 @@
 	band    urgency.Band
 	service string
 	body    []byte
+	// bodyHeld is what body takes of the budget for bodies.
+	bodyHeld int
 	// prompt is the body sent to targets: the turns that the request continues,
 	// followed by the caller's body.
 	prompt []byte
