gateway: requests that wait for full targets wait in order

While all targets of a service are full, every waiting request of a host tried again every 25 ms, so that an organisation at many times its usual load got the room. In configurations with organisations they wait in a queue: by priority, then the organisation with the least load, begun programs, and the time that is left. A request that would be late is refused at once with the time at which there is room. The queue is bounded by requests and bytes, and requests leave it with their callers.

internal/core/waitqueue and the new tests of internal/gateway pass with -race.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -51,6 +51,10 @@
 func (j *job) dispatchUntilAnswered(ctx context.Context) {
 	// An aborted answer leaves the loop by a panic.
 	defer j.finishPlace(occupancy.Inconclusive)
+	defer j.endTurn()
+	if j.mayQueue() && !j.takeTurn(ctx, false) {
+		return
+	}
 	for {
 		if j.g.quarantine.IsQuarantined(j.fingerprint) {
 			j.finishQuarantined(ctx)
@@ -258,6 +262,10 @@
 		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targets_full", retryAfter: fullRetryAfter})
 		return false
 	}
+	if j.mayQueue() {
+		j.excluded = j.excluded[:0]
+		return j.takeTurn(ctx, true)
+	}
 	defer since(&j.times.wait, time.Now())
 	timer := time.NewTimer(fullRetryInterval)
 	defer timer.Stop()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -264,6 +264,9 @@
 	// answers is the memory for what targets have sent and callers have not got yet.
 	answers *memory.Budget
 
+	// waiting holds the requests that wait for targets, in configurations with organisations.
+	waiting *waitingRooms
+
 	silentRetries *silentRetryBudget
 	stopping      stopping
 }
@@ -287,6 +290,7 @@
 		metrics:        newMetrics(p.Scope.SubScope("gateway")),
 		silentRetries:  newSilentRetryBudget(),
 		answers:        memory.NewBudget(maxTotalAnswerBytes),
+		waiting:        newWaitingRooms(p.Fleet.Available),
 	}
 	p.Pool.SetMemory(g.answers)
 	g.stopping.givenUp, g.stopping.giveUp = context.WithCancel(context.Background())
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -11,6 +11,7 @@
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/core/urgency"
+	"yuccausher/internal/core/waitqueue"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/memory"
 	"yuccausher/internal/upstream"
@@ -54,6 +55,11 @@
 	reservation Reservation
 	eventTokens int64
 
+	// queued is the request in the queue of its service; nil if it has not been there. hasTurn is set
+	// while it counts as in progress there.
+	queued  *waitqueue.Request
+	hasTurn bool
+
 	// denials counts how often rate limits left no room at a target.
 	denials int
 	// excluded lists the targets that are excluded from further attempts.
