--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -10,8 +10,9 @@
 	"yuccausher/internal/core/waitqueue"
 )
 
-// waitLimits bounds the requests that wait for one service. Each takes about 50 KB beside its body, and
-// the bodies a quarter of those of all requests.
+// waitLimits bounds the requests that wait for one service. The design load is some ten requests a
+// second per host, so that 256 are more than can be served within any objective; their prompts get a
+// quarter of the memory for bodies.
 var waitLimits = waitqueue.Limits{Requests: 256, Bytes: maxTotalBodyBytes / 4}
 
 // waitingRooms hold the requests that wait for services whose targets are full, in configurations with
