--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -45,6 +45,8 @@
 		StopTime:       8 * time.Second,
 		Retention:      time.Minute,
 		Partitions:     8,
+		RecordBytes:    64 << 10,
+		CallBytes:      256 << 10,
 		Logger:         logr.Discard(),
 		Platform: Platform{
 			Log:                 client,
