--- a/internal/core/conversation/conversation_test.go
+++ b/internal/core/conversation/conversation_test.go
@@ -6,9 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	wire "yuccausher/internal/gen/conversation"
 	_ "yuccausher/internal/testutil"
 )
 
@@ -243,3 +246,16 @@
 	unavailable.Answered(at(2000))
 	is.True(!unavailable.IsUnavailable(at(9000)))
 }
+
+// Records of the earlier build have no organisation. A decoder that refused them would lose the turns.
+func TestRecordOfTheEarlierBuild(t *testing.T) {
+	is := is.New(t)
+	data, err := proto.Marshal(&wire.Turn{Id: []byte("t"), Program: []byte("p"), Input: []byte("in")})
+	is.NoErr(err)
+	record, err := proto.Marshal(&wire.Fragment{Checksum: xxhash.Sum64(data), Count: 1, Data: data})
+	is.NoErr(err)
+	got, err := NewDecoder(2).Decode(record)
+	is.NoErr(err)
+	is.Equal(got.Organisation, "")
+	is.True(Chain{got}.IsOpenTo("any"))
+}
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"yuccausher/internal/core/waitqueue"
 )
 
@@ -178,7 +180,7 @@
 	j.endTurn()
 	t, o := j.g.waiting.enter(j.service, j.queued, mustWait)
 	if o.IsRefused {
-		j.refuseFull(o.RetryAfter)
+		j.refuseFull(o.RetryAfter, errNotQueued)
 		return false
 	}
 	j.hasTurn = true
@@ -194,7 +196,7 @@
 		select {
 		case j.hasTurn = <-t.ended:
 			if !j.hasTurn {
-				j.refuseFull(fullRetryAfter)
+				j.refuseFull(fullRetryAfter, errDisplaced)
 			}
 			return j.hasTurn
 		case <-check.C:
@@ -213,13 +215,13 @@
 		case <-due.C:
 			if wait, ok := j.g.waiting.leave(j.service, j.queued, false); ok {
 				j.hasTurn = false
-				j.refuseFull(wait)
+				j.refuseFull(wait, errWaited)
 				return false
 			}
 		}
 		// The wait has just ended, and its end is in the channel.
 		if j.hasTurn = <-t.ended; !j.hasTurn {
-			j.refuseFull(fullRetryAfter)
+			j.refuseFull(fullRetryAfter, errDisplaced)
 		}
 		return j.hasTurn
 	}
@@ -249,9 +251,19 @@
 // about later.
 const maxFullRetryAfter = 10 * time.Second
 
+var (
+	// errNotQueued reports that a request was refused because it would have waited beyond its
+	// objective, or the queue was full of requests before it.
+	errNotQueued = errors.New("request would wait too long for full targets")
+	// errDisplaced reports that a request had to leave the queue for others before it.
+	errDisplaced = errors.New("request was displaced by others that wait for full targets")
+	// errWaited reports that a request has waited until its objective.
+	errWaited = errors.New("request has waited too long for full targets")
+)
+
 // refuseFull refuses a request for which there is room after a time.
-func (j *job) refuseFull(wait time.Duration) {
+func (j *job) refuseFull(wait time.Duration, cause error) {
 	// The jitter spreads callers that were refused at the same time.
 	retryAfter := time.Duration((1 + rand.Float64()/4) * float64(max(wait, fullRetryAfter)))
-	j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targets_full", retryAfter: min(retryAfter, maxFullRetryAfter)})
+	j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targets_full", cause: cause, retryAfter: min(retryAfter, maxFullRetryAfter)})
 }
