--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -293,7 +293,7 @@
 		bodies:         newBodyBudget(p.BodyBytes),
 		silentRetries:  newSilentRetryBudget(),
 		answers:        memory.NewBudget(maxTotalAnswerBytes),
-		waiting:        newWaitingRooms(p.Fleet.Available),
+		waiting:        newWaitingRooms(p.Fleet.Available, newBodyBudget(p.BodyBytes).limit),
 	}
 	p.Pool.SetMemory(g.answers)
 	g.stopping.givenUp, g.stopping.giveUp = context.WithCancel(context.Background())
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -12,16 +12,19 @@
 	"yuccausher/internal/core/waitqueue"
 )
 
-// waitLimits bounds the requests that wait for one service. The design load is some ten requests a
-// second per host, so that 256 are more than can be served within any objective; their prompts get a
-// quarter of the memory for bodies.
-var waitLimits = waitqueue.Limits{Requests: 256, Bytes: maxTotalBodyBytes / 4}
+// maxWaiting bounds the requests that wait for one service. The design load is some ten requests a
+// second per host, so that 256 are more than can be served within any objective.
+const maxWaiting = 256
+
+// waitingBodyShare is the share of the memory for bodies that waiting requests may take.
+const waitingBodyShare = 4
 
 // waitingRooms hold the requests that wait for services whose targets are full, in configurations with
 // organisations.
 type waitingRooms struct {
 	// available returns how many targets of a service may get a request.
 	available func(service string, now time.Time) int
+	limits    waitqueue.Limits
 
 	mu    sync.Mutex
 	rooms map[string]*waitingRoom
@@ -41,8 +44,10 @@
 	ended chan bool
 }
 
-func newWaitingRooms(available func(string, time.Time) int) *waitingRooms {
-	return &waitingRooms{available: available, rooms: make(map[string]*waitingRoom)}
+// newWaitingRooms returns queues whose requests hold at most a share of bodyBytes.
+func newWaitingRooms(available func(string, time.Time) int, bodyBytes int64) *waitingRooms {
+	limits := waitqueue.Limits{Requests: maxWaiting, Bytes: int(bodyBytes / waitingBodyShare)}
+	return &waitingRooms{available: available, limits: limits, rooms: make(map[string]*waitingRoom)}
 }
 
 // enter lets a request go on if none waits for its service, and adds it to the queue otherwise. The
@@ -52,7 +57,7 @@
 	defer w.mu.Unlock()
 	room := w.rooms[service]
 	if room == nil {
-		room = &waitingRoom{queue: waitqueue.New(waitLimits), tickets: make(map[*waitqueue.Request]*ticket)}
+		room = &waitingRoom{queue: waitqueue.New(w.limits), tickets: make(map[*waitqueue.Request]*ticket)}
 		w.rooms[service] = room
 	}
 	if room.queue.Len() == 0 && !mustWait {
