spending: the host that asked frees a claim whose host ended before it answered

Cause: the preferred host claims a reservation under its own writer. If it is killed between the claim and the answer, nobody can lower that claim: 572 of 900 tokens stayed claimed for a turn that never ran, and the program was refused for good.

Change: the asking host names a fresh writer for each reservation, its account. The asked host claims the reservation under it, except while a budget has room for 16 turns. The asking host ends an account that it was not answered for by a settled claim with a sequence number above all others, so that late appends are stale and repeated ones change nothing. The claim travels like a loan: with the next request, in notes to the partition's readers until one has read it in the log, and ahead of the next claims of the program in the same append. A turn that outlives its lender ends the same way, also if the lender does not come back.

--- a/internal/adapter/budgetrpc/client.go
+++ b/internal/adapter/budgetrpc/client.go
@@ -96,6 +96,7 @@
 	defer conn.Close()
 	request := &spending.ReserveRequest{
 		Reservation: r.Reservation,
+		Account:     r.Account,
 		Program:     []byte(r.Program),
 		Budget:      r.Budget,
 		Most:        r.MaxTokens,
@@ -111,7 +112,7 @@
 	if err != nil {
 		return port.LendAnswer{}, errors.Annotatef(err, "reserve at host %s", host)
 	}
-	answer := port.LendAnswer{Decision: port.LendBusy, Loans: decodeLoans(reply.Loans), Writer: reply.Writer}
+	answer := port.LendAnswer{Decision: port.LendBusy, Loans: decodeLoans(reply.Loans), Writer: reply.Writer, Account: reply.Account}
 	switch reply.Decision {
 	case spending.Decision_DECISION_GRANTED:
 		answer.Decision = port.LendGranted
@@ -138,19 +139,22 @@
 }
 
 // Note implements port.BudgetPeers.
-func (c *Client) Note(ctx context.Context, host string, n port.BudgetNote) error {
+func (c *Client) Note(ctx context.Context, host string, n port.BudgetNote) (bool, error) {
 	conn, err := c.Connect(ctx, host)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer conn.Close()
-	_, err = spending.NewDRPCBudgetsClient(conn).Note(ctx, &spending.NoteRequest{
+	reply, err := spending.NewDRPCBudgetsClient(conn).Note(ctx, &spending.NoteRequest{
 		Program: []byte(n.Program),
 		Loans:   encodeLoans(n.Loans),
 		Claimed: n.Claimed,
 		Offset:  n.Offset,
 	})
-	return errors.Annotatef(err, "note at host %s", host)
+	if err != nil {
+		return false, errors.Annotatef(err, "note at host %s", host)
+	}
+	return reply.Recorded, nil
 }
 
 // Fence implements port.BudgetPeers.
--- a/internal/adapter/budgetrpc/server.go
+++ b/internal/adapter/budgetrpc/server.go
@@ -48,6 +48,7 @@
 func (h *handler) Reserve(ctx context.Context, r *spending.ReserveRequest) (*spending.ReserveReply, error) {
 	request := port.LendRequest{
 		Reservation: r.Reservation,
+		Account:     r.Account,
 		Program:     string(r.Program),
 		Budget:      r.Budget,
 		MaxTokens:   r.Most,
@@ -61,7 +62,7 @@
 		request.FoundAt = time.Now().Add(-age - maxTransit)
 	}
 	answer := h.budgets.Lend(ctx, request)
-	reply := &spending.ReserveReply{Loans: encodeLoans(answer.Loans), Writer: answer.Writer}
+	reply := &spending.ReserveReply{Loans: encodeLoans(answer.Loans), Writer: answer.Writer, Account: answer.Account}
 	switch answer.Decision {
 	case port.LendGranted:
 		reply.Decision = spending.Decision_DECISION_GRANTED
@@ -95,6 +96,6 @@
 
 // Note implements spending.DRPCBudgetsServer.
 func (h *handler) Note(_ context.Context, r *spending.NoteRequest) (*spending.NoteReply, error) {
-	h.budgets.Note(port.BudgetNote{Program: string(r.Program), Loans: decodeLoans(r.Loans), Claimed: r.Claimed, Offset: r.Offset})
-	return &spending.NoteReply{}, nil
+	isRecorded := h.budgets.Note(port.BudgetNote{Program: string(r.Program), Loans: decodeLoans(r.Loans), Claimed: r.Claimed, Offset: r.Offset})
+	return &spending.NoteReply{Recorded: isRecorded}, nil
 }
--- a/internal/core/budget/loans.go
+++ b/internal/core/budget/loans.go
@@ -18,19 +18,22 @@
 func NewLoans() *Loans { return &Loans{byProgram: make(map[string][]loan)} }
 
 // Add records a loan. It replaces an earlier loan of the same writer; a loan
-// with a lower sequence than the recorded one is ignored.
-func (l *Loans) Add(c Claim, now time.Time) {
+// with the same or a lower sequence than the recorded one is ignored. It reports whether
+// the loan was recorded.
+func (l *Loans) Add(c Claim, now time.Time) bool {
 	list := l.byProgram[c.Program]
 	for i := range list {
 		if list[i].claim.Writer != c.Writer {
 			continue
 		}
-		if c.Sequence > list[i].claim.Sequence {
-			list[i] = loan{claim: c, at: now}
+		if c.Sequence <= list[i].claim.Sequence {
+			return false
 		}
-		return
+		list[i] = loan{claim: c, at: now}
+		return true
 	}
 	l.byProgram[c.Program] = append(list, loan{claim: c, at: now})
+	return true
 }
 
 // Of returns the loans of a program.
@@ -71,6 +74,11 @@
 	return claims
 }
 
+// Remove drops a loan, or an earlier one of its writer, because the log contains it.
+func (l *Loans) Remove(c Claim) {
+	l.drop(c.Program, func(n loan) bool { return n.claim.Writer == c.Writer && n.claim.Sequence <= c.Sequence })
+}
+
 // Forget drops the loans that were made before a time.
 func (l *Loans) Forget(before time.Time) {
 	for program := range l.byProgram {
--- a/internal/port/lending.go
+++ b/internal/port/lending.go
@@ -11,8 +11,11 @@
 	// chooses it, so that it can settle a reservation whose answer it did not
 	// receive.
 	Reservation uint64
-	Program     string
-	Budget      int64
+	// Account is a writer that the asking host draws for this reservation alone, so that the
+	// asking host can supersede the claims which hold it. It is zero if that host names none.
+	Account uint64
+	Program string
+	Budget  int64
 	// MaxTokens is the maximum number of tokens that the turn may spend.
 	MaxTokens int64
 	// Claimed is how much of the budget is claimed, as far as the asking host knows.
@@ -67,6 +70,8 @@
 	// Writer is that of the claims which hold a granted reservation, or of the loan which
 	// does. It is zero for a host that does not say.
 	Writer uint64
+	// Account is that of the request if its claims hold the reservation, and zero otherwise.
+	Account uint64
 	// Loans are the program's loans that the asked host knows.
 	Loans []Loan
 }
@@ -110,8 +115,9 @@
 	// *HostDownError. writer is that of the claims of the host's present run, or zero if
 	// the host does not say.
 	Settle(ctx context.Context, host string, reservation uint64, spent int64) (writer uint64, err error)
-	// Note reports to a host what it may not have read.
-	Note(ctx context.Context, host string, n BudgetNote) error
+	// Note reports to a host what it may not have read. isRecorded says that the log contains
+	// all loans of the note; it is false for a host that does not say.
+	Note(ctx context.Context, host string, n BudgetNote) (isRecorded bool, err error)
 	// Fence makes a host stop lending of the budgets of a partition, because this host
 	// is about to claim there. It returns the loans that the log may not contain.
 	Fence(ctx context.Context, host string, part int) ([]ProgramLoan, error)
@@ -127,8 +133,9 @@
 	SettleLoan(ctx context.Context, reservation uint64, spent int64) error
 	// Writer returns the writer of this run's claims.
 	Writer() uint64
-	// Note records what another host has reported.
-	Note(n BudgetNote)
+	// Note records what another host has reported. It reports whether the log contains all
+	// loans of the note, as far as this host has read it.
+	Note(n BudgetNote) bool
 	// Fence stops lending of the budgets of a partition for a while and returns the loans
 	// that the log may not contain.
 	Fence(part int) []ProgramLoan
--- a/internal/spending/borrow.go
+++ b/internal/spending/borrow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -113,6 +112,7 @@
 			result.busy++
 			break
 		}
+		r.Loans = s.ledger(r.Program).loansOf(r.Program)
 		b, answer, err := s.ask(ctx, host, r)
 		switch {
 		case err != nil:
@@ -156,6 +156,7 @@
 			}
 			return s.lend(ctx, l, r)
 		}
+		r.Loans = l.loansOf(r.Program)
 		b, answer, err := s.askWhileAlive(ctx, host, r)
 		if err != nil {
 			s.recordAskFailure(host, err)
@@ -179,18 +180,17 @@
 func (s *Service) ask(ctx context.Context, host string, r port.LendRequest) (*borrowed, port.LendAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	b, answer, err := s.reserveAt(ctx, host, r)
+	b, answer, err := s.reserveAt(ctx, host, named(r))
 	if err != nil {
 		s.recordAskFailure(host, err)
 	}
 	return b, answer, err
 }
 
-// reserveAt asks a host for a reservation under a new, random ID. The returned
+// reserveAt asks a host for a reservation under the ID and account of r. The returned
 // reservation is valid only if the answer grants it. If the answer is lost, the
 // reservation is settled as unspent, since the host may have granted it.
 func (s *Service) reserveAt(ctx context.Context, host string, r port.LendRequest) (*borrowed, port.LendAnswer, error) {
-	r.Reservation = rand.Uint64()
 	b := &borrowed{
 		service: s, host: host, id: r.Reservation, settled: make(chan struct{}),
 		program: r.Program, budget: r.Budget, maxTokens: r.MaxTokens,
@@ -199,8 +199,12 @@
 	b.identify(answer, r.MayLend)
 	var down *port.HostDownError
 	if err != nil && !errors.As(err, &down) {
+		s.endUnused(host, r)
 		b.Release()
 	}
+	if err == nil && answer.Decision != port.LendGranted && answer.Account != 0 {
+		s.endUnused(host, r)
+	}
 	return b, answer, err
 }
 
--- a/internal/spending/borrowed.go
+++ b/internal/spending/borrowed.go
@@ -36,6 +36,9 @@
 	spent             int64
 	// writer is that of the claims which hold the reservation; zero if it is not known.
 	writer uint64
+	// account is the writer that this host has named for the reservation, if its claims hold it; zero
+	// otherwise.
+	account uint64
 	// loan is set if a loan may hold it.
 	loan    *port.Loan
 	release sync.Once
@@ -45,7 +48,7 @@
 
 // identify takes from the answer of the lender which claims hold the reservation.
 func (b *borrowed) identify(answer port.LendAnswer, mayBeLoan bool) {
-	b.writer = answer.Writer
+	b.writer, b.account = answer.Writer, answer.Account
 	if !mayBeLoan {
 		return
 	}
@@ -94,6 +97,10 @@
 			b.finish(writer, sent)
 			return
 		}
+		if b.account != 0 && (down != nil || sent == settleAttempts) && s.ctx.Err() == nil {
+			b.endAccount()
+			return
+		}
 		if sent == settleAttempts || time.Since(started) > loanExpiry || s.ctx.Err() != nil {
 			s.log.Info("Settling a reservation failed; it counts as spent in full unless its lender has the report.", "host", b.host, "reservation", b.id,
 				"program", b.program, "spent", b.spent, "reports", sent, "for", time.Since(started).String(), "cause", err.Error())
@@ -108,6 +115,10 @@
 // that granted the reservation has ended if it is another one. If it may have recorded an earlier
 // report, nothing is given back for it.
 func (b *borrowed) finish(writer uint64, sent int) {
+	if b.account != 0 && writer != b.writer {
+		b.endAccount()
+		return
+	}
 	hasLenderEnded := b.writer != 0 && writer != 0 && writer != b.writer
 	if hasLenderEnded && sent == 1 && !b.giveBackForEndedHost() {
 		b.service.log.Info("Unspent tokens of a host that ended could not be given back; the reservation counts as spent in full.",
@@ -117,6 +128,18 @@
 	close(b.settled)
 }
 
+// endAccount records what was spent in place of the lender, which may have ended. It does not matter
+// whether the lender has recorded it too.
+func (b *borrowed) endAccount() {
+	s := b.service
+	c, _ := s.endAccount(b.host, port.LendRequest{
+		Reservation: b.id, Account: b.account, Program: b.program, Budget: b.budget, MaxTokens: b.maxTokens,
+	}, b.spent)
+	if s.recordEnd(b.host, c) {
+		close(b.settled)
+	}
+}
+
 func (b *borrowed) settle() (writer uint64, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
@@ -150,10 +173,7 @@
 // host has read. It returns false if that takes longer than loanExpiry.
 func (l *ledger) awaitClaim(ctx context.Context, c budget.Claim) bool {
 	for started := time.Now(); time.Since(started) < loanExpiry && ctx.Err() == nil; tail.Sleep(ctx, giveBackPollInterval) {
-		l.mu.Lock()
-		isContained := l.book.Has(c)
-		l.mu.Unlock()
-		if isContained {
+		if l.has(c) {
 			return true
 		}
 	}
--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -13,7 +13,8 @@
 // pendingClaim is a claim that is to be appended, or was appended and has no verdict
 // yet, with the turns that wait for it.
 type pendingClaim struct {
-	claim   budget.Claim
+	claim budget.Claim
+	// slice is nil for a claim that ends an account of another host.
 	slice   *slice
 	waiters []*waiter
 	// settlements are those of turns that have ended before the claim was made.
@@ -29,7 +30,7 @@
 func (l *ledger) collect() []*pendingClaim {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	byProgram := make(map[string]*pendingClaim)
+	bySlice := make(map[*slice]*pendingClaim)
 	var batch []*pendingClaim
 	var rest []*waiter
 	now := time.Now()
@@ -41,15 +42,19 @@
 			l.refuse(w)
 			continue
 		}
-		p := byProgram[w.program]
-		s := l.sliceOf(w.program, w.budget)
-		if p == nil && s.Needed(0) > s.Confirmed {
+		s := l.sliceFor(w)
+		p, own := bySlice[s], l.slices[w.program]
+		if p == nil && own.Needed(0) > own.Confirmed {
 			// What turns have already got is claimed first: it counts in any case, and a
 			// refused claim would take its place in the log.
-			l.releases[w.program] = s
+			l.release(own)
 			rest = append(rest, w)
 			continue
 		}
+		if s != own && own.Unused() > 0 && !l.mayHoldAhead(own) {
+			// The account needs the tokens that the slice no longer does.
+			l.release(own)
+		}
 		needsOwnClaim := p != nil && (w.isSingle || p.waiters[0].isSingle)
 		if needsOwnClaim || p == nil && s.isClaiming || len(batch) >= maxBatch {
 			rest = append(rest, w)
@@ -57,7 +62,7 @@
 		}
 		if p == nil {
 			p = &pendingClaim{slice: s}
-			byProgram[w.program] = p
+			bySlice[s] = p
 			batch = append(batch, p)
 		}
 		p.waiters = append(p.waiters, w)
@@ -66,18 +71,18 @@
 	for _, p := range batch {
 		l.prepareClaim(p)
 	}
-	for program, s := range l.releases {
-		if s.isClaiming || len(batch) >= maxBatch {
+	var first []*pendingClaim
+	for key, s := range l.releases {
+		if s.isClaiming || len(first)+len(batch) >= maxBatch {
 			continue
 		}
-		delete(l.releases, program)
-		if byProgram[program] == nil {
-			p := &pendingClaim{slice: s}
-			l.prepareClaim(p)
-			batch = append(batch, p)
-		}
+		delete(l.releases, key)
+		p := &pendingClaim{slice: s}
+		l.prepareClaim(p)
+		first = append(first, p)
 	}
-	return batch
+	endings := l.endings(batch)
+	return append(append(endings, first...), batch...)
 }
 
 // hasWrites reports whether collect may return a batch.
@@ -118,7 +123,7 @@
 	p.settlements, s.settlements = s.settlements, nil
 	l.sequence++
 	s.Sequence = l.sequence
-	p.claim = budget.Claim{Writer: l.writer, Sequence: l.sequence, Program: s.program, Budget: s.budget, Total: total, Settled: isSettled}
+	p.claim = budget.Claim{Writer: l.writerOf(s), Sequence: l.sequence, Program: s.program, Budget: s.budget, Total: total, Settled: isSettled}
 }
 
 // requeue puts the turns of claims that could not be written because of cause back into
@@ -130,6 +135,9 @@
 	defer l.mu.Unlock()
 	for _, p := range batch {
 		s := p.slice
+		if s == nil {
+			continue // An ending remains among the loans.
+		}
 		s.waiting -= len(p.waiters)
 		s.isClaiming = false
 		s.isUndecided = true
@@ -137,7 +145,7 @@
 			s.Confirmed, s.isUndecided = p.confirmed, p.wasUndecided
 		}
 		if len(p.waiters) == 0 {
-			l.releases[s.program] = s
+			l.release(s)
 		}
 		l.settleLater(p)
 		for _, w := range p.waiters {
@@ -145,7 +153,7 @@
 				l.queue = append(l.queue, w)
 			}
 		}
-		l.releaseUndecided(s.program)
+		l.releaseUndecided(s)
 		delete(l.verdicts, p.claim.Sequence)
 	}
 }
@@ -157,6 +165,9 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for _, p := range batch {
+		if p.slice == nil {
+			continue
+		}
 		verdict := l.verdicts[p.claim.Sequence]
 		delete(l.verdicts, p.claim.Sequence)
 		s := p.slice
@@ -174,7 +185,7 @@
 		}
 		if s.Unused() > 0 && !l.mayHoldAhead(s) {
 			// The turn that the tokens were claimed for has been given up.
-			l.releases[s.program] = s
+			l.release(s)
 		}
 		if len(p.waiters) > 0 {
 			l.metrics.claims(verdict)
@@ -196,6 +207,8 @@
 	}
 	switch {
 	case w.isAbandoned:
+	case verdict == budget.Stale && s.account != 0:
+		w.done <- unknownBudget(w.program, errAccountEnded)
 	case verdict == budget.Accepted && s.BeginClaimed(w.maxTokens):
 		w.reservation = &reservation{ledger: l, slice: s, maxTokens: w.maxTokens}
 		w.done <- nil
@@ -211,6 +224,9 @@
 	}
 }
 
+// errAccountEnded says that the asking host has ended an account before it was claimed.
+var errAccountEnded = errors.New("asking host has ended the reservation")
+
 // exceeds reports whether the turn by itself does not fit the budget, according to
 // the book. The caller holds l.mu.
 func (l *ledger) exceeds(w *waiter, s *slice) bool {
--- a/internal/spending/fence_test.go
+++ b/internal/spending/fence_test.go
@@ -198,7 +198,7 @@
 		l.requeue([]*pendingClaim{p}, &port.SharedLogError{Failure: port.LogRefused})
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		is.True(l.releases["p"] == s)
+		is.True(l.releases[sliceKey{program: "p"}] == s)
 	})
 }
 
--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -43,6 +43,9 @@
 	down sync.Map
 	// loseSettlement holds the hosts whose next answer to a settlement gets lost.
 	loseSettlement sync.Map
+	// killBeforeAnswer holds the hosts whose process ends between a claim for another host and the
+	// answer to it.
+	killBeforeAnswer sync.Map
 	// silent holds the hosts of an earlier build, which do not name their writer.
 	silent sync.Map
 	// isBusy says that the store answers other calls of each host all the time.
@@ -209,7 +212,22 @@
 		s.Lend(context.WithoutCancel(ctx), r)
 		return port.LendAnswer{}, errors.New("connection was reset")
 	}
-	answer := s.Lend(ctx, r)
+	if _, isOld := p.fleet.silent.Load(host); isOld {
+		r.Account = 0
+	}
+	answered := make(chan port.LendAnswer, 1)
+	go func() { answered <- s.Lend(ctx, r) }()
+	var answer port.LendAnswer
+	select {
+	case answer = <-answered:
+	case <-s.ctx.Done():
+	}
+	if _, isKilled := p.fleet.killBeforeAnswer.LoadAndDelete(host); isKilled {
+		p.fleet.kill(p.fleet.index(host))
+	}
+	if s.ctx.Err() != nil {
+		return port.LendAnswer{}, errors.New("connection was reset")
+	}
 	if _, isOld := p.fleet.silent.Load(host); isOld {
 		answer.Writer = 0
 	}
@@ -244,13 +262,16 @@
 	return s.Fence(part), nil
 }
 
-func (p *testPeers) Note(ctx context.Context, host string, n port.BudgetNote) error {
+func (p *testPeers) Note(ctx context.Context, host string, n port.BudgetNote) (bool, error) {
 	s, err := p.connect(ctx, host)
 	if err != nil {
-		return err
+		return false, err
 	}
-	s.Note(n)
-	return nil
+	isRecorded := s.Note(n)
+	if _, isOld := p.fleet.silent.Load(host); isOld {
+		return false, nil
+	}
+	return isRecorded, nil
 }
 
 // count returns how many reservations of other hosts are not settled.
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -23,6 +23,9 @@
 	program   string
 	budget    int64
 	maxTokens int64
+	// account is the writer to claim under, if the asking host has named one. It is zero if the
+	// tokens are claimed for the host's own slice.
+	account uint64
 	// isSingle asks for a claim that covers only this turn.
 	isSingle bool
 	// hasWaited says that the turn was refused once and has waited refusedRetryDelay
@@ -82,7 +85,7 @@
 	book   *budget.Book
 	slices map[string]*slice
 	// releases holds the slices whose total is to be claimed anew.
-	releases map[string]*slice
+	releases map[sliceKey]*slice
 	// loans are those of other hosts that may not be in the log yet.
 	loans *budget.Loans
 	// givenBack holds what this host has given back for hosts that ended, by program.
@@ -127,7 +130,7 @@
 		fenceLenders:     func(context.Context) fenceResult { return fenceResult{} },
 		book:             budget.NewBook(),
 		slices:           make(map[string]*slice),
-		releases:         make(map[string]*slice),
+		releases:         make(map[sliceKey]*slice),
 		loans:            budget.NewLoans(),
 		givenBack:        make(map[string]givenBack),
 		notified:         make(map[string]notifiedClaims),
@@ -165,19 +168,20 @@
 		w.reservation.end()
 		return
 	}
-	l.releaseUndecided(w.program)
+	l.releaseUndecided(l.slice(w.program, w.account))
 }
 
-// releaseUndecided gives back what the latest claim of a program may have claimed, if
+// releaseUndecided gives back what the latest claim of a slice may have claimed, if
 // that claim may still take effect and no turn waits for it. The caller holds l.mu.
-func (l *ledger) releaseUndecided(program string) {
-	s := l.slices[program]
+func (l *ledger) releaseUndecided(s *slice) {
 	if s == nil || !s.isUndecided || s.isClaiming {
 		return
 	}
-	isAwaited := func(w *waiter) bool { return w.program == program && !w.isAbandoned }
+	isAwaited := func(w *waiter) bool {
+		return w.program == s.program && w.account == s.account && !w.isAbandoned
+	}
 	if !slices.ContainsFunc(l.queue, isAwaited) {
-		l.releases[program] = s
+		l.release(s)
 		l.signalWriter()
 	}
 }
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -63,7 +63,16 @@
 	}
 	claimCtx, cancel := context.WithTimeout(ctx, max(claimTimeout, r.MaxWait))
 	defer cancel()
-	reservation, err := l.reserve(claimCtx, r.Program, r.Budget, r.MaxTokens)
+	answer := s.decide(ctx, claimCtx, l, r)
+	if answer.Decision != port.LendGranted && l.mayHold(r.Program, r.Account) {
+		answer.Account = r.Account
+	}
+	return answer
+}
+
+// decide reserves tokens for another host by a claim that ends with claimCtx, or lends them.
+func (s *Service) decide(ctx, claimCtx context.Context, l *ledger, r port.LendRequest) port.LendAnswer {
+	g, err := l.reserve(claimCtx, r.Program, r.Budget, r.MaxTokens, r.Account)
 	var spent *gateway.BudgetSpentError
 	switch {
 	case err == nil:
@@ -74,7 +83,7 @@
 	case !r.MayLend || !s.mayLend(l):
 		return port.LendAnswer{Decision: port.LendUnavailable, Loans: l.loansOf(r.Program)}
 	default:
-		reservation, err = s.lend(claimCtx, l, r)
+		g, err = s.lend(claimCtx, l, r)
 		if errors.As(err, &spent) {
 			return port.LendAnswer{Decision: port.LendSpent, Loans: l.loansOf(r.Program)}
 		}
@@ -84,12 +93,16 @@
 	}
 	if ctx.Err() != nil {
 		// The asking host no longer waits and would not settle the reservation.
-		reservation.Release()
+		g.Release()
 		return port.LendAnswer{Decision: port.LendBusy}
 	}
 	s.metrics.lent.Inc(1)
-	s.lending.add(r.Reservation, reservation, r.MaxTokens, time.Now())
-	return port.LendAnswer{Decision: port.LendGranted, Loans: l.loansOf(r.Program), Writer: s.writer}
+	s.lending.add(r.Reservation, g, r.MaxTokens, time.Now())
+	answer := port.LendAnswer{Decision: port.LendGranted, Loans: l.loansOf(r.Program), Writer: s.writer}
+	if own, ok := g.(*reservation); ok {
+		answer.Account = own.slice.account
+	}
+	return answer
 }
 
 // Writer implements port.BudgetServer.
@@ -182,7 +195,7 @@
 			return nil, &gateway.BudgetSpentError{Program: r.Program, Budget: r.Budget}
 		case loanRefused:
 			if !l.isUnavailable() {
-				return l.reserve(ctx, r.Program, r.Budget, r.MaxTokens)
+				return l.reserve(ctx, r.Program, r.Budget, r.MaxTokens, r.Account)
 			}
 			return nil, unknownBudget(r.Program, errNotLent)
 		}
@@ -233,16 +246,21 @@
 	s := l.sliceOf(r.Program, r.Budget)
 	claimed := max(l.claimedLocked(r.Program), r.Claimed)
 	unclaimed := l.loans.UnrecordedTokens(l.book, r.Program)
-	if !s.Lend(r.MaxTokens, r.Budget, claimed, unclaimed) || !s.Begin(r.MaxTokens) {
+	held := s.withAccounts()
+	canLend := held.Lend(r.MaxTokens, r.Budget, claimed, unclaimed)
+	if canLend {
+		s.Lent = max(s.Lent, s.Needed(r.MaxTokens)-s.Confirmed)
+	}
+	if !canLend || !s.Begin(r.MaxTokens) {
 		outcome := loanRefused
 		switch {
-		case s.IsExhausted(r.MaxTokens, r.Budget):
+		case held.IsExhausted(r.MaxTokens, r.Budget):
 			outcome = loanExhausted
-		case s.MayLend(r.MaxTokens, r.Budget, claimed, unclaimed):
+		case held.MayLend(r.MaxTokens, r.Budget, claimed, unclaimed):
 			return nil, loanDeferred
 		}
 		l.log.Info("Refused to lend.", "program", r.Program, "budget", r.Budget, "claimed", claimed, "lent", unclaimed,
-			"spent", s.Spent, "open", s.Open, "exhausted", outcome == loanExhausted)
+			"spent", held.Spent, "open", held.Open, "exhausted", outcome == loanExhausted)
 		return nil, outcome
 	}
 	s.usedAt = time.Now()
@@ -280,13 +298,13 @@
 func (l *ledger) claimOwnLoans() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for program, s := range l.slices {
+	for _, s := range l.slices {
 		if s.Lent == 0 {
 			continue
 		}
 		s.loan = nil
 		s.Settle()
-		l.releases[program] = s
+		l.release(s)
 	}
 	l.signalLoansDue()
 	l.signalWriter()
--- a/internal/spending/metrics.go
+++ b/internal/spending/metrics.go
@@ -30,6 +30,8 @@
 	lateSettlements tally.Counter
 	// givenBack counts tokens that this host gave back for hosts which ended.
 	givenBack tally.Counter
+	// endedAccounts counts reservations that this host ended in place of the hosts it had asked.
+	endedAccounts tally.Counter
 	// fences counts how often this host has fenced the lenders of a partition, fencedLoans
 	// the loans it refused because it was fenced.
 	fences, fencedLoans tally.Counter
@@ -49,6 +51,7 @@
 		settlement:        scope.Histogram("settlement", claimBuckets),
 		lateSettlements:   scope.Counter("late_settlements"),
 		givenBack:         scope.Counter("given_back_tokens"),
+		endedAccounts:     scope.Counter("ended_accounts"),
 		fences:            scope.Counter("fences"),
 		fencedLoans:       scope.Counter("fenced_loans"),
 	}
--- a/internal/spending/missed.go
+++ b/internal/spending/missed.go
@@ -86,8 +86,10 @@
 	defer cancel()
 	isDown := false
 	for _, n := range notes {
-		if !isDown && s.peers.Note(ctx, host, n.note) == nil {
-			continue
+		if !isDown {
+			if _, err := s.peers.Note(ctx, host, n.note); err == nil {
+				continue
+			}
 		}
 		isDown = true
 		s.missed.add(host, n.note, n.at)
--- a/internal/spending/notify.go
+++ b/internal/spending/notify.go
@@ -101,10 +101,10 @@
 }
 
 // Note records what another host has reported. It implements port.BudgetServer.
-func (s *Service) Note(n port.BudgetNote) {
+func (s *Service) Note(n port.BudgetNote) (isRecorded bool) {
 	if n.Program == "" {
 		// An empty note only checks that this host is alive.
-		return
+		return true
 	}
 	l := s.startedLedger(s.partitionOf(n.Program))
 	l.addLoans(n.Program, n.Loans)
@@ -113,6 +113,9 @@
 	if n.Offset > l.applied && n.Offset > l.notified[n.Program].offset {
 		l.notified[n.Program] = notifiedClaims{claimed: n.Claimed, offset: n.Offset, receivedAt: time.Now()}
 	}
+	return !slices.ContainsFunc(n.Loans, func(loan port.Loan) bool {
+		return !l.book.Has(budget.Claim{Program: n.Program, Writer: loan.Writer, Sequence: loan.Sequence})
+	})
 }
 
 // notify sends a note to the first count hosts of the program's order that accept it.
@@ -140,7 +143,7 @@
 	accepted := make([]bool, len(hosts))
 	for i, host := range hosts {
 		sending.Go(func() {
-			err := s.peers.Note(ctx, host, n)
+			_, err := s.peers.Note(ctx, host, n)
 			if err != nil {
 				s.log.V(1).Info("Note was not accepted.", "host", host, "program", n.Program, "cause", err.Error())
 				if n.Claimed > 0 {
@@ -178,7 +181,7 @@
 			// The recovery of the log signals loansDue again.
 			continue
 		}
-		if err := l.appendLoans(ctx); err != nil {
+		if err := l.appendKnownLoans(ctx); err != nil {
 			l.log.Info("Claiming loans of other hosts failed; retrying.", "partition", l.partition.Part, "cause", err.Error())
 			l.mu.Lock()
 			l.signalLoansDue()
--- a/internal/spending/preferred.go
+++ b/internal/spending/preferred.go
@@ -100,6 +100,7 @@
 		if s.exclusions.isExcluded(host, l.partition.Part, time.Now()) {
 			continue
 		}
+		r.Loans = l.loansOf(r.Program)
 		if g, err, ok := s.reserveAtReader(ctx, l, host, r); ok {
 			return g, err, true
 		}
@@ -152,6 +153,7 @@
 func (s *Service) askWhileAlive(ctx context.Context, host string, r port.LendRequest) (*borrowed, port.LendAnswer, error) {
 	askCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	r = named(r)
 	r.MaxWait = maxClaimWait
 	answered := make(chan askResult, 1)
 	s.run(func() {
@@ -175,6 +177,7 @@
 			s.startedLedger(s.partitionOf(r.Program)).availability.suspect()
 		}
 		if err := s.checkAlive(ctx, host); err != nil {
+			s.endUnused(host, r)
 			s.releaseLateGrant(answered)
 			return nil, port.LendAnswer{}, err
 		}
@@ -187,7 +190,8 @@
 func (s *Service) checkAlive(ctx context.Context, host string) error {
 	ctx, cancel := context.WithTimeout(ctx, preferredTimeout)
 	defer cancel()
-	return s.peers.Note(ctx, host, port.BudgetNote{})
+	_, err := s.peers.Note(ctx, host, port.BudgetNote{})
+	return err
 }
 
 // releaseLateGrant ends a reservation that is granted after its caller has stopped
--- a/internal/spending/reader.go
+++ b/internal/spending/reader.go
@@ -151,13 +151,11 @@
 // if the claim is its own. The caller holds l.mu.
 func (l *ledger) apply(c budget.Claim) {
 	verdict := l.book.Apply(c, time.Now())
-	if c.Writer == l.writer {
-		if s := l.slices[c.Program]; s != nil {
-			if s.isClaiming && s.Sequence == c.Sequence {
-				l.verdicts[c.Sequence] = verdict
-			}
-			s.Confirm(c.Sequence, l.book.Held(c.Program, l.writer))
+	if s := l.sliceOfWriter(c.Program, c.Writer); s != nil {
+		if s.isClaiming && s.Sequence == c.Sequence {
+			l.verdicts[c.Sequence] = verdict
 		}
+		s.Confirm(c.Sequence, l.book.Held(c.Program, c.Writer))
 	}
 	l.applied++
 }
--- a/internal/spending/reserve.go
+++ b/internal/spending/reserve.go
@@ -20,13 +20,14 @@
 	return nil, nil, false
 }
 
-// reserve reserves tokens of the host's slice, or claims more of them in the log. Its
+// reserve reserves tokens of the host's slice, or claims more of them in the log, under account if
+// that is not zero. Its
 // errors are *gateway.BudgetSpentError and *gateway.BudgetUnknownError.
-func (l *ledger) reserve(ctx context.Context, program string, total, maxTokens int64) (gateway.Reservation, error) {
+func (l *ledger) reserve(ctx context.Context, program string, total, maxTokens int64, account uint64) (gateway.Reservation, error) {
 	if g, err, ok := l.decideLocally(program, total, maxTokens); ok {
 		return g, err
 	}
-	w := &waiter{program: program, budget: total, maxTokens: maxTokens, done: make(chan error, 1)}
+	w := &waiter{program: program, budget: total, maxTokens: maxTokens, account: account, done: make(chan error, 1)}
 	if err := l.enqueue(w); err != nil {
 		return nil, unknownBudget(program, err)
 	}
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -231,7 +231,7 @@
 	defer cancel()
 	g, err, ok := s.reserveAtPreferred(claimCtx, l, request())
 	if !ok {
-		g, err = s.startedLedger(s.partitionOf(program)).reserve(claimCtx, program, total, maxTokens)
+		g, err = s.startedLedger(s.partitionOf(program)).reserve(claimCtx, program, total, maxTokens, 0)
 	}
 	var unknown *gateway.BudgetUnknownError
 	if err == nil || !errors.As(err, &unknown) || ctx.Err() != nil {
--- a/internal/spending/settlement.go
+++ b/internal/spending/settlement.go
@@ -70,7 +70,7 @@
 		return settled
 	}
 	s.settlements = append(s.settlements, settled)
-	l.releases[s.program] = s
+	l.release(s)
 	l.signalWriter()
 	return settled
 }
@@ -92,5 +92,5 @@
 	s := p.slice
 	s.settlements = append(s.settlements, p.settlements...)
 	p.settlements = nil
-	l.releases[s.program] = s
+	l.release(s)
 }
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -8,11 +8,16 @@
 	"yuccausher/internal/gateway"
 )
 
-// slice is this host's share of one program's budget.
+// slice is this host's share of one program's budget, or an account: what it has claimed for one
+// reservation of another host, under the writer that the other host has named.
 type slice struct {
 	budget.Slice
 	program string
-	budget  int64
+	// account is the writer of an account, and zero for the host's own share.
+	account uint64
+	// accounts holds the accounts of the program by writer; nil for an account.
+	accounts map[uint64]*slice
+	budget   int64
 	// largestTurn is the largest number of tokens that a turn has asked for.
 	largestTurn int64
 	usedAt      time.Time
@@ -31,6 +36,68 @@
 	settlements []chan struct{}
 }
 
+// sliceKey identifies a slice of a ledger.
+type sliceKey struct {
+	program string
+	account uint64
+}
+
+// slice returns the host's own slice of a program if account is zero, and that of the account
+// otherwise; nil if there is none. The caller holds l.mu.
+func (l *ledger) slice(program string, account uint64) *slice {
+	s := l.slices[program]
+	if s == nil || account == 0 {
+		return s
+	}
+	return s.accounts[account]
+}
+
+// sliceOfWriter returns the slice that holds the claims of a writer, or nil. The caller holds
+// l.mu.
+func (l *ledger) sliceOfWriter(program string, writer uint64) *slice {
+	if writer == l.writer {
+		return l.slices[program]
+	}
+	return l.slice(program, writer)
+}
+
+// writerOf returns the writer of a slice's claims.
+func (l *ledger) writerOf(s *slice) uint64 {
+	if s.account != 0 {
+		return s.account
+	}
+	return l.writer
+}
+
+// release has the slice's total claimed anew. The caller holds l.mu.
+func (l *ledger) release(s *slice) {
+	l.releases[sliceKey{program: s.program, account: s.account}] = s
+}
+
+// sliceFor returns the slice that a waiting turn claims for. A turn of another host gets an account,
+// except while the budget has so much room that hosts hold tokens ahead: the turn and those that
+// follow it then need one claim only. The caller holds l.mu.
+func (l *ledger) sliceFor(w *waiter) *slice {
+	own := l.sliceOf(w.program, w.budget)
+	if w.account == 0 {
+		return own
+	}
+	if a := own.accounts[w.account]; a != nil {
+		return a
+	}
+	own.largestTurn = max(own.largestTurn, w.maxTokens)
+	if l.mayHoldAhead(own) {
+		w.account = 0
+		return own
+	}
+	a := &slice{program: w.program, account: w.account, budget: w.budget, usedAt: time.Now()}
+	if own.accounts == nil {
+		own.accounts = make(map[uint64]*slice)
+	}
+	own.accounts[w.account] = a
+	return a
+}
+
 // reservation holds the tokens of a running turn. It implements gateway.Reservation.
 type reservation struct {
 	ledger    *ledger
@@ -85,11 +152,12 @@
 		idle := now.Sub(s.usedAt)
 		switch {
 		case s.waiting > 0 || s.isClaiming:
-		case idle > sliceTTL && s.Open == 0 && len(s.settlements) == 0:
+		case idle > sliceTTL && s.Open == 0 && len(s.settlements) == 0 && len(s.accounts) == 0:
 			delete(l.slices, program)
 		case idle > sliceIdleTimeout && s.Unused() > 0 && !l.mayHoldAhead(s) && !l.isSlow():
-			l.releases[program] = s
+			l.release(s)
 		}
+		maps.DeleteFunc(s.accounts, func(_ uint64, a *slice) bool { return a.hasEnded(now) })
 	}
 	maps.DeleteFunc(l.stoppedUntil, func(_ string, until time.Time) bool { return now.After(until) })
 	oldest := now.Add(-max(retention, minRetention))
@@ -107,8 +175,16 @@
 // ends stays claimed.
 const holdAheadTurns = 16
 
+// hasEnded reports whether an account is no longer needed: its turn has ended, and the log counts
+// what it has spent.
+func (s *slice) hasEnded(now time.Time) bool {
+	isIdle := s.Open == 0 && s.waiting == 0 && now.Sub(s.usedAt) > refusedRetryDelay
+	isRecorded := s.Needed(0) == s.Confirmed && !s.isClaiming && !s.isUndecided && len(s.settlements) == 0
+	return isIdle && isRecorded
+}
+
 // mayHoldAhead reports whether the slice may hold tokens for which no turn is under way.
 // The caller holds l.mu.
 func (l *ledger) mayHoldAhead(s *slice) bool {
-	return s.budget-l.book.Claimed(s.program) >= holdAheadTurns*s.largestTurn
+	return s.account == 0 && s.budget-l.book.Claimed(s.program) >= holdAheadTurns*s.largestTurn
 }
--- a/internal/spending/writer.go
+++ b/internal/spending/writer.go
@@ -205,6 +205,9 @@
 // l.mu.
 func (l *ledger) isDecided(batch []*pendingClaim) bool {
 	return !slices.ContainsFunc(batch, func(p *pendingClaim) bool {
+		if p.slice == nil {
+			return !l.book.Has(p.claim)
+		}
 		_, ok := l.verdicts[p.claim.Sequence]
 		return !ok
 	})
