--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -43,9 +43,9 @@
 	down sync.Map
 	// loseSettlement holds the hosts whose next answer to a settlement gets lost.
 	loseSettlement sync.Map
-	// killBeforeAnswer holds the hosts whose process ends between a claim for another host and the
-	// answer to it.
-	killBeforeAnswer sync.Map
+	// onAsked and beforeAnswer hold functions by host, called once when it is next asked for a
+	// reservation and between its claim and its answer.
+	onAsked, beforeAnswer sync.Map
 	// silent holds the hosts of an earlier build, which do not name their writer.
 	silent sync.Map
 	// isBusy says that the store answers other calls of each host all the time.
@@ -215,6 +215,7 @@
 	if _, isOld := p.fleet.silent.Load(host); isOld {
 		r.Account = 0
 	}
+	callOnce(&p.fleet.onAsked, host)
 	answered := make(chan port.LendAnswer, 1)
 	go func() { answered <- s.Lend(ctx, r) }()
 	var answer port.LendAnswer
@@ -222,9 +223,7 @@
 	case answer = <-answered:
 	case <-s.ctx.Done():
 	}
-	if _, isKilled := p.fleet.killBeforeAnswer.LoadAndDelete(host); isKilled {
-		p.fleet.kill(p.fleet.index(host))
-	}
+	callOnce(&p.fleet.beforeAnswer, host)
 	if s.ctx.Err() != nil {
 		return port.LendAnswer{}, errors.New("connection was reset")
 	}
@@ -274,6 +273,13 @@
 	return isRecorded, nil
 }
 
+// callOnce calls the function that is kept for a host, and removes it.
+func callOnce(byHost *sync.Map, host string) {
+	if f, ok := byHost.LoadAndDelete(host); ok {
+		f.(func())()
+	}
+}
+
 // count returns how many reservations of other hosts are not settled.
 func (l *lending) count() int {
 	l.mu.Lock()
--- a/internal/spending/machine_test.go
+++ b/internal/spending/machine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,9 @@
 	turnsAhead = 2
 	// burstTurns is how many turns of a program begin at once when it runs away.
 	burstTurns = 12
+	// askedInterval is the mean number of steps from one host that ends while it is asked to the
+	// next.
+	askedInterval = 8
 	// settleRetry is how often the end of a turn that could not be recorded is tried again.
 	settleRetry = 100 * time.Millisecond
 )
@@ -42,7 +46,11 @@
 
 	mu       sync.Mutex
 	programs []*machineProgram
-	isOutage bool
+	// asked are programs of one turn, which a host asks for while the asked host ends. They draw
+	// from kills, so that they leave the other programs' courses as they are.
+	asked    []*machineProgram
+	kills    *rand.Rand
+	isOutage atomic.Bool
 	late     int
 	isOver   atomic.Bool
 	// trace holds what happened, for a failure. It is guarded by tracing.
@@ -63,16 +71,19 @@
 	budget, maxTokens int64
 	// runsAway says that each turn spends all that it may.
 	runsAway bool
+	// spends is how many tokens a turn spends; drawn if it is zero.
+	spends int64
 	// delivered is what callers were handed, counting turns under way on a host that ended at
 	// their most.
 	delivered int64
-	// stranded is the most that may stay claimed: for turns whose host, or whose request for
-	// tokens, ended with a host.
+	// stranded is the most that may stay claimed: for turns whose host ended while it asked for their
+	// tokens or recorded their end. Turns of hosts that are up strand nothing, whichever host they
+	// have asked, except of a budget with room for holdAheadTurns.
 	stranded int64
-	asking   int
-	// ending counts turns whose end is being recorded.
-	ending int
-	open   []*machineTurn
+	// asking and ending count by host the turns that ask for tokens and those whose end is being
+	// recorded.
+	asking, ending [machineHosts]int
+	open           []*machineTurn
 }
 
 type machineTurn struct {
@@ -101,10 +112,13 @@
 
 // begin asks for the tokens of a turn.
 func (m *machine) begin(p *machineProgram) {
-	host := m.upHost()
+	m.beginAt(p, m.upHost())
+}
+
+func (m *machine) beginAt(p *machineProgram, host int) {
 	s := m.f.host(m.f.names[host])
 	m.mu.Lock()
-	p.asking++
+	p.asking[host]++
 	m.mu.Unlock()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -112,7 +126,7 @@
 		r, err := s.Reserve(ctx, p.name, p.budget, p.maxTokens)
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		p.asking--
+		p.asking[host]--
 		m.note("%s asks %s: %v", p.name, m.f.names[host], err)
 		if err != nil {
 			return
@@ -126,6 +140,43 @@
 	}()
 }
 
+// killAsked begins a turn of a new program and ends the host that it asks for tokens: between claim
+// and answer, at any moment before, or with an append that takes effect later.
+func (m *machine) killAsked() {
+	p := &machineProgram{name: fmt.Sprint("asked", len(m.asked)), budget: 900, maxTokens: 572, spends: 140}
+	order := m.f.order(p.name)
+	asked := m.f.index(order[0])
+	asker := m.f.index(order[1+m.kills.IntN(machineHosts-1)])
+	kind, delay := m.kills.IntN(3), time.Duration(m.kills.IntN(int(3*latency)))
+	if m.isOutage.Load() || len(m.downHosts()) > 0 {
+		return
+	}
+	m.mu.Lock()
+	m.asked = append(m.asked, p)
+	m.mu.Unlock()
+	kill := func() {
+		if !m.isOutage.Load() && len(m.downHosts()) < machineHosts-1 {
+			m.kill(asked)
+		}
+	}
+	m.note("%s asks %s at %s, which ends: kind %d, %s", p.name, m.f.names[asked], m.f.names[asker], kind, delay)
+	switch kind {
+	case 0:
+		m.f.beforeAnswer.Store(order[0], kill)
+	case 1:
+		m.f.onAsked.Store(order[0], func() { time.AfterFunc(delay, kill) })
+	case 2:
+		m.f.store.SetFaults(order[0], metastore.Faults{Late: 1})
+		m.f.onAsked.Store(order[0], func() { time.AfterFunc(2*latency, kill) })
+	}
+	m.beginAt(p, asker)
+}
+
+// allPrograms returns all programs. The caller holds m.mu.
+func (m *machine) allPrograms() []*machineProgram {
+	return append(slices.Clone(m.programs), m.asked...)
+}
+
 // end ends a turn whole. It returns false if none is under way.
 func (m *machine) end(p *machineProgram) bool {
 	m.mu.Lock()
@@ -133,17 +184,21 @@
 	if len(p.open) == 0 {
 		return false
 	}
-	i := m.random.IntN(len(p.open))
+	var i int
+	spent := p.spends
+	if spent == 0 {
+		i = m.random.IntN(len(p.open))
+		spent = m.random.Int64N(p.maxTokens + 1)
+	}
 	turn := p.open[i]
 	p.open = append(p.open[:i], p.open[i+1:]...)
-	spent := m.random.Int64N(p.maxTokens + 1)
 	if p.runsAway {
 		spent = p.maxTokens
 	}
 	p.delivered += spent
 	turn.reservation.Spend(spent)
 	m.note("%s spent %d at %s", p.name, spent, m.f.names[turn.host])
-	p.ending++
+	p.ending[turn.host]++
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
@@ -156,7 +211,7 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.note("%s is settled at %s", p.name, m.f.names[turn.host])
-		p.ending--
+		p.ending[turn.host]--
 	}()
 	return true
 }
@@ -164,7 +219,7 @@
 // kill ends a host. Turns under way there may have handed out all of their most.
 func (m *machine) kill(host int) {
 	m.mu.Lock()
-	for _, p := range m.programs {
+	for _, p := range m.allPrograms() {
 		var kept []*machineTurn
 		for _, turn := range p.open {
 			if turn.host != host {
@@ -174,9 +229,12 @@
 			p.delivered += p.maxTokens
 		}
 		p.open = kept
-		p.stranded += int64(p.asking+p.ending) * p.maxTokens
+		p.stranded += int64(p.asking[host]+p.ending[host]) * p.maxTokens
 		if p.budget >= holdAheadTurns*p.maxTokens {
 			p.stranded += turnsAhead * p.maxTokens
+			for i := range machineHosts {
+				p.stranded += int64(p.asking[i]+p.ending[i]) * p.maxTokens
+			}
 		}
 	}
 	m.note("%s ends", m.f.names[host])
@@ -185,6 +243,12 @@
 }
 
 func (m *machine) step() {
+	if m.kills.IntN(askedInterval) == 0 {
+		m.killAsked()
+	}
+	if n := len(m.asked); n > 0 {
+		m.end(m.asked[m.kills.IntN(n)])
+	}
 	p := m.programs[m.random.IntN(len(m.programs))]
 	switch k := m.random.IntN(24); {
 	case k >= 22:
@@ -202,9 +266,9 @@
 		}
 	case k < 13:
 		m.end(p)
-	case k < 14 && !m.isOutage && len(m.downHosts()) == 0:
+	case k < 14 && !m.isOutage.Load() && len(m.downHosts()) == 0:
 		m.kill(m.random.IntN(machineHosts))
-	case k < 15 && !m.isOutage && len(m.downHosts()) == 0:
+	case k < 15 && !m.isOutage.Load() && len(m.downHosts()) == 0:
 		for i := range machineHosts {
 			m.kill(i)
 		}
@@ -217,11 +281,11 @@
 			m.note("%s starts", m.f.names[i])
 			m.f.revive(m.t, i)
 		}
-	case k < 17 && !m.isOutage && len(m.downHosts()) == 0:
-		m.isOutage = true
+	case k < 17 && !m.isOutage.Load() && len(m.downHosts()) == 0:
+		m.isOutage.Store(true)
 		m.note("store is away")
 		m.f.store.SetFaults(metastore.EveryHost, metastore.Faults{Refuse: true})
-	case k < 18 && m.isOutage:
+	case k < 18 && m.isOutage.Load():
 		m.note("store is back but for one host")
 		m.late = m.random.IntN(machineHosts)
 		m.f.store.SetFaults(m.f.names[m.late], metastore.Faults{Refuse: true})
@@ -231,7 +295,7 @@
 			m.begin(p)
 		}
 	case k < 19:
-		if m.isOutage {
+		if m.isOutage.Load() {
 			m.heal()
 		} else {
 			host, faults := m.random.IntN(machineHosts), metastore.Faults{Late: m.random.IntN(3), LoseAnswers: m.random.IntN(3)}
@@ -246,7 +310,7 @@
 
 // heal ends the faults of the store.
 func (m *machine) heal() {
-	m.isOutage = false
+	m.isOutage.Store(false)
 	m.note("store is sound")
 	for _, name := range append([]string{metastore.EveryHost}, m.f.names...) {
 		m.f.store.SetFaults(name, metastore.Faults{})
@@ -257,7 +321,7 @@
 func (m *machine) checkBudgets(seed uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, p := range m.programs {
+	for _, p := range m.allPrograms() {
 		if p.delivered > p.budget+p.maxTokens {
 			m.t.Errorf("seed %d: program %s got %d tokens of %d + %d", seed, p.name, p.delivered, p.budget, p.maxTokens)
 		}
@@ -275,7 +339,7 @@
 	}
 	for _, seed := range seeds {
 		synctest.Test(t, func(t *testing.T) {
-			m := &machine{t: t, f: newFleet(t, machineHosts), random: rand.New(rand.NewPCG(seed, 1)), started: time.Now()}
+			m := &machine{t: t, f: newFleet(t, machineHosts), random: rand.New(rand.NewPCG(seed, 1)), kills: rand.New(rand.NewPCG(seed, 2)), started: time.Now()}
 			for i, budget := range []int64{900, 2800, 6000} {
 				m.programs = append(m.programs, &machineProgram{name: fmt.Sprint("p", i), budget: budget, maxTokens: []int64{572, 280, 280}[i], runsAway: i == 1})
 			}
@@ -284,16 +348,20 @@
 			}
 			m.checkBudgets(seed)
 			m.heal()
+			m.f.onAsked.Clear()
+			m.f.beforeAnswer.Clear()
+			time.Sleep(3 * latency)
 			for _, i := range m.downHosts() {
 				m.f.revive(t, i)
 			}
 			time.Sleep(3 * time.Second)
-			for _, p := range m.programs {
+			programs := m.allPrograms()
+			for _, p := range programs {
 				for m.end(p) {
 				}
 			}
 			time.Sleep(5 * time.Second)
-			for _, p := range m.programs {
+			for _, p := range programs {
 				m.mu.Lock()
 				isSpent := p.budget-p.delivered-p.stranded < p.maxTokens
 				m.mu.Unlock()
--- a/internal/spending/unanswered_test.go
+++ b/internal/spending/unanswered_test.go
@@ -54,16 +54,17 @@
 				f := newFleet(t, 5)
 				order := f.order("p")
 				for _, host := range order[:c.kills] {
-					switch {
-					case c.isLate:
-						f.store.SetFaults(host, metastore.Faults{Late: 1})
-						time.AfterFunc(5*latency, func() { f.kill(f.index(host)) })
-					case c.isLost:
-						f.store.SetFaults(host, metastore.Faults{LoseAnswers: 1})
-						time.AfterFunc(5*latency, func() { f.kill(f.index(host)) })
-					default:
-						f.killBeforeAnswer.Store(host, true)
+					kill := func() { f.kill(f.index(host)) }
+					if !c.isLate && !c.isLost {
+						f.beforeAnswer.Store(host, kill)
+						continue
 					}
+					faults := metastore.Faults{LoseAnswers: 1}
+					if c.isLate {
+						faults = metastore.Faults{Late: 1}
+					}
+					f.store.SetFaults(host, faults)
+					f.onAsked.Store(host, func() { time.AfterFunc(2*latency, kill) })
 				}
 				asker := f.host(order[c.asker])
 				is.NoErr(settledTurn(t, asker, "p", budget, maxTokens, spent))
