spending: tests of lost, repeated and late endings of accounts

Notes that free tokens are lost, repeated, or their sender ends; the asked host is frozen and grants late; hosts of an earlier build take part; a lender never comes back. A reservation that is answered still takes two calls.

--- a/internal/spending/borrowed.go
+++ b/internal/spending/borrowed.go
@@ -49,7 +49,7 @@
 // identify takes from the answer of the lender which claims hold the reservation.
 func (b *borrowed) identify(answer port.LendAnswer, mayBeLoan bool) {
 	b.writer, b.account = answer.Writer, answer.Account
-	if !mayBeLoan {
+	if !mayBeLoan || b.account != 0 {
 		return
 	}
 	i := slices.IndexFunc(answer.Loans, func(l port.Loan) bool { return l.Writer == answer.Writer })
--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -48,6 +48,9 @@
 	onAsked, beforeAnswer sync.Map
 	// silent holds the hosts of an earlier build, which do not name their writer.
 	silent sync.Map
+	// lostNotes is how many more notes on loans get lost, repeatedNotes how often each other one is
+	// delivered besides.
+	lostNotes, repeatedNotes atomic.Int64
 	// isBusy says that the store answers other calls of each host all the time.
 	isBusy atomic.Bool
 }
@@ -212,7 +215,7 @@
 		s.Lend(context.WithoutCancel(ctx), r)
 		return port.LendAnswer{}, errors.New("connection was reset")
 	}
-	if _, isOld := p.fleet.silent.Load(host); isOld {
+	if p.fleet.isOld(host) || p.fleet.isOld(p.self) {
 		r.Account = 0
 	}
 	callOnce(&p.fleet.onAsked, host)
@@ -266,6 +269,12 @@
 	if err != nil {
 		return false, err
 	}
+	if len(n.Loans) > 0 && p.fleet.lostNotes.Add(-1) >= 0 {
+		return false, errors.New("connection was reset")
+	}
+	for range p.fleet.repeatedNotes.Load() {
+		s.Note(n)
+	}
 	isRecorded := s.Note(n)
 	if _, isOld := p.fleet.silent.Load(host); isOld {
 		return false, nil
@@ -273,6 +282,12 @@
 	return isRecorded, nil
 }
 
+// isOld reports whether a host is of an earlier build.
+func (f *fleet) isOld(host string) bool {
+	_, ok := f.silent.Load(host)
+	return ok
+}
+
 // callOnce calls the function that is kept for a host, and removes it.
 func callOnce(byHost *sync.Map, host string) {
 	if f, ok := byHost.LoadAndDelete(host); ok {
--- a/internal/spending/unanswered_test.go
+++ b/internal/spending/unanswered_test.go
@@ -1,6 +1,7 @@
 package spending
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,3 +79,142 @@
 		})
 	}
 }
+
+// The caller is gone when the asked host ends, so that no request for tokens carries the news. The notes
+// that free the tokens are lost or repeated, or the asking host ends after the first one.
+func TestNotesThatFreeTokensMayBeLostOrRepeated(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		lost, repeated int64
+		hasAskerEnded  bool
+	}{
+		{name: "all arrive"},
+		{name: "lost", lost: 5},
+		{name: "repeated", repeated: 3},
+		{name: "some lost, others repeated", lost: 2, repeated: 2},
+		{name: "asking host ends", hasAskerEnded: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, 5)
+				order := f.order("p")
+				f.lostNotes.Store(c.lost)
+				f.repeatedNotes.Store(c.repeated)
+				ctx, cancel := context.WithCancel(t.Context())
+				f.beforeAnswer.Store(order[0], func() {
+					f.kill(f.index(order[0]))
+					cancel()
+				})
+				_, err := f.host(order[4]).Reserve(ctx, "p", 900, 572)
+				is.True(err != nil)
+				if c.hasAskerEnded {
+					time.Sleep(10 * time.Millisecond)
+					f.kill(f.index(order[4]))
+				}
+				time.Sleep(3 * time.Second)
+				checkClaimed(t, f, 0)
+				is.NoErr(settledTurn(t, f.host(order[3]), "p", 900, 572, 140))
+				checkClaimed(t, f, 140)
+			})
+		})
+	}
+}
+
+// The asked host does not end but is frozen between its claim and its answer. The asking host must
+// not use the late grant of a reservation that it has ended, and neither may count it again.
+func TestLateGrantOfAnEndedReservationIsNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 5)
+		order := f.order("p")
+		f.beforeAnswer.Store(order[0], func() {
+			f.freeze(order[0])
+			time.Sleep(2 * time.Second)
+			f.frozen.Delete(order[0])
+		})
+		is.NoErr(settledTurn(t, f.host(order[4]), "p", 900, 572, 140))
+		is.NoErr(settledTurn(t, f.host(order[3]), "p", 900, 572, 140))
+		time.Sleep(3 * time.Second)
+		checkClaimed(t, f, 280)
+		is.NoErr(settledTurn(t, f.host(order[0]), "p", 900, 572, 140))
+		time.Sleep(loanExpiry + time.Second)
+		is.NoErr(turn(f.host(order[0]), "other", 900, 572, 140))
+		checkClaimed(t, f, 420)
+	})
+}
+
+// Hosts of an earlier build ignore accounts. They append what frees the tokens like a loan, serve
+// hosts that name accounts, and are served without one.
+func TestHostsOfAnEarlierBuildIgnoreAccounts(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// old is the index of a host of an earlier build in the order of the partition.
+		old      int
+		isKilled bool
+	}{
+		{name: "the next host", old: 1, isKilled: true},
+		{name: "the asking host", old: 4},
+		{name: "the preferred host", old: 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, 5)
+				order := f.order("p")
+				f.silent.Store(order[c.old], true)
+				if c.isKilled {
+					f.beforeAnswer.Store(order[0], func() { f.kill(f.index(order[0])) })
+				}
+				for range 2 {
+					is.NoErr(settledTurn(t, f.host(order[4]), "p", 900, 572, 140))
+					time.Sleep(time.Second)
+				}
+				checkClaimed(t, f, 280)
+			})
+		})
+	}
+}
+
+// A turn outlives the host that reserved its tokens, which never comes back, or comes back and
+// loses the answer to a report. Its unspent tokens stayed claimed.
+func TestTurnOfALenderThatNeverComesBackIsSettled(t *testing.T) {
+	for _, isLost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 5)
+			order := f.order("p")
+			r, err := f.host(order[4]).Reserve(t.Context(), "p", 900, 572)
+			is.NoErr(err)
+			f.kill(f.index(order[0]))
+			if isLost {
+				f.revive(t, f.index(order[0]))
+				f.loseSettlement.Store(order[0], true)
+			}
+			r.Spend(140)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			is.NoErr(r.Settle(ctx))
+			checkClaimed(t, f, 140)
+		})
+	}
+}
+
+// A reservation of another host that is answered takes one append to claim it and one to count what
+// its turn has spent, besides the first read of the partition.
+func TestAnsweredReservationsTakeTwoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 5)
+		order := f.order("p")
+		is.NoErr(settledTurn(t, f.host(order[4]), "p", 2800, 280, 70))
+		calls := f.store.Calls()
+		const turns = 20
+		for i := range turns {
+			is.NoErr(settledTurn(t, f.host(order[1+i%4]), "p", 2800, 280, 70))
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		is.Equal(f.store.Calls()-calls, 2*turns)
+	})
+}
