spending: a lost answer of a lender's new run strands nothing

Cause: a host whose turn has outlived its lender gives back what the turn did not spend once another run answers its report, but not if an earlier report was lost, since the ended run might have recorded that one. It also held back if the lost answer was one of the new run. Loans and tokens that were claimed ahead stayed claimed.

Change: the answer to a report says how long the run has been serving. If that is longer than the asking host has been sending reports, none can have reached the ended run. Earlier builds ignore the field, and nothing changes for their answers.

--- a/internal/adapter/budgetrpc/client.go
+++ b/internal/adapter/budgetrpc/client.go
@@ -125,17 +125,21 @@
 }
 
 // Settle implements port.BudgetPeers.
-func (c *Client) Settle(ctx context.Context, host string, reservation uint64, spent int64) (uint64, error) {
+func (c *Client) Settle(ctx context.Context, host string, reservation uint64, spent int64) (port.HostRun, error) {
 	conn, err := c.Connect(ctx, host)
 	if err != nil {
-		return 0, err
+		return port.HostRun{}, err
 	}
 	defer conn.Close()
 	reply, err := spending.NewDRPCBudgetsClient(conn).Settle(ctx, &spending.SettleRequest{Reservation: reservation, Spent: spent})
 	if err != nil {
-		return 0, errors.Annotatef(err, "settle at host %s", host)
+		return port.HostRun{}, errors.Annotatef(err, "settle at host %s", host)
 	}
-	return reply.Writer, nil
+	run := port.HostRun{Writer: reply.Writer}
+	if reply.AgeUs > 0 {
+		run.StartedAt = time.Now().Add(-time.Duration(reply.AgeUs) * time.Microsecond)
+	}
+	return run, nil
 }
 
 // Note implements port.BudgetPeers.
--- a/internal/adapter/budgetrpc/server.go
+++ b/internal/adapter/budgetrpc/server.go
@@ -81,7 +81,8 @@
 	if err := h.budgets.SettleLoan(ctx, r.Reservation, r.Spent); err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &spending.SettleReply{Writer: h.budgets.Writer()}, nil
+	run := h.budgets.Run()
+	return &spending.SettleReply{Writer: run.Writer, AgeUs: max(time.Since(run.StartedAt).Microseconds(), 1)}, nil
 }
 
 // Fence implements spending.DRPCBudgetsServer.
--- a/internal/port/lending.go
+++ b/internal/port/lending.go
@@ -101,6 +101,15 @@
 	Offset  int64
 }
 
+// HostRun is one run of a host's process.
+type HostRun struct {
+	// Writer is that of the run's claims. It is zero if the host does not say.
+	Writer uint64
+	// StartedAt is when the run began to serve, or some time later. It is the zero time if the
+	// host does not say.
+	StartedAt time.Time
+}
+
 // BudgetPeers is the client that asks the other hosts to reserve tokens for this one.
 type BudgetPeers interface {
 	// Self returns this host's address, Hosts the addresses of the others.
@@ -112,9 +121,8 @@
 	Reserve(ctx context.Context, host string, r LendRequest) (LendAnswer, error)
 	// Settle reports how many tokens of a reservation were spent. It returns once the
 	// shared log counts them, or an error if it may not. The report was not sent after a
-	// *HostDownError. writer is that of the claims of the host's present run, or zero if
-	// the host does not say.
-	Settle(ctx context.Context, host string, reservation uint64, spent int64) (writer uint64, err error)
+	// *HostDownError.
+	Settle(ctx context.Context, host string, reservation uint64, spent int64) (HostRun, error)
 	// Note reports to a host what it may not have read. isRecorded says that the log contains
 	// all loans of the note; it is false for a host that does not say.
 	Note(ctx context.Context, host string, n BudgetNote) (isRecorded bool, err error)
@@ -131,8 +139,8 @@
 	// tokens of it. It returns once the shared log counts them, or an error if it may
 	// not. It may be called again after an error.
 	SettleLoan(ctx context.Context, reservation uint64, spent int64) error
-	// Writer returns the writer of this run's claims.
-	Writer() uint64
+	// Run returns this run of the host.
+	Run() HostRun
 	// Note records what another host has reported. It reports whether the log contains all
 	// loans of the note, as far as this host has read it.
 	Note(n BudgetNote) bool
--- a/internal/spending/borrowed.go
+++ b/internal/spending/borrowed.go
@@ -87,14 +87,22 @@
 	s := b.service
 	started := time.Now()
 	pause := firstRetry
+	// sent counts the reports that may have reached the host, firstSent is when the first of them was
+	// sent.
+	var firstSent time.Time
 	for sent := 0; ; {
-		writer, err := b.settle()
+		sending := time.Now()
+		run, err := b.settle()
 		var down *port.HostDownError
 		if !errors.As(err, &down) {
-			sent++
+			if sent++; sent == 1 {
+				firstSent = sending
+			}
 		}
 		if err == nil {
-			b.finish(writer, sent)
+			// A run that served before the first report was sent has got all of them.
+			isOnly := sent == 1 || !run.StartedAt.IsZero() && run.StartedAt.Before(firstSent)
+			b.finish(run.Writer, isOnly)
 			return
 		}
 		if b.account != 0 && (down != nil || sent == settleAttempts) && s.ctx.Err() == nil {
@@ -111,16 +119,16 @@
 	}
 }
 
-// finish ends the settlement after writer has answered one of the reports that were sent. The run
-// that granted the reservation has ended if it is another one. If it may have recorded an earlier
-// report, nothing is given back for it.
-func (b *borrowed) finish(writer uint64, sent int) {
+// finish ends the settlement after writer has answered a report. The run that granted the reservation
+// has ended if it is another one. Unless the answering run is the only one that any report can have
+// reached, the ended one may have recorded what was spent, and nothing is given back for it.
+func (b *borrowed) finish(writer uint64, isOnly bool) {
 	if b.account != 0 && writer != b.writer {
 		b.endAccount()
 		return
 	}
 	hasLenderEnded := b.writer != 0 && writer != 0 && writer != b.writer
-	if hasLenderEnded && sent == 1 && !b.giveBackForEndedHost() {
+	if hasLenderEnded && isOnly && !b.giveBackForEndedHost() {
 		b.service.log.Info("Unspent tokens of a host that ended could not be given back; the reservation counts as spent in full.",
 			"host", b.host, "reservation", b.id, "program", b.program, "reserved", b.maxTokens, "spent", b.spent)
 		return
@@ -140,7 +148,7 @@
 	}
 }
 
-func (b *borrowed) settle() (writer uint64, err error) {
+func (b *borrowed) settle() (port.HostRun, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	return b.service.peers.Settle(ctx, b.host, b.id, b.spent)
--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -236,21 +236,21 @@
 	return answer, nil
 }
 
-func (p *testPeers) Settle(ctx context.Context, host string, reservation uint64, spent int64) (uint64, error) {
+func (p *testPeers) Settle(ctx context.Context, host string, reservation uint64, spent int64) (port.HostRun, error) {
 	s, err := p.connect(ctx, host)
 	if err != nil {
-		return 0, err
+		return port.HostRun{}, err
 	}
 	if err := s.SettleLoan(ctx, reservation, spent); err != nil {
-		return 0, err
+		return port.HostRun{}, err
 	}
 	if _, isLost := p.fleet.loseSettlement.LoadAndDelete(host); isLost {
-		return 0, errors.New("connection was reset")
+		return port.HostRun{}, errors.New("connection was reset")
 	}
-	if _, isOld := p.fleet.silent.Load(host); isOld {
-		return 0, nil
+	if p.fleet.isOld(host) {
+		return port.HostRun{}, nil
 	}
-	return s.Writer(), nil
+	return s.Run(), nil
 }
 
 func (p *testPeers) Fence(ctx context.Context, host string, part int) ([]port.ProgramLoan, error) {
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -105,8 +105,8 @@
 	return answer
 }
 
-// Writer implements port.BudgetServer.
-func (s *Service) Writer() uint64 { return s.writer }
+// Run implements port.BudgetServer.
+func (s *Service) Run() port.HostRun { return port.HostRun{Writer: s.writer, StartedAt: s.startedAt} }
 
 // add keeps a reservation of maxTokens tokens until it is settled. One that was
 // settled early ends at once. Expired reservations count as spent in full.
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -74,8 +74,10 @@
 // Service reserves tokens of programs' budgets. It implements gateway.Budgets.
 type Service struct {
 	// writer names this run of the host's process in claims.
-	writer  uint64
-	ledgers []*ledger
+	writer uint64
+	// startedAt is when this run began to serve.
+	startedAt time.Time
+	ledgers   []*ledger
 	// orders holds the order of hosts for each partition: the preferred host, then
 	// those that replace it.
 	orders     rendezvous.PartitionCache
@@ -152,6 +154,7 @@
 
 // Start starts the service's goroutines. It returns no error.
 func (s *Service) Start(context.Context) error {
+	s.startedAt = time.Now()
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.log.Info("Spending service started.", "writer", s.writer, "partitions", len(s.ledgers))
 	s.run(func() { s.runReaders(s.ctx) })
--- a/internal/spending/unanswered_test.go
+++ b/internal/spending/unanswered_test.go
@@ -218,3 +218,43 @@
 		is.Equal(f.store.Calls()-calls, 2*turns)
 	})
 }
+
+// A host comes back after it has lent, or claimed tokens ahead, and loses its answer to a report of
+// a turn that has outlived its earlier run. Since the answer might have been that of the earlier run,
+// the unspent tokens stayed claimed.
+func TestLostAnswerOfANewRunStrandsNothing(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		isLoan            bool
+		budget, maxTokens int64
+		claimed           int64
+	}{
+		{name: "loan", isLoan: true, budget: 900, maxTokens: 572, claimed: 140},
+		{name: "tokens held ahead", budget: 20_000, maxTokens: 300, claimed: (1+prefetched)*300 - 160},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, 5)
+				order := f.order("p")
+				if c.isLoan {
+					f.outage()
+				}
+				r, err := f.host(order[4]).Reserve(t.Context(), "p", c.budget, c.maxTokens)
+				is.NoErr(err)
+				f.kill(f.index(order[0]))
+				r.Spend(140)
+				r.Release()
+				f.store.SetFaults(metastore.EveryHost, metastore.Faults{})
+				time.Sleep(time.Second)
+				f.revive(t, f.index(order[0]))
+				f.loseSettlement.Store(order[0], true)
+				time.Sleep(8 * time.Second)
+				checkClaimed(t, f, c.claimed)
+			})
+		})
+	}
+}
+
+// prefetched is how many turns ahead the preferred host claims of a large budget.
+const prefetched = 2
