spending: one claim of a program in flight, whichever account it is for

Change: a turn waits while a claim of its program is in flight, and the next append holds the records of all that wait. The fleet of the tests no longer reads a host without its lock in kill.

--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -25,7 +25,7 @@
 }
 
 // collect takes turns off the queue and returns the next batch of claims, one per
-// program and at most maxBatch. It adds the claims that give back the unused parts of
+// slice and at most maxBatch. It adds the claims that give back the unused parts of
 // slices.
 func (l *ledger) collect() []*pendingClaim {
 	l.mu.Lock()
@@ -56,7 +56,7 @@
 			l.release(own)
 		}
 		needsOwnClaim := p != nil && (w.isSingle || p.waiters[0].isSingle)
-		if needsOwnClaim || p == nil && s.isClaiming || len(batch) >= maxBatch {
+		if needsOwnClaim || p == nil && own.inFlight > 0 || len(batch) >= maxBatch {
 			rest = append(rest, w)
 			continue
 		}
@@ -68,21 +68,19 @@
 		p.waiters = append(p.waiters, w)
 	}
 	l.queue = rest
-	for _, p := range batch {
-		l.prepareClaim(p)
-	}
 	var first []*pendingClaim
 	for key, s := range l.releases {
-		if s.isClaiming || len(first)+len(batch) >= maxBatch {
+		if s.share().inFlight > 0 || bySlice[s] != nil || len(first)+len(batch) >= maxBatch {
 			continue
 		}
 		delete(l.releases, key)
-		p := &pendingClaim{slice: s}
+		first = append(first, &pendingClaim{slice: s})
+	}
+	batch = append(first, batch...)
+	for _, p := range batch {
 		l.prepareClaim(p)
-		first = append(first, p)
 	}
-	endings := l.endings(batch)
-	return append(append(endings, first...), batch...)
+	return append(l.endings(batch), batch...)
 }
 
 // hasWrites reports whether collect may return a batch.
@@ -120,6 +118,7 @@
 	total = max(total, s.Confirmed)
 	s.waiting += len(p.waiters)
 	s.isClaiming = true
+	s.share().inFlight++
 	p.settlements, s.settlements = s.settlements, nil
 	l.sequence++
 	s.Sequence = l.sequence
@@ -140,6 +139,7 @@
 		}
 		s.waiting -= len(p.waiters)
 		s.isClaiming = false
+		s.share().inFlight--
 		s.isUndecided = true
 		if hadNoEffect {
 			s.Confirmed, s.isUndecided = p.confirmed, p.wasUndecided
@@ -173,6 +173,7 @@
 		s := p.slice
 		s.waiting -= len(p.waiters)
 		s.isClaiming = false
+		s.share().inFlight--
 		s.isUndecided = false
 		s.usedAt = now
 		if verdict == budget.Refused {
--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -87,7 +87,7 @@
 // kill ends the process of a host.
 func (f *fleet) kill(i int) {
 	f.down.Store(f.names[i], true)
-	_ = f.hosts[i].Stop(context.Background())
+	_ = f.host(f.names[i]).Stop(context.Background())
 }
 
 // revive starts a host that was killed.
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -17,6 +17,11 @@
 	account uint64
 	// accounts holds the accounts of the program by writer; nil for an account.
 	accounts map[uint64]*slice
+	// own is the host's own share, for an account.
+	own *slice
+	// inFlight is how many claims of the program have been sent and have no verdict yet, for the
+	// host's own share. Turns that come meanwhile wait, so that the next append serves them together.
+	inFlight int
 	budget   int64
 	// largestTurn is the largest number of tokens that a turn has asked for.
 	largestTurn int64
@@ -90,7 +95,7 @@
 		w.account = 0
 		return own
 	}
-	a := &slice{program: w.program, account: w.account, budget: w.budget, usedAt: time.Now()}
+	a := &slice{program: w.program, account: w.account, own: own, budget: w.budget, usedAt: time.Now()}
 	if own.accounts == nil {
 		own.accounts = make(map[uint64]*slice)
 	}
@@ -175,6 +180,14 @@
 // ends stays claimed.
 const holdAheadTurns = 16
 
+// share returns the host's own share of the program's budget.
+func (s *slice) share() *slice {
+	if s.own != nil {
+		return s.own
+	}
+	return s
+}
+
 // hasEnded reports whether an account is no longer needed: its turn has ended, and the log counts
 // what it has spent.
 func (s *slice) hasEnded(now time.Time) bool {
