--- a/internal/adapter/budgetrpc/client.go
+++ b/internal/adapter/budgetrpc/client.go
@@ -96,6 +96,7 @@
 	defer conn.Close()
 	request := &spending.ReserveRequest{
 		Reservation: r.Reservation,
+		Account:     r.Account,
 		Program:     []byte(r.Program),
 		Budget:      r.Budget,
 		Most:        r.MaxTokens,
@@ -111,7 +112,7 @@
 	if err != nil {
 		return port.LendAnswer{}, errors.Annotatef(err, "reserve at host %s", host)
 	}
-	answer := port.LendAnswer{Decision: port.LendBusy, Loans: decodeLoans(reply.Loans), Writer: reply.Writer}
+	answer := port.LendAnswer{Decision: port.LendBusy, Loans: decodeLoans(reply.Loans), Writer: reply.Writer, Account: reply.Account}
 	switch reply.Decision {
 	case spending.Decision_DECISION_GRANTED:
 		answer.Decision = port.LendGranted
@@ -124,33 +125,40 @@
 }
 
 // Settle implements port.BudgetPeers.
-func (c *Client) Settle(ctx context.Context, host string, reservation uint64, spent int64) (uint64, error) {
+func (c *Client) Settle(ctx context.Context, host string, reservation uint64, spent int64) (port.HostRun, error) {
 	conn, err := c.Connect(ctx, host)
 	if err != nil {
-		return 0, err
+		return port.HostRun{}, err
 	}
 	defer conn.Close()
 	reply, err := spending.NewDRPCBudgetsClient(conn).Settle(ctx, &spending.SettleRequest{Reservation: reservation, Spent: spent})
 	if err != nil {
-		return 0, errors.Annotatef(err, "settle at host %s", host)
+		return port.HostRun{}, errors.Annotatef(err, "settle at host %s", host)
 	}
-	return reply.Writer, nil
+	run := port.HostRun{Writer: reply.Writer}
+	if reply.AgeUs > 0 {
+		run.StartedAt = time.Now().Add(-time.Duration(reply.AgeUs) * time.Microsecond)
+	}
+	return run, nil
 }
 
 // Note implements port.BudgetPeers.
-func (c *Client) Note(ctx context.Context, host string, n port.BudgetNote) error {
+func (c *Client) Note(ctx context.Context, host string, n port.BudgetNote) (bool, error) {
 	conn, err := c.Connect(ctx, host)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer conn.Close()
-	_, err = spending.NewDRPCBudgetsClient(conn).Note(ctx, &spending.NoteRequest{
+	reply, err := spending.NewDRPCBudgetsClient(conn).Note(ctx, &spending.NoteRequest{
 		Program: []byte(n.Program),
 		Loans:   encodeLoans(n.Loans),
 		Claimed: n.Claimed,
 		Offset:  n.Offset,
 	})
-	return errors.Annotatef(err, "note at host %s", host)
+	if err != nil {
+		return false, errors.Annotatef(err, "note at host %s", host)
+	}
+	return reply.Recorded, nil
 }
 
 // Fence implements port.BudgetPeers.
--- a/internal/port/lending.go
+++ b/internal/port/lending.go
@@ -11,8 +11,11 @@
 	// chooses it, so that it can settle a reservation whose answer it did not
 	// receive.
 	Reservation uint64
-	Program     string
-	Budget      int64
+	// Account is a writer that the asking host draws for this reservation alone, so that the
+	// asking host can supersede the claims which hold it. It is zero if that host names none.
+	Account uint64
+	Program string
+	Budget  int64
 	// MaxTokens is the maximum number of tokens that the turn may spend.
 	MaxTokens int64
 	// Claimed is how much of the budget is claimed, as far as the asking host knows.
@@ -67,6 +70,8 @@
 	// Writer is that of the claims which hold a granted reservation, or of the loan which
 	// does. It is zero for a host that does not say.
 	Writer uint64
+	// Account is that of the request if its claims hold the reservation, and zero otherwise.
+	Account uint64
 	// Loans are the program's loans that the asked host knows.
 	Loans []Loan
 }
@@ -96,6 +101,15 @@
 	Offset  int64
 }
 
+// HostRun is one run of a host's process.
+type HostRun struct {
+	// Writer is that of the run's claims. It is zero if the host does not say.
+	Writer uint64
+	// StartedAt is when the run began to serve, or some time later. It is the zero time if the
+	// host does not say.
+	StartedAt time.Time
+}
+
 // BudgetPeers is the client that asks the other hosts to reserve tokens for this one.
 type BudgetPeers interface {
 	// Self returns this host's address, Hosts the addresses of the others.
@@ -107,11 +121,11 @@
 	Reserve(ctx context.Context, host string, r LendRequest) (LendAnswer, error)
 	// Settle reports how many tokens of a reservation were spent. It returns once the
 	// shared log counts them, or an error if it may not. The report was not sent after a
-	// *HostDownError. writer is that of the claims of the host's present run, or zero if
-	// the host does not say.
-	Settle(ctx context.Context, host string, reservation uint64, spent int64) (writer uint64, err error)
-	// Note reports to a host what it may not have read.
-	Note(ctx context.Context, host string, n BudgetNote) error
+	// *HostDownError.
+	Settle(ctx context.Context, host string, reservation uint64, spent int64) (HostRun, error)
+	// Note reports to a host what it may not have read. isRecorded says that the log contains
+	// all loans of the note; it is false for a host that does not say.
+	Note(ctx context.Context, host string, n BudgetNote) (isRecorded bool, err error)
 	// Fence makes a host stop lending of the budgets of a partition, because this host
 	// is about to claim there. It returns the loans that the log may not contain.
 	Fence(ctx context.Context, host string, part int) ([]ProgramLoan, error)
@@ -125,10 +139,11 @@
 	// tokens of it. It returns once the shared log counts them, or an error if it may
 	// not. It may be called again after an error.
 	SettleLoan(ctx context.Context, reservation uint64, spent int64) error
-	// Writer returns the writer of this run's claims.
-	Writer() uint64
-	// Note records what another host has reported.
-	Note(n BudgetNote)
+	// Run returns this run of the host.
+	Run() HostRun
+	// Note records what another host has reported. It reports whether the log contains all
+	// loans of the note, as far as this host has read it.
+	Note(n BudgetNote) bool
 	// Fence stops lending of the budgets of a partition for a while and returns the loans
 	// that the log may not contain.
 	Fence(part int) []ProgramLoan
--- a/internal/spending/borrowed.go
+++ b/internal/spending/borrowed.go
@@ -36,6 +36,9 @@
 	spent             int64
 	// writer is that of the claims which hold the reservation; zero if it is not known.
 	writer uint64
+	// account is the writer that this host has named for the reservation, if its claims hold it; zero
+	// otherwise.
+	account uint64
 	// loan is set if a loan may hold it.
 	loan    *port.Loan
 	release sync.Once
@@ -45,8 +48,8 @@
 
 // identify takes from the answer of the lender which claims hold the reservation.
 func (b *borrowed) identify(answer port.LendAnswer, mayBeLoan bool) {
-	b.writer = answer.Writer
-	if !mayBeLoan {
+	b.writer, b.account = answer.Writer, answer.Account
+	if !mayBeLoan || b.account != 0 {
 		return
 	}
 	i := slices.IndexFunc(answer.Loans, func(l port.Loan) bool { return l.Writer == answer.Writer })
@@ -84,14 +87,26 @@
 	s := b.service
 	started := time.Now()
 	pause := firstRetry
+	// sent counts the reports that may have reached the host, firstSent is when the first of them was
+	// sent.
+	var firstSent time.Time
 	for sent := 0; ; {
-		writer, err := b.settle()
+		sending := time.Now()
+		run, err := b.settle()
 		var down *port.HostDownError
 		if !errors.As(err, &down) {
-			sent++
+			if sent++; sent == 1 {
+				firstSent = sending
+			}
 		}
 		if err == nil {
-			b.finish(writer, sent)
+			// A run that served before the first report was sent has got all of them.
+			isOnly := sent == 1 || !run.StartedAt.IsZero() && run.StartedAt.Before(firstSent)
+			b.finish(run.Writer, isOnly)
+			return
+		}
+		if b.account != 0 && (down != nil || sent == settleAttempts) && s.ctx.Err() == nil {
+			b.endAccount()
 			return
 		}
 		if sent == settleAttempts || time.Since(started) > loanExpiry || s.ctx.Err() != nil {
@@ -104,12 +119,16 @@
 	}
 }
 
-// finish ends the settlement after writer has answered one of the reports that were sent. The run
-// that granted the reservation has ended if it is another one. If it may have recorded an earlier
-// report, nothing is given back for it.
-func (b *borrowed) finish(writer uint64, sent int) {
+// finish ends the settlement after writer has answered a report. The run that granted the reservation
+// has ended if it is another one. Unless the answering run is the only one that any report can have
+// reached, the ended one may have recorded what was spent, and nothing is given back for it.
+func (b *borrowed) finish(writer uint64, isOnly bool) {
+	if b.account != 0 && writer != b.writer {
+		b.endAccount()
+		return
+	}
 	hasLenderEnded := b.writer != 0 && writer != 0 && writer != b.writer
-	if hasLenderEnded && sent == 1 && !b.giveBackForEndedHost() {
+	if hasLenderEnded && isOnly && !b.giveBackForEndedHost() {
 		b.service.log.Info("Unspent tokens of a host that ended could not be given back; the reservation counts as spent in full.",
 			"host", b.host, "reservation", b.id, "program", b.program, "reserved", b.maxTokens, "spent", b.spent)
 		return
@@ -117,7 +136,19 @@
 	close(b.settled)
 }
 
-func (b *borrowed) settle() (writer uint64, err error) {
+// endAccount records what was spent in place of the lender, which may have ended. It does not matter
+// whether the lender has recorded it too.
+func (b *borrowed) endAccount() {
+	s := b.service
+	c, _ := s.endAccount(b.host, port.LendRequest{
+		Reservation: b.id, Account: b.account, Program: b.program, Budget: b.budget, MaxTokens: b.maxTokens,
+	}, b.spent)
+	if s.recordEnd(b.host, c) {
+		close(b.settled)
+	}
+}
+
+func (b *borrowed) settle() (port.HostRun, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	return b.service.peers.Settle(ctx, b.host, b.id, b.spent)
@@ -150,10 +181,7 @@
 // host has read. It returns false if that takes longer than loanExpiry.
 func (l *ledger) awaitClaim(ctx context.Context, c budget.Claim) bool {
 	for started := time.Now(); time.Since(started) < loanExpiry && ctx.Err() == nil; tail.Sleep(ctx, giveBackPollInterval) {
-		l.mu.Lock()
-		isContained := l.book.Has(c)
-		l.mu.Unlock()
-		if isContained {
+		if l.has(c) {
 			return true
 		}
 	}
--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -13,7 +13,8 @@
 // pendingClaim is a claim that is to be appended, or was appended and has no verdict
 // yet, with the turns that wait for it.
 type pendingClaim struct {
-	claim   budget.Claim
+	claim budget.Claim
+	// slice is nil for a claim that ends an account of another host.
 	slice   *slice
 	waiters []*waiter
 	// settlements are those of turns that have ended before the claim was made.
@@ -24,12 +25,12 @@
 }
 
 // collect takes turns off the queue and returns the next batch of claims, one per
-// program and at most maxBatch. It adds the claims that give back the unused parts of
+// slice and at most maxBatch. It adds the claims that give back the unused parts of
 // slices.
 func (l *ledger) collect() []*pendingClaim {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	byProgram := make(map[string]*pendingClaim)
+	bySlice := make(map[*slice]*pendingClaim)
 	var batch []*pendingClaim
 	var rest []*waiter
 	now := time.Now()
@@ -41,43 +42,45 @@
 			l.refuse(w)
 			continue
 		}
-		p := byProgram[w.program]
-		s := l.sliceOf(w.program, w.budget)
-		if p == nil && s.Needed(0) > s.Confirmed {
+		s := l.sliceFor(w)
+		p, own := bySlice[s], l.slices[w.program]
+		if p == nil && own.Needed(0) > own.Confirmed {
 			// What turns have already got is claimed first: it counts in any case, and a
 			// refused claim would take its place in the log.
-			l.releases[w.program] = s
+			l.release(own)
 			rest = append(rest, w)
 			continue
 		}
+		if s != own && own.Unused() > 0 && !l.mayHoldAhead(own) {
+			// The account needs the tokens that the slice no longer does.
+			l.release(own)
+		}
 		needsOwnClaim := p != nil && (w.isSingle || p.waiters[0].isSingle)
-		if needsOwnClaim || p == nil && s.isClaiming || len(batch) >= maxBatch {
+		if needsOwnClaim || p == nil && own.inFlight > 0 || len(batch) >= maxBatch {
 			rest = append(rest, w)
 			continue
 		}
 		if p == nil {
 			p = &pendingClaim{slice: s}
-			byProgram[w.program] = p
+			bySlice[s] = p
 			batch = append(batch, p)
 		}
 		p.waiters = append(p.waiters, w)
 	}
 	l.queue = rest
-	for _, p := range batch {
-		l.prepareClaim(p)
-	}
-	for program, s := range l.releases {
-		if s.isClaiming || len(batch) >= maxBatch {
+	var first []*pendingClaim
+	for key, s := range l.releases {
+		if s.share().inFlight > 0 || bySlice[s] != nil || len(first)+len(batch) >= maxBatch {
 			continue
 		}
-		delete(l.releases, program)
-		if byProgram[program] == nil {
-			p := &pendingClaim{slice: s}
-			l.prepareClaim(p)
-			batch = append(batch, p)
-		}
+		delete(l.releases, key)
+		first = append(first, &pendingClaim{slice: s})
 	}
-	return batch
+	batch = append(first, batch...)
+	for _, p := range batch {
+		l.prepareClaim(p)
+	}
+	return append(l.endings(batch), batch...)
 }
 
 // hasWrites reports whether collect may return a batch.
@@ -115,10 +118,11 @@
 	total = max(total, s.Confirmed)
 	s.waiting += len(p.waiters)
 	s.isClaiming = true
+	s.share().inFlight++
 	p.settlements, s.settlements = s.settlements, nil
 	l.sequence++
 	s.Sequence = l.sequence
-	p.claim = budget.Claim{Writer: l.writer, Sequence: l.sequence, Program: s.program, Budget: s.budget, Total: total, Settled: isSettled}
+	p.claim = budget.Claim{Writer: l.writerOf(s), Sequence: l.sequence, Program: s.program, Budget: s.budget, Total: total, Settled: isSettled}
 }
 
 // requeue puts the turns of claims that could not be written because of cause back into
@@ -130,14 +134,18 @@
 	defer l.mu.Unlock()
 	for _, p := range batch {
 		s := p.slice
+		if s == nil {
+			continue // An ending remains among the loans.
+		}
 		s.waiting -= len(p.waiters)
 		s.isClaiming = false
+		s.share().inFlight--
 		s.isUndecided = true
 		if hadNoEffect {
 			s.Confirmed, s.isUndecided = p.confirmed, p.wasUndecided
 		}
 		if len(p.waiters) == 0 {
-			l.releases[s.program] = s
+			l.release(s)
 		}
 		l.settleLater(p)
 		for _, w := range p.waiters {
@@ -145,7 +153,7 @@
 				l.queue = append(l.queue, w)
 			}
 		}
-		l.releaseUndecided(s.program)
+		l.releaseUndecided(s)
 		delete(l.verdicts, p.claim.Sequence)
 	}
 }
@@ -157,11 +165,15 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for _, p := range batch {
+		if p.slice == nil {
+			continue
+		}
 		verdict := l.verdicts[p.claim.Sequence]
 		delete(l.verdicts, p.claim.Sequence)
 		s := p.slice
 		s.waiting -= len(p.waiters)
 		s.isClaiming = false
+		s.share().inFlight--
 		s.isUndecided = false
 		s.usedAt = now
 		if verdict == budget.Refused {
@@ -174,7 +186,7 @@
 		}
 		if s.Unused() > 0 && !l.mayHoldAhead(s) {
 			// The turn that the tokens were claimed for has been given up.
-			l.releases[s.program] = s
+			l.release(s)
 		}
 		if len(p.waiters) > 0 {
 			l.metrics.claims(verdict)
@@ -196,6 +208,8 @@
 	}
 	switch {
 	case w.isAbandoned:
+	case verdict == budget.Stale && s.account != 0:
+		w.done <- unknownBudget(w.program, errAccountEnded)
 	case verdict == budget.Accepted && s.BeginClaimed(w.maxTokens):
 		w.reservation = &reservation{ledger: l, slice: s, maxTokens: w.maxTokens}
 		w.done <- nil
@@ -211,6 +225,9 @@
 	}
 }
 
+// errAccountEnded says that the asking host has ended an account before it was claimed.
+var errAccountEnded = errors.New("asking host has ended the reservation")
+
 // exceeds reports whether the turn by itself does not fit the budget, according to
 // the book. The caller holds l.mu.
 func (l *ledger) exceeds(w *waiter, s *slice) bool {
--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -46,8 +46,14 @@
 	down sync.Map
 	// loseSettlement holds the hosts whose next answer to a settlement gets lost.
 	loseSettlement sync.Map
+	// onAsked and beforeAnswer hold functions by host, called once when it is next asked for a
+	// reservation and between its claim and its answer.
+	onAsked, beforeAnswer sync.Map
 	// silent holds the hosts of an earlier build, which do not name their writer.
 	silent sync.Map
+	// lostNotes is how many more notes on loans get lost, repeatedNotes how often each other one is
+	// delivered besides.
+	lostNotes, repeatedNotes atomic.Int64
 	// isBusy says that the store answers other calls of each host all the time.
 	isBusy atomic.Bool
 }
@@ -92,7 +98,7 @@
 // kill ends the process of a host.
 func (f *fleet) kill(i int) {
 	f.down.Store(f.names[i], true)
-	_ = f.hosts[i].Stop(context.Background())
+	_ = f.host(f.names[i]).Stop(context.Background())
 }
 
 // revive starts a host that was killed.
@@ -222,28 +228,42 @@
 		s.Lend(context.WithoutCancel(ctx), r)
 		return port.LendAnswer{}, errors.New("connection was reset")
 	}
-	answer := s.Lend(ctx, r)
+	if p.fleet.isOld(host) || p.fleet.isOld(p.self) {
+		r.Account = 0
+	}
+	callOnce(&p.fleet.onAsked, host)
+	answered := make(chan port.LendAnswer, 1)
+	go func() { answered <- s.Lend(ctx, r) }()
+	var answer port.LendAnswer
+	select {
+	case answer = <-answered:
+	case <-s.ctx.Done():
+	}
+	callOnce(&p.fleet.beforeAnswer, host)
+	if s.ctx.Err() != nil {
+		return port.LendAnswer{}, errors.New("connection was reset")
+	}
 	if _, isOld := p.fleet.silent.Load(host); isOld {
 		answer.Writer = 0
 	}
 	return answer, nil
 }
 
-func (p *testPeers) Settle(ctx context.Context, host string, reservation uint64, spent int64) (uint64, error) {
+func (p *testPeers) Settle(ctx context.Context, host string, reservation uint64, spent int64) (port.HostRun, error) {
 	s, err := p.connect(ctx, host)
 	if err != nil {
-		return 0, err
+		return port.HostRun{}, err
 	}
 	if err := s.SettleLoan(ctx, reservation, spent); err != nil {
-		return 0, err
+		return port.HostRun{}, err
 	}
 	if _, isLost := p.fleet.loseSettlement.LoadAndDelete(host); isLost {
-		return 0, errors.New("connection was reset")
+		return port.HostRun{}, errors.New("connection was reset")
 	}
-	if _, isOld := p.fleet.silent.Load(host); isOld {
-		return 0, nil
+	if p.fleet.isOld(host) {
+		return port.HostRun{}, nil
 	}
-	return s.Writer(), nil
+	return s.Run(), nil
 }
 
 func (p *testPeers) Fence(ctx context.Context, host string, part int) ([]port.ProgramLoan, error) {
@@ -257,13 +277,35 @@
 	return s.Fence(part), nil
 }
 
-func (p *testPeers) Note(ctx context.Context, host string, n port.BudgetNote) error {
+func (p *testPeers) Note(ctx context.Context, host string, n port.BudgetNote) (bool, error) {
 	s, err := p.connect(ctx, host)
 	if err != nil {
-		return err
+		return false, err
+	}
+	if len(n.Loans) > 0 && p.fleet.lostNotes.Add(-1) >= 0 {
+		return false, errors.New("connection was reset")
+	}
+	for range p.fleet.repeatedNotes.Load() {
+		s.Note(n)
+	}
+	isRecorded := s.Note(n)
+	if _, isOld := p.fleet.silent.Load(host); isOld {
+		return false, nil
+	}
+	return isRecorded, nil
+}
+
+// isOld reports whether a host is of an earlier build.
+func (f *fleet) isOld(host string) bool {
+	_, ok := f.silent.Load(host)
+	return ok
+}
+
+// callOnce calls the function that is kept for a host, and removes it.
+func callOnce(byHost *sync.Map, host string) {
+	if f, ok := byHost.LoadAndDelete(host); ok {
+		f.(func())()
 	}
-	s.Note(n)
-	return nil
 }
 
 // count returns how many reservations of other hosts are not settled.
