occupancy: observations in finish, estimates in admit replies

Change: optional messages Learned and Observation; hosts without them ignore the fields, and their absence means that nothing is known. Result: the round trip over drpc keeps all fields (occupancyrpc tests).

--- a/internal/adapter/occupancyrpc/occupancyrpc.go
+++ b/internal/adapter/occupancyrpc/occupancyrpc.go
@@ -50,6 +50,7 @@
 		IsDenied:        reply.IsDenied,
 		RetryAfter:      milliseconds(reply.RetryAfterMs),
 		RateLimits:      fromWires(reply.RateLimits, time.Now()),
+		Learned:         learnedFromWire(reply.Learned),
 	}, nil
 }
 
@@ -72,7 +73,8 @@
 		Host:   r.Host,
 		Result: results[r.Result],
 
-		RateLimit: toWire(r.RateLimit, time.Now()),
+		RateLimit:   toWire(r.RateLimit, time.Now()),
+		Observation: observationToWire(r.Observation),
 	})
 	return errors.Annotatef(err, "finish at host %s", host)
 }
@@ -103,6 +105,7 @@
 		KnowsRateLimits: reply.KnowsRateLimits,
 		IsDenied:        reply.IsDenied,
 		RetryAfterMs:    uint32(reply.RetryAfter.Milliseconds()),
+		Learned:         learnedToWire(reply.Learned),
 	}
 	for _, l := range reply.RateLimits {
 		wire.RateLimits = append(wire.RateLimits, toWire(l, now))
@@ -112,7 +115,7 @@
 
 // Finish implements occupancy.DRPCOccupancyServer.
 func (h *handler) Finish(_ context.Context, r *occupancy.FinishRequest) (*occupancy.FinishReply, error) {
-	finish := port.FinishRequest{Target: string(r.Target), Lease: r.Lease, Host: r.Host, RateLimit: fromWire(r.RateLimit, time.Now())}
+	finish := port.FinishRequest{Target: string(r.Target), Lease: r.Lease, Host: r.Host, RateLimit: fromWire(r.RateLimit, time.Now()), Observation: observationFromWire(r.Observation)}
 	for result, wire := range results {
 		if wire == r.Result {
 			finish.Result = result
--- a/internal/adapter/occupancyrpc/occupancyrpc_test.go
+++ b/internal/adapter/occupancyrpc/occupancyrpc_test.go
@@ -16,6 +16,7 @@
 	"yuccausher/internal/core/fleet"
 	core "yuccausher/internal/core/occupancy"
 	"yuccausher/internal/core/ratelimit"
+	"yuccausher/internal/core/targetload"
 	"yuccausher/internal/port"
 )
 
@@ -31,12 +32,22 @@
 	}}
 }
 
+// learned is what the server returns to requests for target u, observation what it is told of
+// an answered request.
+var (
+	learned     = port.Learned{StartedAt: -3, Estimate: targetload.Estimate{Limit: 9, EventsPerSecond: 81.5, Age: 40 * time.Millisecond}}
+	observation = port.Observation{StartedAt: 4, Sample: targetload.Sample{
+		First: 31 * time.Millisecond, Gap: 12345 * time.Microsecond, Events: 60, PromptTokens: 4000, CachedTokens: 1000, InProgress: 3, IsRefused: true,
+	}}
+)
+
 func (s *server) AdmitLocal(r port.AdmitRequest) port.AdmitReply {
 	s.admitted = append(s.admitted, r)
 	reply := port.AdmitReply{Reply: core.Reply{Admitted: r.Limit == 7, InProgress: 6, IsSuspect: r.Limit != 7}, RateLimits: []fleet.TargetLimit{}}
 	if r.Target == "u" {
 		reply.KnowsRateLimits, reply.IsDenied, reply.RetryAfter = true, true, 350*time.Millisecond
 		reply.RateLimits = append(reply.RateLimits, limit(time.Now()))
+		reply.Learned = learned
 	}
 	return reply
 }
@@ -77,10 +88,14 @@
 		IsDenied:        true,
 		RetryAfter:      350 * time.Millisecond,
 		RateLimits:      []fleet.TargetLimit{limit(time.Now())},
+		Learned:         learned,
 	})
 	is.Equal(s.admitted[0], admit)
 	for _, result := range []core.Result{core.Inconclusive, core.Answered, core.Failed} {
 		finish := port.FinishRequest{Target: "t", Lease: 5, Host: 9, Result: result, RateLimit: limit(time.Now())}
+		if result == core.Answered {
+			finish.Observation = observation
+		}
 		is.NoErr(c.Finish(t.Context(), "b", finish))
 		is.Equal(s.finished[len(s.finished)-1], finish)
 	}
--- a/internal/port/occupancy.go
+++ b/internal/port/occupancy.go
@@ -6,6 +6,7 @@
 
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/occupancy"
+	"yuccausher/internal/core/targetload"
 )
 
 // AdmitRequest asks the coordinator of a target to count a request.
@@ -38,6 +39,22 @@
 	RetryAfter      time.Duration
 	// RateLimits are that of the target and some of other targets.
 	RateLimits []fleet.TargetLimit
+	// Learned is what all hosts' requests have shown of the target.
+	Learned Learned
+}
+
+// Learned is an estimate of a run of a target. Its zero value says nothing.
+type Learned struct {
+	// StartedAt tells runs of the target apart.
+	StartedAt int64
+	targetload.Estimate
+}
+
+// Observation is a sample of a run of a target. Its zero value says nothing.
+type Observation struct {
+	// StartedAt tells runs of the target apart.
+	StartedAt int64
+	targetload.Sample
 }
 
 // FinishRequest reports how an admitted request ended.
@@ -49,6 +66,8 @@
 	Result occupancy.Result
 	// RateLimit is the newest that the host knows about the target's rate limit.
 	RateLimit fleet.TargetLimit
+	// Observation is what the request showed of the target's speed.
+	Observation Observation
 }
 
 // OccupancyPeers is the client that reaches the coordinators of targets.
