core/occupancy: a failed or refused request counts until an answer would have come

Cause: a target that fails requests at once has none in progress, and only reports of two hosts make it suspect, so that the failures of one host draw further requests. Change: such a request keeps its place for the mean time of an answer. The counter also returns the mean load over the time of a request.

--- a/internal/core/occupancy/counter.go
+++ b/internal/core/occupancy/counter.go
@@ -40,39 +40,96 @@
 	reportTTL = 4 * time.Second
 	// maxLeaseTTL limits how long a request counts that is never finished.
 	maxLeaseTTL = time.Minute
+	// initialAnswerTime is the assumed time of an answer until one has come; it is that of a
+	// short answer of an engine.
+	initialAnswerTime = 500 * time.Millisecond
+	// maxAnswerTime limits how long a request counts after the target has failed it.
+	maxAnswerTime = 3 * time.Second
+	// answerGain is the weight of one answer in the mean time of answers.
+	answerGain = 0.1
 )
 
 // Counter counts the requests of all hosts at one target. The zero value is an idle
 // target. It is not safe for concurrent use.
 type Counter struct {
-	// leases holds when the requests in progress stop counting if they are not
-	// finished before.
-	leases map[uint64]time.Time
-	failed failure.Share
+	// leases holds the requests in progress.
+	leases map[uint64]lease
+	// area is the integral of the number of requests in progress over time until areaAt, in
+	// request-seconds.
+	area   float64
+	areaAt time.Time
+	// answerTime is the mean time of answers; zero if there was none.
+	answerTime time.Duration
+	failed     failure.Share
 	// reportedAt holds when each host last reported a failure.
 	reportedAt map[uint64]time.Time
 }
 
+// lease is a request in progress.
+type lease struct {
+	// until is when it stops counting if it is not finished before.
+	until time.Time
+	// admittedAt and area are the time and the counter's area when it was admitted.
+	admittedAt time.Time
+	area       float64
+}
+
 // Admit counts a request if fewer than limit are in progress and the target is not
 // suspect. A limit of zero admits the request in any case. The request counts until it
 // is finished, and for ttl or maxLeaseTTL at most, since the host that sent it may end.
-func (c *Counter) Admit(lease uint64, limit int, ttl time.Duration, now time.Time) Reply {
+func (c *Counter) Admit(id uint64, limit int, ttl time.Duration, now time.Time) Reply {
 	c.expire(now)
 	r := Reply{InProgress: len(c.leases), IsSuspect: c.isSuspect(now)}
 	r.Admitted = limit == 0 || r.InProgress < limit && !r.IsSuspect
 	if r.Admitted {
 		if c.leases == nil {
-			c.leases = make(map[uint64]time.Time)
+			c.leases = make(map[uint64]lease)
 		}
-		c.leases[lease] = now.Add(min(ttl, maxLeaseTTL))
+		c.leases[id] = lease{until: now.Add(min(ttl, maxLeaseTTL)), admittedAt: now, area: c.area}
 	}
 	return r
 }
 
-// Finish ends a request of a host. Its result counts also if the request was not
-// admitted here.
-func (c *Counter) Finish(lease, host uint64, r Result, now time.Time) {
-	delete(c.leases, lease)
+// MeanLoad returns the mean number of requests in progress since a request was admitted, that
+// request included. It returns false if the request is not in progress here.
+func (c *Counter) MeanLoad(id uint64, now time.Time) (float64, bool) {
+	c.expire(now)
+	l, ok := c.leases[id]
+	if !ok || !now.After(l.admittedAt) {
+		return 0, false
+	}
+	return (c.area - l.area) / now.Sub(l.admittedAt).Seconds(), true
+}
+
+// Hold ends a request that the target has failed or refused, but counts it until an answer
+// would have come. Otherwise a target that fails requests at once would have the fewest in
+// progress, and get the most requests.
+func (c *Counter) Hold(id uint64, now time.Time) {
+	l, ok := c.leases[id]
+	if !ok {
+		return
+	}
+	answerTime := c.answerTime
+	if answerTime == 0 {
+		answerTime = initialAnswerTime
+	}
+	l.until = l.admittedAt.Add(min(answerTime, maxAnswerTime))
+	c.leases[id] = l
+	c.expire(now)
+}
+
+// Finish ends a request of a host; one that the target has failed as Hold does. Its result
+// counts also if the request was not admitted here.
+func (c *Counter) Finish(id, host uint64, r Result, now time.Time) {
+	c.expire(now)
+	if r == Answered {
+		c.recordAnswerTime(id, now)
+	}
+	if r == Failed {
+		c.Hold(id, now)
+	} else {
+		delete(c.leases, id)
+	}
 	switch r {
 	case Answered:
 		c.failed.RecordSuccess(now)
@@ -85,6 +142,18 @@
 	}
 }
 
+func (c *Counter) recordAnswerTime(id uint64, now time.Time) {
+	l, ok := c.leases[id]
+	if !ok {
+		return
+	}
+	took := now.Sub(l.admittedAt)
+	if c.answerTime == 0 {
+		c.answerTime = took
+	}
+	c.answerTime += time.Duration(answerGain * float64(took-c.answerTime))
+}
+
 // isSuspect reports whether requests of several hosts have failed recently.
 func (c *Counter) isSuspect(now time.Time) bool {
 	maps.DeleteFunc(c.reportedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > reportTTL })
@@ -97,10 +166,22 @@
 	return len(c.leases) == 0 && !c.isSuspect(now)
 }
 
+// expire removes the requests that have stopped counting and advances the area.
 func (c *Counter) expire(now time.Time) {
-	for lease, until := range c.leases {
-		if !now.Before(until) {
-			delete(c.leases, lease)
+	if c.areaAt.IsZero() {
+		c.areaAt = now
+	}
+	if now.After(c.areaAt) {
+		for _, l := range c.leases {
+			if until := min(now.Sub(c.areaAt), l.until.Sub(c.areaAt)); until > 0 {
+				c.area += until.Seconds()
+			}
+		}
+		c.areaAt = now
+	}
+	for id, l := range c.leases {
+		if !now.Before(l.until) {
+			delete(c.leases, id)
 		}
 	}
 }
