core/fleet: learned limits and speeds; a target that fails at once attracts no requests

Cause: a target that fails requests at once has the fewest in flight. While others fail some requests too, so that all are suspect, it gets the most. Speeds of targets are unknown.

--- a/internal/core/fleet/choice.go
+++ b/internal/core/fleet/choice.go
@@ -62,5 +62,11 @@
 		first = waited
 	}
 	c.markAnswerStarted()
+	switch o {
+	case Answered:
+		c.fleet.recordAnswerTime(c.Service, now.Sub(c.sentAt))
+	case Full, Unreachable, Broken, Failed, Replaced:
+		c.fleet.hold(c, now)
+	}
 	c.target.observe(now, o, first)
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -29,6 +29,10 @@
 	limited map[string]*Target
 	// announced holds the releases that all hosts can learn to be in use.
 	announced map[Release]bool
+	// speeds holds what is known of the speeds of each service's targets, answerTimes the mean
+	// time of each service's answers.
+	speeds      map[string]*speeds
+	answerTimes map[string]time.Duration
 	// seed gives each host its own order of equivalent targets.
 	seed uint64
 }
@@ -43,6 +47,8 @@
 		leavingRuns: make(map[run]time.Time),
 		limited:     make(map[string]*Target),
 		announced:   make(map[Release]bool),
+		speeds:      make(map[string]*speeds),
+		answerTimes: make(map[string]time.Duration),
 		seed:        seed,
 	}
 }
@@ -339,7 +345,7 @@
 	if t == nil || !t.isSameRun(m) || !t.isUsable(now) {
 		return nil
 	}
-	cost := time.Duration(t.cost(now) * float64(time.Second))
+	cost := time.Duration(f.cost(t, now) * float64(time.Second))
 	earlier := t.inFlight
 	t.inFlight++
 	t.unanswered = append(t.unanswered, now)
@@ -358,7 +364,7 @@
 	var best *Target
 	lowest := 0.0
 	for rank, t := range f.preferred(order, missCost) {
-		c := t.cost(now)
+		c := f.cost(t, now)
 		if rank > 0 {
 			c += missCost
 		}
@@ -392,8 +398,8 @@
 
 func targetID(t *Target) string { return t.ID }
 
-// leastLoaded returns the target with the fewest requests of this host, after
-// those that are slow or suspect. Ties go to the host's own data centre and then
+// leastLoaded returns the target with the fewest requests of this host, those that failed at
+// once held to be running for a while, after those that are slow or suspect. Ties go to the host's own data centre and then
 // to the first target in an order that differs between hosts. At low load each
 // host therefore uses few targets, which saves connections, and different hosts
 // use different ones.
@@ -402,7 +408,7 @@
 	return slices.MinFunc(available, func(a, b *Target) int {
 		return cmp.Or(
 			compareBool(a.isSlow(now, median) || a.isSuspect(now), b.isSlow(now, median) || b.isSuspect(now)),
-			cmp.Compare(a.inFlight, b.inFlight),
+			cmp.Compare(a.load(now), b.load(now)),
 			compareBool(a.DataCentre != f.dataCentre, b.DataCentre != f.dataCentre),
 			cmp.Compare(f.sortKey(a), f.sortKey(b)),
 		)
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -8,6 +8,7 @@
 
 	"yuccausher/internal/core/failure"
 	"yuccausher/internal/core/ratelimit"
+	"yuccausher/internal/core/targetload"
 )
 
 // Member is a target's own record.
@@ -85,6 +86,11 @@
 	// them ends.
 	refusals  int
 	fullUntil time.Time
+	// held holds until when requests count that the target has failed or refused at once.
+	held []time.Time
+	// learned is what all hosts' requests have shown of the target, up to learnedAt.
+	learned   targetload.Estimate
+	learnedAt time.Time
 	// limit is the rate limit that the target has named.
 	limit ratelimit.Limit
 	// deniedUntil is when the target may get a request again under its rate limit.
@@ -135,11 +141,12 @@
 	return t.unloadedCost(now) > slowFactor*median
 }
 
-// cost returns the expected time of a request at the target with this host's
-// load on it, in seconds. It is only meaningful in comparison to other targets.
-func (t *Target) cost(now time.Time) float64 {
-	load := float64(t.inFlight) / float64(t.Slots)
-	return t.unloadedCost(now)*(1+loadCost*load) + failureCost*t.failed.Value(now)
+// cost returns the expected time of a request at a target with this host's load on it, in
+// seconds. It is only meaningful in comparison to other targets.
+func (f *Fleet) cost(t *Target, now time.Time) float64 {
+	limit, _ := f.capacity(t, now)
+	load := float64(t.inFlight) / float64(limit)
+	return t.unloadedCost(now)*(1+loadCost*load) + failureCost*t.failed.Value(now) + f.streamTime(t, now)
 }
 
 func (t *Target) isFull(now time.Time) bool { return now.Before(t.fullUntil) }
