occupancy, gateway: limits and speeds of engines from the requests of all hosts

Cause: each host learns the speed of a target only from its own few requests, and takes the slots of its record as its capacity. Change: the gateway measures the gaps and the first event of each complete stream of a service with engines. The report of its end carries the sample to the target's coordinator, which learns the run's limit and speed and returns them with the next admission. Samples are not used while the caller is slow or the host's timers are late. Without a coordinator the host uses its own samples. Metrics: samples, late_samples, strange_samples, changed_limits, and three gauges for at most 64 targets. No message is added.

--- a/internal/core/occupancy/bound.go
+++ b/internal/core/occupancy/bound.go
@@ -24,19 +24,29 @@
 }
 
 // Observe records the requests in progress at the first target that a request prefers.
-func (b *Bound) Observe(inProgress int) {
+func (b *Bound) Observe(inProgress int) { b.ObserveAt(inProgress, 1) }
+
+// ObserveAt does the same for a target with a speed relative to the others, above zero.
+func (b *Bound) ObserveAt(inProgress int, speed float64) {
+	load := float64(inProgress) / speed
 	if !b.seen {
-		b.mean, b.seen = float64(inProgress), true
+		b.mean, b.seen = load, true
 		return
 	}
-	b.mean += meanGain * (float64(inProgress) - b.mean)
+	b.mean += meanGain * (load - b.mean)
 }
 
 // Limit returns the bound for a target with a number of slots, at least one. It is
 // higher for a request with prompt tokens that the target has probably cached and others
 // would have to read.
 func (b *Bound) Limit(slots int, cachedTokens int64) int {
-	limit := int(math.Ceil(boundFactor*b.mean)) + 1 + int(cachedTokens/tokensPerRequest)
+	return b.LimitAt(slots, cachedTokens, 1)
+}
+
+// LimitAt does the same for a target with a speed relative to the others: a target that is
+// twice as fast ends twice the requests in the same time.
+func (b *Bound) LimitAt(slots int, cachedTokens int64, speed float64) int {
+	limit := int(math.Ceil(boundFactor*b.mean*speed)) + 1 + int(cachedTokens/tokensPerRequest)
 	if slots > 0 {
 		limit = min(limit, slots)
 	}
@@ -45,7 +55,17 @@
 
 // LeastOccupied returns the index of the reply with the fewest requests in progress,
 // suspect targets last, the first of equal ones.
-func LeastOccupied(replies []Reply) int {
+func LeastOccupied(replies []Reply) int { return LeastLoaded(replies, nil) }
+
+// LeastLoaded does the same with regard to the relative speeds of the targets, all above zero;
+// nil if they are equal.
+func LeastLoaded(replies []Reply, speeds []float64) int {
+	load := func(i int) float64 {
+		if speeds == nil {
+			return float64(replies[i].InProgress)
+		}
+		return float64(replies[i].InProgress+1) / speeds[i]
+	}
 	best := 0
 	for i, r := range replies {
 		b := replies[best]
@@ -55,7 +75,7 @@
 			}
 			continue
 		}
-		if r.InProgress < b.InProgress {
+		if load(i) < load(best) {
 			best = i
 		}
 	}
--- a/internal/core/occupancy/counter.go
+++ b/internal/core/occupancy/counter.go
@@ -171,17 +171,19 @@
 	if c.areaAt.IsZero() {
 		c.areaAt = now
 	}
-	if now.After(c.areaAt) {
-		for _, l := range c.leases {
-			if until := min(now.Sub(c.areaAt), l.until.Sub(c.areaAt)); until > 0 {
-				c.area += until.Seconds()
-			}
-		}
+	before := c.areaAt
+	if now.After(before) {
+		c.area += float64(len(c.leases)) * now.Sub(before).Seconds()
 		c.areaAt = now
 	}
 	for id, l := range c.leases {
-		if !now.Before(l.until) {
-			delete(c.leases, id)
+		if now.Before(l.until) {
+			continue
+		}
+		if l.until.Before(before) {
+			l.until = before
 		}
+		c.area -= max(now.Sub(l.until).Seconds(), 0)
+		delete(c.leases, id)
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -217,7 +217,7 @@
 }
 
 func newOccupancy(lc fx.Lifecycle, o Options, peers *budgetrpc.Client, h *follow.Hosts, f *fleet.Fleet, scope tally.Scope) *occupancy.Service {
-	s := occupancy.New(occupancy.Params{Peers: occupancyrpc.Client{Dialer: peers}, Limits: f, RenewedAt: h.RenewedAt, Logger: o.Logger, Scope: scope})
+	s := occupancy.New(occupancy.Params{Peers: occupancyrpc.Client{Dialer: peers}, Limits: f, Targets: f, RenewedAt: h.RenewedAt, Logger: o.Logger, Scope: scope})
 	lc.Append(fx.Hook{OnStart: s.Start, OnStop: s.Stop})
 	return s
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/occupancy"
 	"yuccausher/internal/core/route"
+	"yuccausher/internal/core/targetload"
 	"yuccausher/internal/memory"
 	"yuccausher/internal/upstream"
 )
@@ -105,6 +106,9 @@
 	IsDenied bool
 	// Finish reports how the dispatch ended. It must be called once.
 	Finish func(occupancy.Result)
+	// Observe takes what the dispatch showed of the target's speed. It may be called once,
+	// before Finish. It is nil if nobody wants to know.
+	Observe func(targetload.Sample)
 }
 
 // PlaceRequest describes a dispatch that is to be placed.
@@ -410,7 +414,7 @@
 
 func (j *job) setEventTokens(table *route.Table) {
 	if s := table.Service(j.service); s != nil && s.Engine != nil {
-		j.eventTokens = s.Engine.EventTokens
+		j.eventTokens, j.hasEngine = s.Engine.EventTokens, true
 	}
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -43,6 +43,8 @@
 
 	reservation Reservation
 	eventTokens int64
+	// hasEngine is set if the service has model engines.
+	hasEngine bool
 
 	// denials counts how often rate limits left no room at a target.
 	denials int
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -120,6 +120,8 @@
 	outcome := fleet.Full
 	if answer.IsWrongTarget {
 		outcome = fleet.Replaced
+	} else {
+		j.observeRefusal()
 	}
 	j.cause = &TargetRefusedError{Target: choice.ID, Status: response.StatusCode}
 	j.g.metrics.recordRefusal(outcome)
@@ -258,6 +260,7 @@
 	events := newEventReader(response.Body, j.keep)
 	first := time.Duration(0)
 	isResumed := j.events > 0
+	var times streamTimes
 	j.recordResumption(choice, isResumed)
 	for {
 		e, err := events.next()
@@ -278,6 +281,9 @@
 		if errors.Is(err, io.EOF) {
 			conn.Release()
 			choice.End(time.Now(), fleet.Answered, first)
+			if !isResumed {
+				j.observeStream(&times, first)
+			}
 			j.finishPlace(occupancy.Answered)
 			if !j.saveTurn(ctx) {
 				j.outcome = "turn_not_kept"
@@ -296,12 +302,15 @@
 			first = time.Since(sent)
 			j.firstByte = time.Since(j.started)
 		}
-		choice.Received(time.Now())
+		received := time.Now()
+		times.received(received)
+		choice.Received(received)
 		// An event that may have reached the caller counts as spent.
 		j.countEvent(choice)
 		if _, err = j.w.Write(e.raw); err == nil {
 			err = flusher.Flush()
 		}
+		times.writing += time.Since(received)
 		if err != nil {
 			j.cause = err
 			conn.Abort()
--- a/internal/occupancy/limits.go
+++ b/internal/occupancy/limits.go
@@ -62,6 +62,8 @@
 func (s *Service) ask(ctx context.Context, r port.AdmitRequest) (port.AdmitReply, askResult) {
 	reply, ok := s.admit(ctx, r)
 	if !s.limits.Limit(r.Target).IsLimited {
+		// Also without an answer: this host may know something itself.
+		s.learnTarget(r.Target, reply.Learned)
 		if !ok {
 			return reply, unanswered
 		}
@@ -70,6 +72,7 @@
 	if !ok || !reply.KnowsRateLimits {
 		reply, ok = s.admitAtSecond(ctx, r)
 	}
+	s.learnTarget(r.Target, reply.Learned)
 	switch {
 	case ctx.Err() != nil:
 		return reply, denied
--- a/internal/occupancy/metrics.go
+++ b/internal/occupancy/metrics.go
@@ -16,6 +16,13 @@
 	granted, denied, uncoordinated tally.Counter
 	// learnedLimits counts changes of rate limits that other hosts have told.
 	learnedLimits tally.Counter
+	// samples counts samples of the speed of targets that this host has used, lateSamples
+	// those that were discarded since the host was late, strangeSamples those of runs of
+	// targets that this host does not know, changedLimits the notable changes of limits that
+	// this host has learned from samples.
+	samples, lateSamples, strangeSamples, changedLimits tally.Counter
+	// scope is that of all these.
+	scope tally.Scope
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -29,5 +36,11 @@
 		denied:        scope.Counter("denied"),
 		uncoordinated: scope.Counter("uncoordinated"),
 		learnedLimits: scope.Counter("learned_limits"),
+
+		samples:        scope.Counter("samples"),
+		lateSamples:    scope.Counter("late_samples"),
+		strangeSamples: scope.Counter("strange_samples"),
+		changedLimits:  scope.Counter("changed_limits"),
+		scope:          scope,
 	}
 }
--- a/internal/occupancy/service.go
+++ b/internal/occupancy/service.go
@@ -47,6 +47,8 @@
 	Peers port.OccupancyPeers
 	// Limits holds what this host knows of the rate limits of targets.
 	Limits Limits
+	// Targets holds what this host knows of the speeds of targets.
+	Targets Targets
 	// RenewedAt returns when this host last renewed its record, by which others know it.
 	RenewedAt func() time.Time
 	Logger    logr.Logger
@@ -77,7 +79,14 @@
 	known    []string
 	departed map[string]time.Time
 
+	// learners holds what samples have shown of targets with model engines; gauged is how many
+	// targets have gauges.
+	learners map[string]*learner
+	gauged   int
+	lateness lateness
+
 	limits    Limits
+	targets   Targets
 	renewedAt func() time.Time
 	startedAt time.Time
 
@@ -104,8 +113,10 @@
 		bounds:   make(map[string]*occupancy.Bound),
 		quotas:   make(map[string]*quota),
 		departed: make(map[string]time.Time),
+		learners: make(map[string]*learner),
 
 		limits:    p.Limits,
+		targets:   p.Targets,
 		renewedAt: p.RenewedAt,
 		startedAt: time.Now(),
 	}
@@ -116,6 +127,7 @@
 // Start starts the background work. It returns no error.
 func (s *Service) Start(context.Context) error {
 	s.done.Go(s.sweep)
+	s.done.Go(func() { s.lateness.run(s.ctx) })
 	return nil
 }
 
@@ -149,6 +161,7 @@
 		}
 	}
 	s.dropIdleQuotas(now)
+	s.dropIdleLearners(now)
 	s.recordDeparted(s.peers.Hosts(), now)
 	s.paused.Retain(s.peers.Hosts())
 }
@@ -157,6 +170,7 @@
 func (s *Service) Place(ctx context.Context, r gateway.PlaceRequest) gateway.Place {
 	lease := rand.Uint64()
 	var compared []int
+	speeds := make([]float64, 0, maxAsked)
 	replies := make([]occupancy.Reply, 0, maxAsked)
 	for i, m := range r.Candidates[:min(maxAsked, len(r.Candidates))] {
 		cached := r.CachedTokens
@@ -169,19 +183,20 @@
 			continue
 		case unanswered:
 			// The coordinator does not answer, so that the host's own preference decides.
-			return gateway.Place{Index: i, Asked: i + 1, Finish: func(occupancy.Result) {}}
+			return s.placeAlone(m, i)
 		}
 		if i == 0 {
-			s.observe(m.Service, reply.InProgress)
+			s.observe(m, reply.InProgress)
 		}
 		if reply.Admitted {
 			s.metrics.admitted.Inc(1)
 			return s.place(r.Candidates, i, i+1, lease, reply.Reply)
 		}
-		compared, replies = append(compared, i), append(replies, reply.Reply)
+		_, speed := s.targets.Capacity(m, time.Now())
+		compared, replies, speeds = append(compared, i), append(replies, reply.Reply), append(speeds, speed)
 	}
 	for len(replies) > 0 {
-		best := occupancy.LeastOccupied(replies)
+		best := occupancy.LeastLoaded(replies, speeds)
 		index, reply := compared[best], replies[best]
 		s.metrics.overBound.Inc(1)
 		// Without a limit the request is admitted, unless the rate limit forbids it or the
@@ -190,6 +205,7 @@
 			return s.place(r.Candidates, index, len(replies), lease, reply)
 		}
 		compared, replies = slices.Delete(compared, best, best+1), slices.Delete(replies, best, best+1)
+		speeds = slices.Delete(speeds, best, best+1)
 	}
 	return gateway.Place{IsDenied: true, Asked: len(r.Candidates)}
 }
@@ -197,26 +213,47 @@
 // place returns the place of a request that its coordinator counts.
 func (s *Service) place(candidates []fleet.Member, index, asked int, lease uint64, r occupancy.Reply) gateway.Place {
 	target := candidates[index].ID
+	p := s.newSampler(candidates[index], r.InProgress)
 	return gateway.Place{
 		Index:      index,
 		Asked:      asked,
 		InProgress: r.InProgress,
+		Observe:    p.observe,
 		Finish: func(result occupancy.Result) {
-			s.finish(port.FinishRequest{Target: target, Lease: lease, Host: s.host, Result: result})
+			s.finish(port.FinishRequest{Target: target, Lease: lease, Host: s.host, Result: result, Observation: p.observation()})
+		},
+	}
+}
+
+// placeAlone returns the place of a request whose coordinator does not answer. Its sample stays
+// at this host.
+func (s *Service) placeAlone(m fleet.Member, index int) gateway.Place {
+	p := s.newSampler(m, 0)
+	return gateway.Place{
+		Index:   index,
+		Asked:   index + 1,
+		Observe: p.observe,
+		Finish: func(occupancy.Result) {
+			s.recordSample(m.ID, p.observation(), 1, false, time.Now())
 		},
 	}
 }
 
+// limit returns the number of requests in progress from which on a request goes to another
+// target than m.
 func (s *Service) limit(m fleet.Member, cachedTokens int64) int {
+	slots, speed := s.targets.Capacity(m, time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.bound(m.Service).Limit(m.Slots, cachedTokens)
+	return s.bound(m.Service).LimitAt(slots, cachedTokens, speed)
 }
 
-func (s *Service) observe(service string, inProgress int) {
+// observe records the requests in progress at the first target that a request prefers.
+func (s *Service) observe(m fleet.Member, inProgress int) {
+	_, speed := s.targets.Capacity(m, time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.bound(service).Observe(inProgress)
+	s.bound(m.Service).ObserveAt(inProgress, speed)
 }
 
 // bound returns the bound of a service. The caller holds s.mu.
@@ -303,6 +340,7 @@
 		s.FinishLocal(r)
 		return
 	}
+	s.recordSample(r.Target, r.Observation, float64(r.Observation.InProgress+1), false, time.Now())
 	select {
 	case s.reports <- struct{}{}:
 	default:
@@ -332,6 +370,7 @@
 	if r.TTL > 0 {
 		reply.Reply = s.counter(r.Target).Admit(r.Lease, r.Limit, r.TTL, now)
 	}
+	reply.Learned = s.estimate(r.Target, now)
 	s.grant(&reply, r, known, now)
 	if !reply.Admitted && r.TTL > 0 {
 		s.counter(r.Target).Finish(r.Lease, r.Host, occupancy.Inconclusive, now)
@@ -341,11 +380,28 @@
 
 // FinishLocal implements port.OccupancyServer.
 func (s *Service) FinishLocal(r port.FinishRequest) {
+	now := time.Now()
 	s.learn("", []fleet.TargetLimit{r.RateLimit})
+	s.recordSample(r.Target, r.Observation, s.finishLease(r, now), true, now)
+}
+
+// finishLease ends a request at its target's counter and returns the mean number of requests at
+// the target meanwhile, that request included.
+func (s *Service) finishLease(r port.FinishRequest, now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.observeLimit(r.Target, r.RateLimit)
-	s.counter(r.Target).Finish(r.Lease, r.Host, r.Result, time.Now())
+	c := s.counter(r.Target)
+	load, ok := c.MeanLoad(r.Lease, now)
+	if !ok {
+		load = float64(r.Observation.InProgress + 1)
+	}
+	if r.Observation.IsRefused {
+		c.Hold(r.Lease, now)
+	} else {
+		c.Finish(r.Lease, r.Host, r.Result, now)
+	}
+	return load
 }
 
 // counter returns the counter of a target. The caller holds s.mu.
