--- a/internal/core/targetload/curve.go
+++ b/internal/core/targetload/curve.go
@@ -46,11 +46,17 @@
 // fit returns the curve with the least squared error to the bins, straight unless a knee
 // explains them significantly better. width is the number of loads per bin.
 func fit(bins []bin, width float64) knee {
-	straight, straightError, _ := fitKnee(bins, float64(len(bins))*width)
+	points := make([]point, 0, len(bins))
+	for _, b := range bins {
+		if b.weight >= 1 {
+			points = append(points, point{load: b.load, time: math.Exp(b.time), weight: b.weight})
+		}
+	}
+	straight, straightError, _ := fitKnee(points, float64(len(bins))*width)
 	best, bestError := straight, straightError
 	knees := make([]fitted, 0, len(bins))
 	for i := range len(bins) - 1 {
-		k, e, ok := fitKnee(bins, float64(i+1)*width)
+		k, e, ok := fitKnee(points, float64(i+1)*width)
 		if !ok || k.steep <= 0 {
 			continue
 		}
@@ -71,6 +77,9 @@
 	return best
 }
 
+// point is the mean time per event at a load, relative to the level.
+type point struct{ load, time, weight float64 }
+
 // fitted is a curve with its squared error.
 type fitted struct {
 	knee
@@ -79,15 +88,11 @@
 
 // fitKnee fits base and steep of a curve with the knee at a load, and returns its squared
 // error. It returns false if the bins don't determine both.
-func fitKnee(bins []bin, load float64) (knee, float64, bool) {
+func fitKnee(points []point, load float64) (knee, float64, bool) {
 	// The normal equations of time = base*a + extra*b.
 	var aa, ab, bb, at, bt, tt float64
-	for _, bin := range bins {
-		if bin.weight < 1 {
-			continue
-		}
-		n := bin.load
-		a, b, t, w := 1+requestSlope*(n-1), max(n-load, 0), math.Exp(bin.time), bin.weight
+	for _, p := range points {
+		a, b, t, w := 1+requestSlope*(p.load-1), max(p.load-load, 0), p.time, p.weight
 		aa, ab, bb, at, bt, tt = aa+w*a*a, ab+w*a*b, bb+w*b*b, at+w*a*t, bt+w*b*t, tt+w*t*t
 	}
 	if aa == 0 {
--- a/internal/core/targetload/estimator.go
+++ b/internal/core/targetload/estimator.go
@@ -9,6 +9,10 @@
 	// maxBins is how many loads are told apart. Targets with more slots share a bin between
 	// neighbouring loads.
 	maxBins = 64
+	// minEventTime and maxEventTime limit the time per event that is believed, in seconds: no
+	// engine is faster, and requests end within a minute.
+	minEventTime = 10e-6
+	maxEventTime = 60.0
 	// requestSlope is the assumed increase of the time between events per running request,
 	// until samples show another one. Engines' steps are 0.3 to 1% slower for each.
 	requestSlope = 0.006
@@ -112,7 +116,7 @@
 func (e *Estimator) load(index int) float64 { return float64(index+1) * e.width() }
 
 // Observe adds a sample. load is the mean number of requests in progress at the target
-// while this one was, itself included.
+// while this one was, itself included. Loads above the slots count as these.
 func (e *Estimator) Observe(s Sample, load float64, now time.Time) {
 	e.decay(now)
 	if s.IsRefused {
@@ -123,7 +127,8 @@
 		return
 	}
 	e.at = now
-	y := math.Log(s.Gap.Seconds() + s.wait()/float64(s.Events))
+	load = min(max(load, 1), float64(e.slots))
+	y := math.Log(min(max(s.Gap.Seconds()+s.wait()/float64(s.Events), minEventTime), maxEventTime))
 	i := e.index(load)
 	if e.samples == 0 {
 		e.level = y - requestSlope*(e.load(i)-1)
@@ -263,5 +268,5 @@
 	if now.Before(e.probeEnds) {
 		limit = max(int(probeShare*float64(limit)), 1)
 	}
-	return Estimate{Limit: limit, EventsPerSecond: math.Exp(-e.level) / e.fitted.time(1), Age: now.Sub(e.at)}
+	return Estimate{Limit: limit, EventsPerSecond: min(max(math.Exp(-e.level)/e.fitted.time(1), 1/maxEventTime), 1/minEventTime), Age: now.Sub(e.at)}
 }
