--- a/internal/core/occupancy/bound.go
+++ b/internal/core/occupancy/bound.go
@@ -54,18 +54,9 @@
 }
 
 // LeastOccupied returns the index of the reply with the fewest requests in progress,
-// suspect targets last, the first of equal ones.
-func LeastOccupied(replies []Reply) int { return LeastLoaded(replies, nil) }
-
-// LeastLoaded does the same with regard to the relative speeds of the targets, all above zero;
-// nil if they are equal.
-func LeastLoaded(replies []Reply, speeds []float64) int {
-	load := func(i int) float64 {
-		if speeds == nil {
-			return float64(replies[i].InProgress)
-		}
-		return float64(replies[i].InProgress+1) / speeds[i]
-	}
+// suspect targets last, the first of equal ones. Speeds are not regarded: where all targets
+// are fuller than their bounds, a free slot counts for more.
+func LeastOccupied(replies []Reply) int {
 	best := 0
 	for i, r := range replies {
 		b := replies[best]
@@ -75,7 +66,7 @@
 			}
 			continue
 		}
-		if load(i) < load(best) {
+		if r.InProgress < b.InProgress {
 			best = i
 		}
 	}
--- a/internal/occupancy/service.go
+++ b/internal/occupancy/service.go
@@ -170,7 +170,6 @@
 func (s *Service) Place(ctx context.Context, r gateway.PlaceRequest) gateway.Place {
 	lease := rand.Uint64()
 	var compared []int
-	speeds := make([]float64, 0, maxAsked)
 	replies := make([]occupancy.Reply, 0, maxAsked)
 	for i, m := range r.Candidates[:min(maxAsked, len(r.Candidates))] {
 		cached := r.CachedTokens
@@ -192,11 +191,10 @@
 			s.metrics.admitted.Inc(1)
 			return s.place(r.Candidates, i, i+1, lease, reply.Reply)
 		}
-		_, speed := s.targets.Capacity(m, time.Now())
-		compared, replies, speeds = append(compared, i), append(replies, reply.Reply), append(speeds, speed)
+		compared, replies = append(compared, i), append(replies, reply.Reply)
 	}
 	for len(replies) > 0 {
-		best := occupancy.LeastLoaded(replies, speeds)
+		best := occupancy.LeastOccupied(replies)
 		index, reply := compared[best], replies[best]
 		s.metrics.overBound.Inc(1)
 		// Without a limit the request is admitted, unless the rate limit forbids it or the
@@ -205,7 +203,6 @@
 			return s.place(r.Candidates, index, len(replies), lease, reply)
 		}
 		compared, replies = slices.Delete(compared, best, best+1), slices.Delete(replies, best, best+1)
-		speeds = slices.Delete(speeds, best, best+1)
 	}
 	return gateway.Place{IsDenied: true, Asked: len(r.Candidates)}
 }
