--- a/internal/core/fleet/learned.go
+++ b/internal/core/fleet/learned.go
@@ -35,18 +35,17 @@
 	events float64
 }
 
-// Learn records the estimate of a run of a target. It returns the one before; false if the
-// fleet does not contain this run or if the estimate says nothing.
-func (f *Fleet) Learn(id string, startedAt int64, e targetload.Estimate, now time.Time) (targetload.Estimate, bool) {
+// Learn records the estimate of a run of a target. It returns false if the fleet does not
+// contain this run or if the estimate says nothing.
+func (f *Fleet) Learn(id string, startedAt int64, e targetload.Estimate, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.byID[id]
 	if t == nil || t.StartedAt != startedAt || e.Limit <= 0 || e.Age > learnedTTL {
-		return targetload.Estimate{}, false
+		return false
 	}
-	before := t.learned
 	t.learned, t.learnedAt = e, now.Add(-e.Age)
-	return before, true
+	return true
 }
 
 // ObserveStream records the number of events of a complete stream.
--- a/internal/core/fleet/learned_test.go
+++ b/internal/core/fleet/learned_test.go
@@ -69,7 +69,7 @@
 	m := f.byID["t1"].Member
 	m.StartedAt++
 	f.Put(m)
-	_, ok := f.Learn("t1", m.StartedAt-1, targetload.Estimate{Limit: 1, EventsPerSecond: 60}, start)
+	ok := f.Learn("t1", m.StartedAt-1, targetload.Estimate{Limit: 1, EventsPerSecond: 60}, start)
 	is.True(!ok)
 	_, speed := f.Capacity(m, start.Add(time.Second))
 	is.Equal(speed, 1.0)
--- a/internal/occupancy/learn.go
+++ b/internal/occupancy/learn.go
@@ -34,7 +34,7 @@
 	// is not known.
 	Run(target string) (startedAt int64, slots int, ok bool)
 	// Learn records the estimate of a run of a target. It returns false if it says nothing.
-	Learn(target string, startedAt int64, e targetload.Estimate, now time.Time) (before targetload.Estimate, ok bool)
+	Learn(target string, startedAt int64, e targetload.Estimate, now time.Time) bool
 	// ObserveStream records the number of events of a complete stream.
 	ObserveStream(service string, events int)
 	// Capacity returns the number of requests that a target handles well and its speed
