--- a/internal/core/occupancy/bound.go
+++ b/internal/core/occupancy/bound.go
@@ -24,19 +24,29 @@
 }
 
 // Observe records the requests in progress at the first target that a request prefers.
-func (b *Bound) Observe(inProgress int) {
+func (b *Bound) Observe(inProgress int) { b.ObserveAt(inProgress, 1) }
+
+// ObserveAt does the same for a target with a speed relative to the others, above zero.
+func (b *Bound) ObserveAt(inProgress int, speed float64) {
+	load := float64(inProgress) / speed
 	if !b.seen {
-		b.mean, b.seen = float64(inProgress), true
+		b.mean, b.seen = load, true
 		return
 	}
-	b.mean += meanGain * (float64(inProgress) - b.mean)
+	b.mean += meanGain * (load - b.mean)
 }
 
 // Limit returns the bound for a target with a number of slots, at least one. It is
 // higher for a request with prompt tokens that the target has probably cached and others
 // would have to read.
 func (b *Bound) Limit(slots int, cachedTokens int64) int {
-	limit := int(math.Ceil(boundFactor*b.mean)) + 1 + int(cachedTokens/tokensPerRequest)
+	return b.LimitAt(slots, cachedTokens, 1)
+}
+
+// LimitAt does the same for a target with a speed relative to the others: a target that is
+// twice as fast ends twice the requests in the same time.
+func (b *Bound) LimitAt(slots int, cachedTokens int64, speed float64) int {
+	limit := int(math.Ceil(boundFactor*b.mean*speed)) + 1 + int(cachedTokens/tokensPerRequest)
 	if slots > 0 {
 		limit = min(limit, slots)
 	}
@@ -44,7 +54,8 @@
 }
 
 // LeastOccupied returns the index of the reply with the fewest requests in progress,
-// suspect targets last, the first of equal ones.
+// suspect targets last, the first of equal ones. Speeds are not regarded: where all targets
+// are fuller than their bounds, a free slot counts for more.
 func LeastOccupied(replies []Reply) int {
 	best := 0
 	for i, r := range replies {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -56,6 +56,8 @@
 
 	reservation Reservation
 	eventTokens int64
+	// hasEngine is set if the service has model engines.
+	hasEngine bool
 
 	// queued is the request in the queue of its service; nil if it has not been there. hasTurn is set
 	// while it counts as in progress there.
