--- a/internal/core/quota/host.go
+++ b/internal/core/quota/host.go
@@ -213,3 +213,13 @@
 	}
 	return false, max(wait, minRetryAfter)
 }
+
+// IsHolding reports whether the host holds permits of any coordinator.
+func (h *Host) IsHolding(now time.Time) bool {
+	for _, l := range h.links {
+		if l.expire(now); l.holding > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/quota/limit.go
+++ b/internal/core/quota/limit.go
@@ -105,6 +105,3 @@
 	// so that another coordinator may have more.
 	IsPartial bool
 }
-
-// IsRefusal reports whether the reply leaves a request of the report without a permit.
-func (r Reply) IsRefusal() bool { return r.RetryAfter > 0 }
