--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -12,7 +12,6 @@
 	"yuccausher/internal/core/occupancy"
 	"yuccausher/internal/core/reach"
 	"yuccausher/internal/core/route"
-	"yuccausher/internal/core/urgency"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/upstream"
 )
@@ -52,6 +51,10 @@
 func (j *job) dispatchUntilAnswered(ctx context.Context) {
 	// An aborted answer leaves the loop by a panic.
 	defer j.finishPlace(occupancy.Inconclusive)
+	defer j.endTurn()
+	if j.mayQueue() && !j.takeTurn(ctx, false) {
+		return
+	}
 	for {
 		if j.g.quarantine.IsQuarantined(j.fingerprint) {
 			j.finishQuarantined(ctx)
@@ -259,6 +262,10 @@
 		j.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targets_full", retryAfter: fullRetryAfter})
 		return false
 	}
+	if j.mayQueue() {
+		j.excluded = j.excluded[:0]
+		return j.takeTurn(ctx, true)
+	}
 	defer since(&j.times.wait, time.Now())
 	timer := time.NewTimer(fullRetryInterval)
 	defer timer.Stop()
@@ -482,11 +489,8 @@
 }
 
 func (j *job) request(choice *fleet.Choice, now time.Time) upstream.Request {
-	d := Dispatch{TargetID: choice.ID, TimeLeft: j.deadline().Sub(now), ResumeAfter: j.lastEvent}
-	if j.route.Kind == route.Stream && j.call.HasFinish {
-		d.HasPriority = true
-		d.Priority = int(urgency.LevelFor(j.call.FinishIn - now.Sub(j.started)))
-	}
+	d := Dispatch{TargetID: choice.ID, TimeLeft: j.deadline().Sub(now), ResumeAfter: j.lastEvent, Identity: j.identity()}
+	j.setEnginePriority(&d, now.Sub(j.started))
 	h := j.g.protocol.DispatchHeader(j.r.Header, d)
 	return upstream.Request{Method: j.r.Method, URI: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.prompt}
 }
