gateway, front, platform: requests are counted against the limit of their organisation

Cause: the limits of organisations were not judged. Change: the gateway asks for admission before a request is passed on or sent to a target, answers 429 with Retry-After over the limit, and takes the count back if no target can have run the request. A request that another host has passed on was counted there. The tolerances come from bounds.quota_*.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -15,6 +15,7 @@
 	"github.com/google/subcommands"
 
 	"yuccausher/internal/adapter/logging"
+	"yuccausher/internal/core/quota"
 	"yuccausher/internal/front"
 	"yuccausher/internal/settings"
 	"yuccausher/platform"
@@ -136,6 +137,7 @@
 		DrainTime:      platformSettings.DrainTime,
 		StableWindow:   platformSettings.StableWindow,
 		StopTime:       platformSettings.StopTime,
+		QuotaTolerance: quota.Tolerance{Window: platformSettings.Quota.Window, Over: platformSettings.Quota.Over, Slack: platformSettings.Quota.Slack},
 		Retention:      platformSettings.Store.Retention,
 		Partitions:     platformSettings.Store.Partitions,
 		RecordBytes:    platformSettings.Store.RecordBytes,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,8 +21,10 @@
 	"yuccausher/internal/adapter/handoverrpc"
 	"yuccausher/internal/adapter/metrics"
 	"yuccausher/internal/adapter/occupancyrpc"
+	"yuccausher/internal/adapter/quotarpc"
 	"yuccausher/internal/conversation"
 	"yuccausher/internal/core/fleet"
+	corequota "yuccausher/internal/core/quota"
 	corereach "yuccausher/internal/core/reach"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/follow"
@@ -32,6 +34,7 @@
 	"yuccausher/internal/origin"
 	"yuccausher/internal/port"
 	"yuccausher/internal/quarantine"
+	"yuccausher/internal/quota"
 	"yuccausher/internal/reach"
 	"yuccausher/internal/spending"
 	"yuccausher/internal/upstream"
@@ -90,6 +93,9 @@
 	RecordBytes, CallBytes int
 	// MemoryBytes is the host's memory; zero if unknown.
 	MemoryBytes int64
+	// QuotaTolerance is by how much limits of organisations may be exceeded; none is judged if its
+	// window is zero.
+	QuotaTolerance corequota.Tolerance
 	// Seed determines the choice between equivalent targets.
 	Seed     uint64
 	Platform Platform
@@ -118,7 +124,7 @@
 	f.fx = fx.New(
 		fx.Supply(o),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newCrashLog, newPeers, newLog, newSpending, newConversations, newOccupancy, newOrigins, newReach, newHandoverPeers, newHandover, newHandoverServer, newReadiness, newPeerServer, newPool, newQuarantine, newGateway, newServers),
+		fx.Provide(newMetrics, newScope, newFleet, newFollower, newHosts, newCrashLog, newPeers, newLog, newSpending, newConversations, newOccupancy, newQuotas, newOrigins, newReach, newHandoverPeers, newHandover, newHandoverServer, newReadiness, newPeerServer, newPool, newQuarantine, newGateway, newServers),
 		fx.Provide(func() *route.Holder { return &route.Holder{} }),
 		fx.Populate(&f.servers),
 		fx.Invoke(func(*follow.CrashLog) {}),
@@ -222,7 +228,13 @@
 	return s
 }
 
-func newPeerServer(s *spending.Service, c *conversation.Service, q *quarantine.Service, u *occupancy.Service, h *handover.Server, o Options) (*budgetrpc.Server, error) {
+func newQuotas(lc fx.Lifecycle, o Options, peers *budgetrpc.Client, scope tally.Scope) *quota.Service {
+	s := quota.New(quota.Params{Peers: quotarpc.Client{Dialer: peers}, Tolerance: o.QuotaTolerance, Logger: o.Logger, Scope: scope})
+	lc.Append(fx.Hook{OnStart: s.Start, OnStop: s.Stop})
+	return s
+}
+
+func newPeerServer(s *spending.Service, c *conversation.Service, q *quarantine.Service, u *occupancy.Service, l *quota.Service, h *handover.Server, o Options) (*budgetrpc.Server, error) {
 	register := func(mux drpc.Mux) error {
 		if err := handoverrpc.Register(mux, h); err != nil {
 			return err
@@ -233,6 +245,9 @@
 		if err := occupancyrpc.Register(mux, u); err != nil {
 			return err
 		}
+		if err := quotarpc.Register(mux, l); err != nil {
+			return err
+		}
 		return conversationrpc.Register(mux, c)
 	}
 	return budgetrpc.NewServer(s, register, o.Logger.WithName("lending"))
@@ -394,6 +409,7 @@
 	Turns      *conversation.Service
 	Quarantine *quarantine.Service
 	Occupancy  *occupancy.Service
+	Quotas     *quota.Service
 	Origins    *origin.Service
 	Reach      *reach.Service
 	Handover   *handover.Client
@@ -413,6 +429,7 @@
 		Reach:          p.Reach,
 		Handover:       p.Handover,
 		Quarantine:     p.Quarantine,
+		Quotas:         p.Quotas,
 		TargetsReadAt:  p.Follower.TargetsReadAt,
 		RefreshTargets: p.Follower.RefreshTargets,
 		Log:            p.Options.Logger,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,6 +229,8 @@
 	Handover Handover
 	// Quarantine blocks content that crashes targets.
 	Quarantine Quarantine
+	// Quotas keeps organisations to their limits; nil means that no limit is judged.
+	Quotas Quotas
 	// TargetsReadAt returns when the fleet was last updated; the zero time if never.
 	TargetsReadAt func() time.Time
 	// RefreshTargets reads the targets at once.
@@ -250,6 +252,7 @@
 	reach         Reach
 	handover      Handover
 	quarantine    Quarantine
+	quotas        Quotas
 	targetsReadAt func() time.Time
 	// refreshTargets reads the targets at once.
 	refreshTargets func(context.Context) error
@@ -284,6 +287,7 @@
 		reach:          p.Reach,
 		handover:       p.Handover,
 		quarantine:     p.Quarantine,
+		quotas:         p.Quotas,
 		targetsReadAt:  p.TargetsReadAt,
 		refreshTargets: p.RefreshTargets,
 		log:            p.Log.WithName("gateway"),
@@ -380,6 +384,10 @@
 		j.refuseQuarantined()
 		return
 	}
+	if !j.admit(ctx) {
+		return
+	}
+	defer j.settleAdmission()
 	if j.mustHandOver(ctx) {
 		j.handOver(ctx)
 		return
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -53,6 +53,9 @@
 	times times
 
 	reservation Reservation
+	// admission is the request as it is counted against the limit of its organisation; nil if it is
+	// not.
+	admission   Admission
 	eventTokens int64
 
 	// queued is the request in the queue of its service; nil if it has not been there. hasTurn is set
@@ -108,6 +111,8 @@
 
 // times are the parts of a request's time that are not spent at a target.
 type times struct {
+	// quota is how long it took to count the request against the limit of its organisation.
+	quota time.Duration
 	// body is the time until the body was read, reserve that of the reservation of
 	// tokens, lookup the further wait for the earlier turns.
 	body, reserve, lookup time.Duration
@@ -196,7 +201,7 @@
 		"runs", len(j.ranAt), "refused_by", len(j.excluded), "denials", j.denials, "framing", j.framing, "events", j.events,
 		"resumes", j.call.Resumes, "resume_after", j.call.ResumeAfter, "event_versions", j.eventVersions,
 		"previous_turn", j.call.PreviousTurn, "earlier_turns", len(j.chain),
-		"body_ms", j.times.body.Milliseconds(), "reserve_ms", j.times.reserve.Milliseconds(), "lookup_ms", j.times.lookup.Milliseconds(), "origin_ms", j.times.origin.Milliseconds(),
+		"body_ms", j.times.body.Milliseconds(), "quota_ms", j.times.quota.Milliseconds(), "reserve_ms", j.times.reserve.Milliseconds(), "lookup_ms", j.times.lookup.Milliseconds(), "origin_ms", j.times.origin.Milliseconds(),
 		"place_ms", j.times.place.Milliseconds(), "connect_ms", j.times.connect.Milliseconds(), "wait_ms", j.times.wait.Milliseconds(),
 		"keep_ms", j.times.save.Milliseconds(), "settle_ms", j.times.settle.Milliseconds(), "first_ms", j.firstByte.Milliseconds(), "ms", total.Milliseconds(), "cause", fault.Text(j.cause))
 }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // OrganisationLimit is what an organisation may send over all hosts together.
@@ -39,3 +42,35 @@
 func (e *QuotaExceededError) Error() string {
 	return "organisation " + e.Organisation + " is over its limit"
 }
+
+// admit counts the request against the limit of its organisation. It returns false after it has ended
+// the request. A request that another host has passed on was counted there, unless that host does not
+// know organisations.
+func (j *job) admit(ctx context.Context) bool {
+	if j.g.quotas == nil || j.organisation == nil || j.sender.isHost && j.sender.IsIdentified {
+		return true
+	}
+	defer since(&j.times.quota, time.Now())
+	o := j.organisation
+	admission, err := j.g.quotas.Admit(ctx, o.Name, OrganisationLimit{PerSecond: o.RatePerSecond, Burst: o.Burst, Version: j.tableVersion})
+	if err == nil {
+		j.admission = admission
+		return true
+	}
+	var exceeded *QuotaExceededError
+	if errors.As(err, &exceeded) {
+		j.refuse(refusal{status: http.StatusTooManyRequests, reason: "over_limit", cause: err, retryAfter: exceeded.RetryAfter})
+		return false
+	}
+	j.cause = err
+	j.finishUnanswered(ctx)
+	return false
+}
+
+// settleAdmission takes back the count of a request that no target can have run. That is known of a
+// request that another host has taken only if its answer is a promise.
+func (j *job) settleAdmission() {
+	if j.admission != nil && len(j.ranAt) == 0 && (j.handedTo == "" || isPromise(j.status)) {
+		j.admission.Cancel()
+	}
+}
