--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -64,6 +64,7 @@
 	others otherHosts
 	// path is that of the host to its targets, connected unless it is set.
 	path     path
+	quotas   quotas
 	server   *httptest.Server
 	replicas map[string]*replica.Replica
 }
@@ -118,6 +119,7 @@
 		Reach:          &s.path,
 		Handover:       &s.others,
 		Quarantine:     s.quarantine,
+		Quotas:         &s.quotas,
 		TargetsReadAt:  func() time.Time { return time.Now().Add(-s.viewAge) },
 		RefreshTargets: func(ctx context.Context) error { return s.refreshTargets(ctx) },
 		Log:            log,
