quota: a frozen coordinator does not get back what hosts have not used

Cause: TestFrozenProcessesGrantNothingFromBefore: permits from before the freeze came back with the next report, though the other coordinator may have granted the whole limit meanwhile. Change: dropped. Tests of the decisions: lost and repeated messages, freezes, new coordinators, newer limits, shares. They pass with 1,000 draws.

--- a/internal/core/quota/coordinator.go
+++ b/internal/core/quota/coordinator.go
@@ -89,7 +89,10 @@
 	share := c.limit.PerSecond / n
 	refill := c.limit.PerSecond * passed.Seconds()
 	for _, r := range c.reporters {
-		if c.isSilent(r, now) && !wasFrozen {
+		if wasFrozen {
+			// What was not used may have been granted by the other coordinator.
+			r.lent, r.held, r.reserved = 0, 0, 0
+		} else if c.isSilent(r, now) {
 			silent := min(now.Sub(r.heardAt)-pairTime, passed).Seconds()
 			r.reserved += share * silent
 			refill -= share * silent
