quota: hosts that reach neither coordinator ask the next hosts in order

Cause: TestLimitIsUsedWhileHostsAreCutOff: with both coordinators in the 35% of the hosts that were cut off, the other 65% had shares of less than a request: 50.6% of a limit of 20 a second was wasted at the usual rate, 61.9% of one of 3. Change: the first four hosts in order are tried. The further ones start with an empty bucket and reserve the shares of all hosts that they do not hear of.

--- a/internal/core/quota/coordinator.go
+++ b/internal/core/quota/coordinator.go
@@ -50,12 +50,14 @@
 
 // NewCoordinator returns the state of an organisation. hosts are all hosts. since is from when on
 // they would have reported to this host; without reports since then, the bucket has refilled from
-// empty.
+// empty. A zero time says that they would not: the bucket is empty.
 func NewCoordinator(t Tolerance, l Limit, hosts []string, since, now time.Time) *Coordinator {
 	l = l.bounded()
 	c := &Coordinator{tolerance: t, limit: l, updatedAt: now, usedAt: now, reporters: make(map[string]*reporter)}
-	// A part of the spare lets the first requests after a start pass.
-	c.tokens = min(t.spare(l)/2+l.PerSecond*max(now.Sub(since).Seconds(), 0), t.capacity(l))
+	if !since.IsZero() {
+		// A part of the spare lets the first requests after a start pass.
+		c.tokens = min(t.spare(l)/2+l.PerSecond*max(now.Sub(since).Seconds(), 0), t.capacity(l))
+	}
 	c.SetHosts(hosts, now)
 	return c
 }
@@ -173,7 +175,7 @@
 		refund += h.lent
 	}
 	floor := -c.tolerance.margin(c.limit)
-	if now.Sub(h.heardAt) > silenceTime {
+	if !h.isKnown || now.Sub(h.heardAt) > silenceTime {
 		// The report is late: the bucket has refilled while the requests were admitted.
 		floor = 0
 	}
--- a/internal/core/quota/host.go
+++ b/internal/core/quota/host.go
@@ -147,10 +147,11 @@
 	return l.acknowledged != l.seq || h.total != l.base || l.holding != l.charged
 }
 
-// Retain drops the links to all hosts that are not coordinators.
-func (h *Host) Retain(coordinators []string) {
-	h.links = slices.DeleteFunc(h.links, func(l *link) bool { return !slices.Contains(coordinators, l.coordinator) })
-	for _, c := range coordinators {
+// Retain drops the links to all hosts that are not candidates. The first ones are the coordinators, which
+// count all requests from now on.
+func (h *Host) Retain(candidates []string, coordinators int) {
+	h.links = slices.DeleteFunc(h.links, func(l *link) bool { return !slices.Contains(candidates, l.coordinator) })
+	for _, c := range candidates[:min(coordinators, len(candidates))] {
 		h.link(c)
 	}
 }
--- a/internal/quota/coordinate.go
+++ b/internal/quota/coordinate.go
@@ -34,11 +34,11 @@
 	c := s.coordinated[r.Organisation]
 	if c == nil {
 		s.updateHosts(now)
-		since := s.coordinatorSince(r.Organisation, now)
+		since := s.coordinatorSince(r.Organisation)
 		c = core.NewCoordinator(s.tolerance, r.Limit, s.lists[0].hosts, since, now)
 		s.setOther(r.Organisation, c, now)
 		s.coordinated[r.Organisation] = c
-		s.log.Info("Coordinating an organisation.", "organisation", r.Organisation, "since_ms", now.Sub(since).Milliseconds(), "hosts", len(s.lists[0].hosts))
+		s.log.Info("Coordinating an organisation.", "organisation", r.Organisation, "is_first", !since.IsZero(), "hosts", len(s.lists[0].hosts))
 	}
 	return c
 }
--- a/internal/quota/hosts.go
+++ b/internal/quota/hosts.go
@@ -24,9 +24,9 @@
 // hosts returns all hosts that may be coordinators, with this one.
 func (s *Service) hosts() []string { return append(s.peers.Hosts(), s.peers.Self()) }
 
-// coordinators returns the coordinators of an organisation and the number of all hosts. Hosts of
-// earlier builds are passed over. The caller holds s.mu.
-func (s *Service) coordinators(name string, now time.Time) ([]string, int) {
+// candidates returns the hosts that may coordinate an organisation, the coordinators first, and the
+// number of all hosts. Hosts of earlier builds are passed over. The caller holds s.mu.
+func (s *Service) candidates(name string, now time.Time) ([]string, int) {
 	hosts := s.hosts()
 	n := len(hosts)
 	if len(s.unsupported) > 0 {
@@ -75,10 +75,10 @@
 	}
 }
 
-// coordinatorSince returns since when this host is one of the coordinators of an organisation; now if it
-// is not. The caller holds s.mu.
-func (s *Service) coordinatorSince(name string, now time.Time) time.Time {
-	since := now
+// coordinatorSince returns since when this host is one of the coordinators of an organisation; the zero
+// time if it is not. The caller holds s.mu.
+func (s *Service) coordinatorSince(name string) time.Time {
+	var since time.Time
 	for _, l := range s.lists {
 		if !slices.Contains(s.firstOf(name, l.hosts), s.peers.Self()) {
 			break
@@ -91,7 +91,8 @@
 // setOther tells the state of an organisation which host is the other coordinator. The caller holds
 // s.mu.
 func (s *Service) setOther(name string, c *core.Coordinator, now time.Time) {
-	coordinators, _ := s.coordinators(name, now)
+	coordinators, _ := s.candidates(name, now)
+	coordinators = coordinators[:min(maxCoordinators, len(coordinators))]
 	other := ""
 	for _, host := range coordinators {
 		if host != s.peers.Self() {
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -51,14 +51,17 @@
 	defer s.mu.Unlock()
 	batches := make(map[string]*batch)
 	for name, o := range s.active {
-		coordinators, _ := s.coordinators(name, now)
-		o.host.Retain(coordinators)
-		isDue, isActing := false, true
-		for _, c := range coordinators {
+		candidates, _ := s.candidates(name, now)
+		o.host.Retain(candidates, maxCoordinators)
+		isDue, isActing, told := false, true, 0
+		for i, c := range candidates {
 			if c != s.peers.Self() && s.paused.IsPaused(c, now) {
-				isDue = true
+				isDue = isDue || i < maxCoordinators
 				continue
 			}
+			if told++; told > maxCoordinators {
+				break
+			}
 			if o.host.IsDue(c, now) && !s.reporting[c] {
 				b := batches[c]
 				if b == nil {
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -23,6 +23,9 @@
 const (
 	// maxCoordinators is how many hosts hold the state of an organisation.
 	maxCoordinators = 2
+	// maxCandidates is how many hosts are tried as coordinators. Of a part of 35% of the hosts that is
+	// cut off, all of the first two are in 12% of the cases, all of the first four in 1.5%.
+	maxCandidates = 4
 	// reportInterval is how often hosts report. Half of the 200 ms that a report may take, since a
 	// coordinator that takes over does not know of what was admitted since.
 	reportInterval = 100 * time.Millisecond
@@ -117,7 +120,7 @@
 		process:       rand.Uint32(),
 		log:           p.Logger.WithName("quota"),
 		metrics:       newMetrics(p.Scope.SubScope("quota")),
-		order:         rendezvous.Cache{Limit: maxCoordinators},
+		order:         rendezvous.Cache{Limit: maxCandidates},
 		organisations: make(map[string]*organisation),
 		active:        make(map[string]*organisation),
 		coordinated:   make(map[string]*core.Coordinator),
@@ -232,10 +235,10 @@
 	if a, err := s.tryLocally(o, now); a != nil || err != nil {
 		return a, err // by the answer to a request that asked before
 	}
-	coordinators, n := s.coordinators(o.name, now)
-	o.host.Retain(coordinators)
-	wait, isAnswered := time.Duration(0), false
-	for _, c := range coordinators {
+	candidates, n := s.candidates(o.name, now)
+	o.host.Retain(candidates, maxCoordinators)
+	wait, answers := time.Duration(0), 0
+	for _, c := range candidates {
 		if c != s.peers.Self() && s.paused.IsPaused(c, now) {
 			continue
 		}
@@ -250,16 +253,15 @@
 		if o.host.Take(time.Now()) {
 			return s.admitted(o), nil
 		}
-		if !isAnswered || reply.RetryAfter < wait {
+		if answers == 0 || reply.RetryAfter < wait {
 			wait = reply.RetryAfter
 		}
-		isAnswered = true
-		if !reply.IsPartial {
+		if answers++; !reply.IsPartial || answers == maxCoordinators {
 			break
 		}
 	}
 	now = time.Now()
-	if !isAnswered {
+	if answers == 0 {
 		s.setAlone(o, true)
 		var isAdmitted bool
 		isAdmitted, wait = o.host.TakeShare(n, rand.Float64(), now)
