quota: hosts ask candidates behind the coordinators only after these reserve their shares

Cause: two coordinators that reach each other reserve the share of a silent host after 2 s; until then it could get permits of the third host in order beside them, 1.65 times the limit for 2 s. The burst in the bound hid it. Change: a host that reaches neither coordinator waits as long. TestBoundHoldsThroughFaults draws limits without a burst too.

--- a/internal/core/quota/host.go
+++ b/internal/core/quota/host.go
@@ -24,11 +24,15 @@
 	epoch     uint64
 	total     int64
 	links     []*link
+	// coordinators are the two hosts that count all requests.
+	coordinators []string
 	// rate is the mean number of requests a second, admitted or not.
 	rate     float64
 	countAt  time.Time
 	usedAt   time.Time
 	fallback share
+	// reachedAt is when one of the two coordinators was last reached, or has asked for a report.
+	reachedAt time.Time
 }
 
 // link is the state between the host and one coordinator.
@@ -117,7 +121,7 @@
 // Answered applies the reply to a report that was sent at a time. It returns false if the reply was
 // overtaken by a later report, so that its permits are lost.
 func (h *Host) Answered(coordinator string, r Report, reply Reply, sent, now time.Time) bool {
-	h.contact(now)
+	h.contact(coordinator, now)
 	l := h.link(coordinator)
 	if r.Seq > l.acknowledged {
 		l.acknowledged, l.base = r.Seq, r.Total
@@ -136,7 +140,7 @@
 
 // Collected returns the report that a coordinator has asked for.
 func (h *Host) Collected(coordinator string, now time.Time) Report {
-	h.contact(now)
+	h.contact(coordinator, now)
 	return h.Report(coordinator, 0, false, now)
 }
 
@@ -151,7 +155,8 @@
 // count all requests from now on.
 func (h *Host) Retain(candidates []string, coordinators int) {
 	h.links = slices.DeleteFunc(h.links, func(l *link) bool { return !slices.Contains(candidates, l.coordinator) })
-	for _, c := range candidates[:min(coordinators, len(candidates))] {
+	h.coordinators = candidates[:min(coordinators, len(candidates))]
+	for _, c := range h.coordinators {
 		h.link(c)
 	}
 }
@@ -178,10 +183,17 @@
 }
 
 // contact records that a coordinator knows of the host, and reserves nothing for it for a while.
-func (h *Host) contact(now time.Time) {
+func (h *Host) contact(coordinator string, now time.Time) {
 	h.fallback.contactAt = now
+	if slices.Contains(h.coordinators, coordinator) {
+		h.reachedAt = now
+	}
 }
 
+// MayAskOthers reports whether the host may ask candidates behind the two coordinators. These reserve
+// its share from then on.
+func (h *Host) MayAskOthers(now time.Time) bool { return now.Sub(h.reachedAt) > silenceTime }
+
 // TakeShare admits a request by the host's equal share of the limit, while no coordinator is
 // reached. hosts is the number of all hosts. Since the share of a host is mostly less than one
 // request, fractions are a probability; draw is uniform in [0, 1). If it returns false, there may be
--- a/internal/quota/faults_test.go
+++ b/internal/quota/faults_test.go
@@ -71,12 +71,13 @@
 		n := rapid.IntRange(3, 10).Draw(rt, "hosts")
 		limit := rapid.SampledFrom([]float64{2, 15, 60, 120}).Draw(rt, "limit")
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 2, 5).Draw(rt, "steps")
+		burst := rapid.SampledFrom([]float64{0, 1}).Draw(rt, "burst") * limit
 		// Requests of uneven entry come to the first host that is up.
 		isUneven := rapid.Bool().Draw(rt, "uneven")
 		seed := rapid.Uint64().Draw(rt, "seed")
 		most, bound := 0, 0.0
 		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(t, n, limit, limit, seed)
+			c := newCluster(t, n, limit, burst, seed)
 			highest := c.limit
 			pick := func() string {
 				for i := 0; ; i++ {
@@ -92,9 +93,7 @@
 			for _, s := range steps {
 				host := c.names[s.Host%n]
 				c.disturb(s.Kind, host, s.Draw)
-				if c.limit.PerSecond > highest.PerSecond {
-					highest = c.limit
-				}
+				highest.PerSecond, highest.Burst = max(highest.PerSecond, c.limit.PerSecond), max(highest.Burst, c.limit.Burst)
 				c.run(c.limit.PerSecond*s.Rate, s.Length, pick)
 				if s.Kind == "fall" {
 					c.start(host)
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -238,10 +238,13 @@
 	candidates, n := s.candidates(o.name, now)
 	o.host.Retain(candidates, maxCoordinators)
 	wait, answers := time.Duration(0), 0
-	for _, c := range candidates {
+	for i, c := range candidates {
 		if c != s.peers.Self() && s.paused.IsPaused(c, now) {
 			continue
 		}
+		if i >= maxCoordinators && !o.host.MayAskOthers(now) {
+			break
+		}
 		reply, ok := s.ask(ctx, o, c)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
