quota: known red: hosts that know only themselves exceed a limit

Cause: a host takes the list of hosts for complete, so that after a start of all hosts each grants the whole limit until the lists are read. The issue has no number yet.

--- a/internal/quota/faults_test.go
+++ b/internal/quota/faults_test.go
@@ -106,3 +106,19 @@
 		}
 	})
 }
+
+// Hosts that know few of the others must stay below the bound together, as after a start of all hosts.
+func TestBoundHoldsWhileHostsKnowFewOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, 120, 120, 1)
+		c.change(func() {
+			for _, name := range c.names {
+				c.views[name] = []string{name}
+			}
+		})
+		time.Sleep(5 * time.Second)
+		begun := time.Now()
+		c.run(3.4*120, 6*time.Second, c.anywhere)
+		c.check(c.limit, begun)
+	})
+}
