--- a/internal/core/poison/registry.go
+++ b/internal/core/poison/registry.go
@@ -38,7 +38,9 @@
 // Mark is a crash of a target while content was in flight on it.
 type Mark struct {
 	Fingerprint uint64
-	Target      string
+	// Kind is the kind of feature that the fingerprint is of.
+	Kind   Kind
+	Target string
 	// Run identifies the run of the target; zero if it is not known.
 	Run int64
 	// At is when the crash was detected, in nanoseconds since 1970. Where the run
