poison: weigh evidence over the features of requests

Cause: exact content is the only feature that crash marks are kept by. Change: Evidence names the features that explain most crashes; crashes that a quarantined feature explains do not count against others. Not in use yet.

--- a/internal/core/poison/judge_test.go
+++ b/internal/core/poison/judge_test.go
@@ -1,24 +1,33 @@
 package poison
 
-// registryJudge judges by exact content alone.
-type registryJudge struct{ *Registry }
+import "slices"
 
-func newJudge() judge { return registryJudge{NewRegistry(replayLimit)} }
+// evidenceJudge judges by all features.
+type evidenceJudge struct{ *Evidence }
 
-func (j registryJudge) refuses(features []Feature) bool {
-	return j.Verdict(features[0].Fingerprint) == Quarantined
+func newJudge() judge { return evidenceJudge{NewEvidence(replayLimit)} }
+
+func (j evidenceJudge) refuses(features []Feature) bool {
+	return slices.ContainsFunc(features, func(f Feature) bool { return j.Verdict(f.Fingerprint) == Quarantined })
 }
 
-func (j registryJudge) crashed(marks []Mark) {
+func (j evidenceJudge) crashed(marks []Mark) {
 	for _, m := range marks {
-		if m.Kind == Content {
-			j.RecordCrash(m)
-		}
+		j.Add(m)
 	}
+	j.Assess()
 }
 
-func (j registryJudge) answered(features []Feature) []Mark { return j.Clear(features[0].Fingerprint) }
+func (j evidenceJudge) answered(features []Feature) []Mark {
+	var cleared []Mark
+	for _, f := range features {
+		cleared = append(cleared, j.Answered(f.Fingerprint)...)
+	}
+	j.Assess()
+	return cleared
+}
 
-func (j registryJudge) remove(m Mark) {
+func (j evidenceJudge) remove(m Mark) {
 	j.Remove(m.Fingerprint, func(known Mark) bool { return known.CrashKey() == m.CrashKey() })
+	j.Assess()
 }
--- a/internal/core/poison/replay_test.go
+++ b/internal/core/poison/replay_test.go
@@ -6,8 +6,6 @@
 	"slices"
 	"testing"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // The replay has the dimensions of the observed case.
@@ -19,10 +17,10 @@
 	replayLimit    = 3
 	replayTick     = 50 * time.Millisecond
 	replayTime     = 40 * time.Second
-	// replayArrivals is the mean number of innocent requests a tick; one in deadlyEvery ticks
-	// adds a deadly one, of one of deadlyPrograms.
+	// replayArrivals is the mean number of innocent requests a tick, of replayPrograms. Deadly
+	// ones are of one of deadlyPrograms.
 	replayArrivals = 12
-	deadlyEvery    = 10
+	replayPrograms = 300
 	deadlyPrograms = 18
 	// replayGrace is the time after the third crash from which on repeats are limited to
 	// replayRepeats.
@@ -54,13 +52,14 @@
 }
 
 type replay struct {
-	random   *rand.Rand
-	now      time.Duration
-	hosts    []judge
-	targets  []replayTarget
-	waiting  []*replayRequest
-	news     map[time.Duration][]func()
-	turns    map[string]int
+	random  *rand.Rand
+	now     time.Duration
+	hosts   []judge
+	targets []replayTarget
+	waiting []*replayRequest
+	news    map[time.Duration][]func()
+	// turns is the length of each program's conversation.
+	turns    [replayPrograms + deadlyPrograms]uint64
 	crashes  int
 	thirdAt  time.Duration
 	repeats  int
@@ -68,16 +67,15 @@
 	refused  int
 }
 
-func hashOf(parts ...any) uint64 { return xxhash.Sum64String(fmt.Sprint(parts...)) }
-
 // request returns a request whose body contains the conversation of its program so far.
-func (r *replay) request(path int, program string, isDeadly bool) *replayRequest {
+func (r *replay) request(path, program int, isDeadly bool) *replayRequest {
 	r.turns[program]++
+	of := func(k Kind, id uint64) Feature { return Feature{k, uint64(k)<<60 | id} }
 	return &replayRequest{isDeadly: isDeadly, host: r.random.IntN(replayHosts), features: []Feature{
-		{Content, hashOf("content", path, program, r.turns[program])},
-		{Session, hashOf("session", program)},
-		{Program, hashOf("program", program)},
-		{Path, hashOf("path", path)},
+		of(Content, r.turns[program]<<32|uint64(program)<<16|uint64(path)),
+		of(Session, uint64(program)),
+		of(Program, uint64(program)),
+		of(Path, uint64(path)),
 	}}
 }
 
@@ -161,7 +159,8 @@
 	}
 }
 
-func (r *replay) run() {
+// run replays the case with a deadly request in every deadlyEvery ticks on average.
+func (r *replay) run(deadlyEvery int) {
 	for ; r.now < replayTime; r.now += replayTick {
 		for _, f := range r.news[r.now] {
 			f()
@@ -175,10 +174,10 @@
 		}
 		for range r.random.IntN(2*replayArrivals + 1) {
 			r.innocent++
-			r.send(r.request(1+r.random.IntN(replayPaths), fmt.Sprint("p", r.random.IntN(300)), false))
+			r.send(r.request(1+r.random.IntN(replayPaths), r.random.IntN(replayPrograms), false))
 		}
 		if r.random.IntN(deadlyEvery) == 0 {
-			r.send(r.request(0, fmt.Sprint("d", r.random.IntN(deadlyPrograms)), true))
+			r.send(r.request(0, replayPrograms+r.random.IntN(deadlyPrograms), true))
 		}
 	}
 }
@@ -186,12 +185,14 @@
 // Guards against a deadly path whose bodies differ: each of its bodies had to crash three
 // targets by itself, and most of what was refused instead ran beside it by chance.
 func TestPathWithDifferingBodiesIsRefused(t *testing.T) {
-	for seed := range uint64(8) {
-		r := &replay{random: rand.New(rand.NewPCG(seed, 0)), news: map[time.Duration][]func(){}, turns: map[string]int{}, targets: make([]replayTarget, replayTargets)}
+	for seed := range uint64(16) {
+		// Half of the seeds have several deadly requests at a time, half have them one by one.
+		deadlyEvery := []int{10, 60}[seed%2]
+		r := &replay{random: rand.New(rand.NewPCG(seed, 0)), news: map[time.Duration][]func(){}, targets: make([]replayTarget, replayTargets)}
 		for range replayHosts {
 			r.hosts = append(r.hosts, newJudge())
 		}
-		r.run()
+		r.run(deadlyEvery)
 		t.Logf("seed %d: %d crashes, %d repeats, %d of %d innocent requests refused", seed, r.crashes, r.repeats, r.refused, r.innocent)
 		if r.repeats > replayRepeats {
 			t.Errorf("seed %d: sent %d times later than %v after the third crash", seed, r.repeats, replayGrace)
