quarantine, gateway: features of requests are quarantined

Cause: bodies of a deadly path differ, so that each had to crash three targets. Change: marks carry the kind of their feature; the service uses Evidence, and the gateway names the path, program, session and body without query of a request.

--- a/internal/core/poison/evidence.go
+++ b/internal/core/poison/evidence.go
@@ -9,16 +9,11 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
-const (
-	// wideMargin is how many crashes more than the narrowest rival a wide feature must explain
-	// to be named instead of it. One may be chance; with more, too many repeats would pass.
-	wideMargin = 1
-	// correlationTime is the time within which crashes count once for a wide feature: when
-	// several targets fail together, a frequent path is in flight at all of them, and hosts
-	// detect that within their probe delay of 50 ms. A request that is passed on takes longer
-	// to crash the next target.
-	correlationTime = 100 * time.Millisecond
-)
+// correlationTime is the time within which crashes count once for a wide feature: when
+// several targets fail together, a frequent path is in flight at all of them, and hosts
+// detect that within their probe delay of 50 ms. A request that is passed on takes longer
+// to crash the next target.
+const correlationTime = 100 * time.Millisecond
 
 // IsWide reports whether requests with different bodies share a feature of the kind.
 func (k Kind) IsWide() bool { return k >= Session }
@@ -226,8 +221,10 @@
 			}
 		}
 		for _, a := range candidates {
-			// Nothing tells features of one kind apart that were in flight at the same crashes.
-			if a.Kind == best.Kind && maps.Equal(unexplained, openCrashes(a, explained)) {
+			// Nothing tells features apart that were in flight at the same crashes, and that no
+			// answer has cleared since: if one of them were chosen and another the cause, more
+			// targets than allowed would crash until that shows.
+			if a.Kind.IsWide() == best.Kind.IsWide() && maps.Equal(unexplained, openCrashes(a, explained)) {
 				named[a] = true
 			}
 		}
@@ -257,8 +254,8 @@
 	return open
 }
 
-// strongest returns the account that explains most of the crashes that are left: if it is wide, by
-// more than wideMargin; with equal numbers the narrowest. It returns nil if none explains
+// strongest returns the account that explains most of the crashes that are left, of those with
+// equal numbers the narrowest. It returns nil if none explains
 // crashLimit of them.
 func (e *Evidence) strongest(candidates []*account, explained map[run]*account) *account {
 	var best *account
@@ -268,9 +265,6 @@
 		if crashes < e.crashLimit || a.Kind.IsWide() && n < e.crashLimit {
 			continue
 		}
-		if a.Kind.IsWide() {
-			n -= wideMargin
-		}
 		isBetter := best == nil || cmp.Or(cmp.Compare(n, bestScore), cmp.Compare(best.Kind, a.Kind), cmp.Compare(best.Fingerprint, a.Fingerprint)) > 0
 		if isBetter {
 			best, bestScore = a, n
--- a/internal/core/poison/examination.go
+++ b/internal/core/poison/examination.go
@@ -5,7 +5,9 @@
 // Interruption is a request that a target did not answer in full, as hosts report it to each
 // other.
 type Interruption struct {
+	// Fingerprint is that of its content, Features are its other features.
 	Fingerprint uint64
+	Features    []Feature
 	// Age is how long ago the request ended.
 	Age time.Duration
 	// IsUnframed is set if the answer ended with its connection, which it also does if it is
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -52,8 +52,8 @@
 	// An aborted answer leaves the loop by a panic.
 	defer j.finishPlace(occupancy.Inconclusive)
 	for {
-		if j.g.quarantine.IsQuarantined(j.fingerprint) {
-			j.finishQuarantined(ctx)
+		if f, isBlocked := j.quarantinedFeature(); isBlocked {
+			j.finishQuarantined(ctx, f)
 			return
 		}
 		if j.mustHandOver(ctx) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"yuccausher/internal/core/conversation"
 	"yuccausher/internal/core/fleet"
 	"yuccausher/internal/core/occupancy"
+	"yuccausher/internal/core/poison"
 	"yuccausher/internal/core/route"
 	"yuccausher/internal/memory"
 	"yuccausher/internal/upstream"
@@ -182,19 +183,20 @@
 func (e *UnannouncedReleaseError) Unwrap() error { return e.Cause }
 
 // Quarantine records content that crashes the targets that run it. Methods that
-// take the fingerprint as a function call it only if some content is suspect.
+// take the fingerprint or the features of a request as a function call it only if some
+// feature is suspect. The others take its content and its other features.
 type Quarantine interface {
-	// IsQuarantined reports whether content must no longer run.
-	IsQuarantined(fingerprint func() uint64) bool
-	// RecordSuccess records that a target has answered content completely and
+	// Blocks returns a feature of a request for which it must no longer run.
+	Blocks(features func() []poison.Feature) (poison.Feature, bool)
+	// RecordSuccessOf records that a target has answered a request completely and
 	// successfully. It returns the number of crash marks that this has cleared.
-	RecordSuccess(fingerprint func() uint64, target string) int
+	RecordSuccessOf(features func() []poison.Feature, target string) int
 	// RecordInterruption records that an answer was interrupted, as happens when a
 	// target crashes.
-	RecordInterruption(fingerprint uint64, target upstream.Target)
+	RecordInterruption(fingerprint uint64, target upstream.Target, features ...poison.Feature)
 	// RecordAbandoned records that a request was abandoned at a target from which
 	// this host had received data shortly before.
-	RecordAbandoned(fingerprint uint64, target upstream.Target)
+	RecordAbandoned(fingerprint uint64, target upstream.Target, features ...poison.Feature)
 	// IsUnsettled reports whether content was interrupted at a target, and neither this host nor
 	// another one can tell whether the target has crashed.
 	IsUnsettled(fingerprint func() uint64) bool
@@ -204,10 +206,10 @@
 	// the target refuses connections now. If it does, the crash has been counted
 	// against the content by the time the method returns. isOutOfReach is set if this host
 	// reaches neither the target nor others.
-	ProbeAfterInterruption(ctx context.Context, fingerprint uint64, target upstream.Target) (hasCrashed, isOutOfReach bool)
+	ProbeAfterInterruption(ctx context.Context, fingerprint uint64, target upstream.Target, features ...poison.Feature) (hasCrashed, isOutOfReach bool)
 	// ProbeAfterUnframedAnswer does the same for an answer that ended with its
 	// connection, as the answer of a target does that crashes.
-	ProbeAfterUnframedAnswer(ctx context.Context, fingerprint uint64, target upstream.Target) bool
+	ProbeAfterUnframedAnswer(ctx context.Context, fingerprint uint64, target upstream.Target, features ...poison.Feature) bool
 }
 
 // Params are the dependencies of a gateway.
@@ -372,8 +374,8 @@
 		j.refuseStopping()
 		return
 	}
-	if j.g.quarantine.IsQuarantined(j.fingerprint) {
-		j.refuseQuarantined()
+	if f, isBlocked := j.quarantinedFeature(); isBlocked {
+		j.refuseQuarantined(f)
 		return
 	}
 	if j.mustHandOver(ctx) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"yuccausher/internal/core/fleet"
+	"yuccausher/internal/core/poison"
 	"yuccausher/internal/core/reach"
 	"yuccausher/internal/fault"
 	"yuccausher/internal/upstream"
@@ -35,33 +36,73 @@
 	return d.Sum64()
 }
 
+// features returns the features of the request that may explain why targets crash, the content
+// first.
+func (j *job) features() []poison.Feature {
+	return append([]poison.Feature{{Fingerprint: j.fingerprint()}}, j.sharedFeatures()...)
+}
+
+// sharedFeatures returns the features that requests with other contents may share. Programs and
+// sessions of two organisations differ, whatever their names.
+func (j *job) sharedFeatures() []poison.Feature {
+	organisation := ""
+	if j.organisation != nil {
+		organisation = j.organisation.Name
+	}
+	list := []poison.Feature{featureOf(poison.Path, j.r.Host, j.r.URL.Path)}
+	if j.call.Program != "" {
+		list = append(list, featureOf(poison.Program, organisation, j.call.Program))
+	}
+	if j.call.Session != "" {
+		list = append(list, featureOf(poison.Session, organisation, j.call.Program, j.call.Session))
+	}
+	if j.r.URL.RawQuery != "" && len(j.body) > 0 {
+		list = append(list, featureOf(poison.Body, j.r.Method, j.r.Host, j.r.URL.Path, string(j.body)))
+	}
+	return list
+}
+
+// featureOf returns a feature with the parts that identify it.
+func featureOf(kind poison.Kind, parts ...string) poison.Feature {
+	d := xxhash.New()
+	for _, part := range append([]string{kind.String()}, parts...) {
+		// Writes to a digest never fail.
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return poison.Feature{Kind: kind, Fingerprint: d.Sum64()}
+}
+
+// quarantinedFeature returns the feature for which the request must not run, if there is one.
+func (j *job) quarantinedFeature() (poison.Feature, bool) { return j.g.quarantine.Blocks(j.features) }
+
 // refuseQuarantined refuses a request whose content is in quarantine and which has not
 // run at any target.
-func (j *job) refuseQuarantined() {
+func (j *job) refuseQuarantined(f poison.Feature) {
 	j.refuse(refusal{
 		status:     http.StatusServiceUnavailable,
 		reason:     "quarantined",
-		cause:      &QuarantinedError{Fingerprint: j.fingerprint()},
+		cause:      &QuarantinedError{Feature: f},
 		retryAfter: noRetryAfter,
 	})
 }
 
 // finishQuarantined ends a request whose content was quarantined after the request was
 // admitted.
-func (j *job) finishQuarantined(ctx context.Context) {
+func (j *job) finishQuarantined(ctx context.Context, f poison.Feature) {
 	if len(j.ranAt) == 0 {
-		j.refuseQuarantined()
+		j.refuseQuarantined(f)
 		return
 	}
 	j.finishUnanswered(ctx)
 }
 
-// QuarantinedError reports that content has crashed targets and must not run.
-type QuarantinedError struct{ Fingerprint uint64 }
+// QuarantinedError reports that requests with a feature have crashed targets and must not run.
+type QuarantinedError struct{ Feature poison.Feature }
 
 // Error implements error.
 func (e *QuarantinedError) Error() string {
-	return "content " + strconv.FormatUint(e.Fingerprint, 16) + " has crashed targets"
+	return e.Feature.Kind.String() + " " + strconv.FormatUint(e.Feature.Fingerprint, 16) + " has crashed targets"
 }
 
 // recordContentResult reports the result of a dispatch to the quarantine.
@@ -71,7 +112,7 @@
 	}
 	switch {
 	case r == completed && j.outcome == "answered" && j.framing != upstream.Unframed && j.status < http.StatusMultipleChoices:
-		if marks := j.g.quarantine.RecordSuccess(j.fingerprint, choice.ID); marks > 0 {
+		if marks := j.g.quarantine.RecordSuccessOf(j.features, choice.ID); marks > 0 {
 			j.g.log.Info("Answer has cleared content of crash marks.", "request", j.call.RequestID, "content", strconv.FormatUint(j.fingerprint(), 16),
 				"target", choice.ID, "started_at", choice.StartedAt, "framing", j.framing, "events", j.events, "marks", marks)
 		}
@@ -101,10 +142,10 @@
 	}
 	silence := choice.SilentFor(time.Now())
 	if isSilent || silence >= minSilenceBeforeProbe {
-		j.g.quarantine.RecordInterruption(j.fingerprint(), connectionTarget(choice))
+		j.g.quarantine.RecordInterruption(j.fingerprint(), connectionTarget(choice), j.sharedFeatures()...)
 		return
 	}
-	j.g.quarantine.RecordAbandoned(j.fingerprint(), connectionTarget(choice))
+	j.g.quarantine.RecordAbandoned(j.fingerprint(), connectionTarget(choice), j.sharedFeatures()...)
 	j.g.metrics.unexplainedEnds.Inc(1)
 	j.g.log.Info("Request ended without a complete answer; target is not probed because it responded recently.",
 		"request", j.call.RequestID, "content", strconv.FormatUint(j.fingerprint(), 16), "target", choice.ID, "started_at", choice.StartedAt,
@@ -117,10 +158,10 @@
 // without delay.
 func (j *job) recordInterruption(ctx context.Context, choice *fleet.Choice) {
 	if !j.route.IsIdempotent() || j.g.reach.State() == reach.CutOff {
-		j.g.quarantine.RecordInterruption(j.fingerprint(), connectionTarget(choice))
+		j.g.quarantine.RecordInterruption(j.fingerprint(), connectionTarget(choice), j.sharedFeatures()...)
 		return
 	}
-	hasCrashed, isOutOfReach := j.g.quarantine.ProbeAfterInterruption(ctx, j.fingerprint(), connectionTarget(choice))
+	hasCrashed, isOutOfReach := j.g.quarantine.ProbeAfterInterruption(ctx, j.fingerprint(), connectionTarget(choice), j.sharedFeatures()...)
 	switch {
 	case hasCrashed:
 		j.countCrash(choice)
@@ -145,7 +186,7 @@
 // crashed, so that the answer is incomplete. A target that is leaving may end after it has
 // answered.
 func (j *job) hasCrashed(ctx context.Context, choice *fleet.Choice, isLeaving bool) bool {
-	if j.framing != upstream.Unframed || isLeaving || !j.g.quarantine.ProbeAfterUnframedAnswer(ctx, j.fingerprint(), connectionTarget(choice)) {
+	if j.framing != upstream.Unframed || isLeaving || !j.g.quarantine.ProbeAfterUnframedAnswer(ctx, j.fingerprint(), connectionTarget(choice), j.sharedFeatures()...) {
 		return false
 	}
 	j.cause = &TargetCrashedError{Target: choice.ID}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -307,7 +307,7 @@
 			conn.Abort()
 			choice.End(time.Now(), fleet.Abandoned, first)
 			j.outcome = "caller_gone"
-			j.g.quarantine.RecordAbandoned(j.fingerprint(), connectionTarget(choice))
+			j.g.quarantine.RecordAbandoned(j.fingerprint(), connectionTarget(choice), j.sharedFeatures()...)
 			abortAnswer()
 		}
 		if e.id != "" {
--- a/internal/quarantine/ask.go
+++ b/internal/quarantine/ask.go
@@ -64,7 +64,7 @@
 	r := poison.Report{Target: target.ID, Run: target.StartedAt}
 	for _, b := range list {
 		if !b.isReported {
-			r.Interruptions = append(r.Interruptions, poison.Interruption{Fingerprint: b.content, Age: time.Since(b.at), IsUnframed: b.isUnframed})
+			r.Interruptions = append(r.Interruptions, poison.Interruption{Fingerprint: b.content, Features: b.features, Age: time.Since(b.at), IsUnframed: b.isUnframed})
 		}
 	}
 	if len(r.Interruptions) == 0 {
--- a/internal/quarantine/crashes.go
+++ b/internal/quarantine/crashes.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"yuccausher/internal/core/poison"
@@ -9,11 +11,12 @@
 )
 
 // RecordInterruption records that a request was interrupted at a target and probes the target in the
-// background. If the target turns out to have crashed, the content is marked.
-func (s *Service) RecordInterruption(fingerprint uint64, target upstream.Target) {
+// background. If the target turns out to have crashed, the content and the other features of the
+// request are marked.
+func (s *Service) RecordInterruption(fingerprint uint64, target upstream.Target, features ...poison.Feature) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addInterruption(target, interruption{content: fingerprint, at: time.Now()})
+	s.addInterruption(target, interruption{content: fingerprint, features: features, at: time.Now()})
 	if _, ok := s.markIfReplaced(target); !ok {
 		s.startSettling(target)
 	}
@@ -22,16 +25,16 @@
 // ProbeAfterUnframedAnswer records that an answer ended with its connection, probes the
 // target, and reports whether it has crashed, as ProbeAfterInterruption does. The answer
 // is then probably incomplete.
-func (s *Service) ProbeAfterUnframedAnswer(ctx context.Context, fingerprint uint64, target upstream.Target) bool {
-	hasCrashed, _ := s.probeAfter(ctx, target, interruption{content: fingerprint, isUnframed: true})
+func (s *Service) ProbeAfterUnframedAnswer(ctx context.Context, fingerprint uint64, target upstream.Target, features ...poison.Feature) bool {
+	hasCrashed, _ := s.probeAfter(ctx, target, interruption{content: fingerprint, features: features, isUnframed: true})
 	return hasCrashed
 }
 
 // RecordAbandoned records that a request was given up at a target that need not be probed.
-func (s *Service) RecordAbandoned(fingerprint uint64, target upstream.Target) {
+func (s *Service) RecordAbandoned(fingerprint uint64, target upstream.Target, features ...poison.Feature) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addInterruption(target, interruption{content: fingerprint, at: time.Now(), isAlive: true})
+	s.addInterruption(target, interruption{content: fingerprint, features: features, at: time.Now(), isAlive: true})
 	s.markIfReplaced(target)
 }
 
@@ -42,8 +45,8 @@
 //
 // isOutOfReach reports whether this host reaches neither the target nor others, so that the
 // connection may have ended with its path.
-func (s *Service) ProbeAfterInterruption(ctx context.Context, fingerprint uint64, target upstream.Target) (hasCrashed, isOutOfReach bool) {
-	return s.probeAfter(ctx, target, interruption{content: fingerprint})
+func (s *Service) ProbeAfterInterruption(ctx context.Context, fingerprint uint64, target upstream.Target, features ...poison.Feature) (hasCrashed, isOutOfReach bool) {
+	return s.probeAfter(ctx, target, interruption{content: fingerprint, features: features})
 }
 
 // Started records that a target has started. Other targets at its address and earlier
@@ -95,9 +98,11 @@
 // detected, in nanoseconds since 1970. The caller holds the lock.
 func (s *Service) markCrashed(target upstream.Target, cause error, seenAt int64, isMarked func(interruption) bool) {
 	var contents []uint64
+	var features []poison.Feature
 	for _, b := range s.interruptions[target] {
 		if isMarked(b) {
 			contents = append(contents, b.content)
+			features = append(append(features, poison.Feature{Fingerprint: b.content}), b.features...)
 		}
 	}
 	delete(s.interruptions, target)
@@ -109,13 +114,20 @@
 	s.metrics.crashes.Inc(1)
 	s.log.Info("Target has crashed.", "target", target.ID, "started_at", target.StartedAt, "requests", len(contents),
 		"contents", formatFingerprints(contents), "cause", cause.Error())
-	for _, f := range contents {
-		m := poison.Mark{Fingerprint: f, Target: target.ID, Run: target.StartedAt, At: seenAt}
-		if s.registry.Verdict(f) != poison.Quarantined {
+	// Many requests of one crash have a path or a program in common.
+	slices.SortFunc(features, func(a, b poison.Feature) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	for _, f := range slices.Compact(features) {
+		m := poison.Mark{Fingerprint: f.Fingerprint, Kind: f.Kind, Target: target.ID, Run: target.StartedAt, At: seenAt}
+		// A wide feature goes on explaining crashes to other hosts, which have the marks of the
+		// requests beside it.
+		if f.Kind.IsWide() || s.evidence.Verdict(f.Fingerprint) != poison.Quarantined {
 			s.unshared = append(s.unshared, m)
 		}
 		s.addMark(m, localHost)
 	}
+	s.assess(localHost)
 	s.unshared = s.dropOldest(s.unshared)
 	s.signal()
 }
--- a/internal/quarantine/interruptions.go
+++ b/internal/quarantine/interruptions.go
@@ -26,7 +26,9 @@
 // may be incomplete.
 type interruption struct {
 	content uint64
-	at      time.Time
+	// features are those of the request besides its content.
+	features []poison.Feature
+	at       time.Time
 	// isUnframed is true if an answer ended with its connection. It is incomplete only
 	// if the target crashed at that moment.
 	isUnframed bool
@@ -88,7 +90,7 @@
 	for _, r := range reported {
 		isKnown := func(b interruption) bool { return b.isReported && b.content == r.Fingerprint && b.isUnsettled() }
 		if !slices.ContainsFunc(s.interruptions[target], isKnown) {
-			s.addInterruption(target, interruption{content: r.Fingerprint, at: now.Add(-max(r.Age, 0)), isUnframed: r.IsUnframed, isReported: true})
+			s.addInterruption(target, interruption{content: r.Fingerprint, features: r.Features, at: now.Add(-max(r.Age, 0)), isUnframed: r.IsUnframed, isReported: true})
 		}
 	}
 }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -70,8 +70,8 @@
 	log     logr.Logger
 	metrics metrics
 	changed chan struct{}
-	// suspects and quarantined are the sizes of the registry. They let requests skip
-	// its lock while both are zero.
+	// suspects and quarantined are the numbers of such features. They let requests skip the
+	// lock while both are zero.
 	suspects, quarantined atomic.Int64
 	// unsettled is the number of interruptions at targets that may have crashed. It lets
 	// requests skip the lock while it is zero.
@@ -82,7 +82,7 @@
 	done sync.WaitGroup
 
 	mu       sync.Mutex
-	registry *poison.Registry
+	evidence *poison.Evidence
 	// interruptions are the recent interruptions by target.
 	interruptions map[upstream.Target][]interruption
 	// prunedAt is when old interruptions were last removed.
@@ -160,7 +160,7 @@
 		changed:       make(chan struct{}, 1),
 		ctx:           ctx,
 		stop:          stop,
-		registry:      poison.NewRegistry(maxCrashes),
+		evidence:      poison.NewEvidence(maxCrashes),
 		seen:          seen,
 		interruptions: make(map[upstream.Target][]interruption),
 
@@ -188,31 +188,7 @@
 	f := fingerprint()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registry.Verdict(f) == poison.Quarantined
-}
-
-// RecordSuccess clears content of suspicion, at all hosts, after target has answered it in
-// full. It calls fingerprint only while some content is suspect. It returns the number of
-// marks cleared.
-func (s *Service) RecordSuccess(fingerprint func() uint64, target string) int {
-	if s.suspects.Load() == 0 {
-		return 0
-	}
-	f := fingerprint()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	marks := s.registry.Clear(f)
-	if len(marks) == 0 {
-		return 0
-	}
-	s.metrics.cleared.Inc(1)
-	s.log.Info("Content was cleared by a full answer.", "content", formatFingerprint(f), "target", target, "crashes", len(marks))
-	s.updateCounts()
-	s.unshared = without(s.unshared, marks)
-	s.relayed = without(s.relayed, marks)
-	s.cleared = s.dropOldest(append(s.cleared, marks...))
-	s.signal()
-	return len(marks)
+	return s.evidence.Verdict(f) == poison.Quarantined
 }
 
 // without returns list without the marks in removed.
@@ -220,19 +196,19 @@
 	return slices.DeleteFunc(list, func(m poison.Mark) bool { return slices.Contains(removed, m) })
 }
 
-// Remove removes marks of content that are no longer in the shared log.
+// Remove removes marks of a feature that are no longer in the shared log.
 func (s *Service) Remove(fingerprint uint64, isRemoved func(poison.Mark) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.registry.Verdict(fingerprint)
-	removed := s.registry.Remove(fingerprint, isRemoved)
+	before := s.evidence.Verdict(fingerprint)
+	removed := s.evidence.Remove(fingerprint, isRemoved)
 	if removed == 0 {
 		return
 	}
 	s.metrics.removed.Inc(int64(removed))
+	s.assess(sharedLog)
 	s.log.Info("Crash marks were removed from the shared log.", "content", formatFingerprint(fingerprint), "count", removed,
-		"was_quarantined", before == poison.Quarantined, "is_quarantined", s.registry.Verdict(fingerprint) == poison.Quarantined)
-	s.updateCounts()
+		"was_quarantined", before == poison.Quarantined, "is_quarantined", s.evidence.Verdict(fingerprint) == poison.Quarantined)
 }
 
 // localHost is the value of the host key in log lines about this host's own marks.
@@ -251,7 +227,8 @@
 	return list
 }
 
-// addMark counts a mark unless it has been counted before. The caller holds the lock.
+// addMark counts a mark unless it has been counted before. The caller holds the lock, and calls
+// assess after the last mark.
 func (s *Service) addMark(m poison.Mark, host string) {
 	if isKnown, _ := s.seen.ContainsOrAdd(m.CrashKey(), struct{}{}); isKnown {
 		s.metrics.repeated.Inc(1)
@@ -263,20 +240,9 @@
 	}
 	if age := time.Since(time.Unix(0, m.At)); host != localHost {
 		s.metrics.receivedAge.RecordDuration(age)
-		s.log.Info("Crash mark was received.", "content", formatFingerprint(m.Fingerprint), "target", m.Target, "host", host, "age_ms", age.Milliseconds())
+		s.log.Info("Crash mark was received.", "content", formatFingerprint(m.Fingerprint), "feature", m.Kind.String(), "target", m.Target, "host", host, "age_ms", age.Milliseconds())
 	}
-	if s.registry.RecordCrash(m) {
-		s.metrics.quarantined.Inc(1)
-		s.log.Info("Content was quarantined.", "content", formatFingerprint(m.Fingerprint), "target", m.Target, "host", host, "crashes", maxCrashes)
-	}
-	s.updateCounts()
-}
-
-// updateCounts copies the sizes of the registry. The caller holds the lock.
-func (s *Service) updateCounts() {
-	suspects, held := s.registry.Len()
-	s.suspects.Store(int64(suspects))
-	s.quarantined.Store(int64(held))
+	s.evidence.Add(m)
 }
 
 // Changed returns a channel that signals new marks to share.
@@ -335,4 +301,5 @@
 	for _, m := range marks {
 		s.addMark(m, host)
 	}
+	s.assess(host)
 }
