--- a/internal/gateway/features_test.go
+++ b/internal/gateway/features_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -32,8 +33,12 @@
 	s.mustSend(request{method: http.MethodPost, path: path, id: id, body: body})
 	s.eventually("crash is counted", func() bool { return s.contentMarks() == before+1 })
 	s.fleet.Remove(r.ID())
+	time.Sleep(crashPause)
 }
 
+// crashPause is longer than the time within which crashes count once for a path, 100 ms.
+const crashPause = 150 * time.Millisecond
+
 // Guards against a deadly path that goes on because each body has to crash three targets by
 // itself.
 func TestPathThatCrashesTargetsWithDifferentBodiesIsRefused(t *testing.T) {
