--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -56,8 +56,8 @@
 		return
 	}
 	for {
-		if j.g.quarantine.IsQuarantined(j.fingerprint) {
-			j.finishQuarantined(ctx)
+		if f, isBlocked := j.quarantinedFeature(); isBlocked {
+			j.finishQuarantined(ctx, f)
 			return
 		}
 		if j.mustHandOver(ctx) {
