--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -240,7 +240,8 @@
 // targets.
 func (j *job) mustNotWait(ctx context.Context) bool {
 	now := time.Now()
-	return j.mustHandOver(ctx) || j.g.quarantine.IsQuarantined(j.fingerprint) ||
+	_, isQuarantined := j.quarantinedFeature()
+	return j.mustHandOver(ctx) || isQuarantined ||
 		j.g.fleet.Available(j.service, now) == 0 && !j.g.fleet.IsFull(j.targetRequest(), now)
 }
 
