spending: test of an asking host that ends before the answer

Cause: no test covered the asked host's side when the host that asks for a reservation ends while the claim is being written. Nobody reports such a reservation, so that its tokens would stay claimed. Change: the connection of the asking host ends every half call to the store until the answer is sent; also when the store's answer is lost and when the append takes effect late. Fails if Lend does not check its context after the claim, if the rest of an account without a turn is not claimed anew, or if an undecided claim is not given back.

--- a/internal/spending/unanswered_test.go
+++ b/internal/spending/unanswered_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"yuccausher/internal/port"
 	"yuccausher/internal/standin/metastore"
 )
 
@@ -258,3 +259,46 @@
 
 // prefetched is how many turns ahead the preferred host claims of a large budget.
 const prefetched = 2
+
+// The asking host ends while the asked one claims for it. The connection between them then ends too,
+// before the answer is written, so that no turn can have run. Nobody reports what the reservation has
+// spent, and its tokens would stay claimed.
+func TestClaimOfAnAskerThatEndsBeforeTheAnswerIsFreed(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults metastore.Faults
+	}{
+		{name: "store answers"},
+		{name: "answer of the store is lost", faults: metastore.Faults{LoseAnswers: 1}},
+		{name: "append takes effect late", faults: metastore.Faults{Late: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			// Steps of half a call to the store, until the asker lives to see the answer.
+			isAnswered := false
+			for after := time.Duration(0); !isAnswered; after += latency / 2 {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(t, 3)
+					asked := f.host(f.order("p")[0])
+					f.store.SetFaults(asked.peers.Self(), c.faults)
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					time.AfterFunc(after, cancel)
+					answer := asked.Lend(ctx, port.LendRequest{
+						Reservation: 1, Account: 2, Program: "p", Budget: 900, MaxTokens: 572, MaxWait: maxClaimWait,
+					})
+					if ctx.Err() == nil {
+						is.Equal(answer.Decision, port.LendGranted)
+						isAnswered = true // A turn may run.
+						return
+					}
+					time.Sleep(3 * time.Second)
+					f.store.Flush()
+					time.Sleep(time.Second)
+					checkClaimed(t, f, 0)
+					is.Equal(asked.lending.count(), 0)
+				})
+			}
+		})
+	}
+}
