spending: partitions with loans are probed at once after an outage

Cause: the recovery of one partition probed those with loans up to 300 ms later than before, so that all hosts could end before the loans were claimed; partitions of which a host is no reader kept the mark of an outage that was over.

--- a/internal/spending/availability.go
+++ b/internal/spending/availability.go
@@ -43,6 +43,8 @@
 	mu sync.Mutex
 	// unavailableSince is when reads began to fail; zero while the log answers.
 	unavailableSince time.Time
+	// failedAt is when a read last failed.
+	failedAt time.Time
 	// isSuspected requests a probe although no read has failed.
 	isSuspected bool
 }
@@ -61,6 +63,15 @@
 	return a.unavailableSince
 }
 
+// isOutdated reports whether the log has answered this host since a read of the partition last failed,
+// and the partition has not been probed since.
+func (a *availability) isOutdated() bool {
+	a.mu.Lock()
+	since, failedAt := a.unavailableSince, a.failedAt
+	a.mu.Unlock()
+	return !since.IsZero() && time.Since(failedAt) > maxRetry && a.hasAnsweredSince(failedAt.Add(maxRetry))
+}
+
 // assumeUnavailable marks the log as unavailable until it is read, because other
 // partitions are unavailable.
 func (a *availability) assumeUnavailable() {
@@ -128,6 +139,9 @@
 	case since.IsZero():
 		a.unavailableSince = time.Now()
 	}
+	if err != nil {
+		a.failedAt = time.Now()
+	}
 	a.mu.Unlock()
 	if err == nil {
 		a.onAnswer()
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -276,10 +276,10 @@
 
 // mustDetectRecovery reports whether this host has to append or read as soon as the
 // log recovers, even without turns.
-func (l *ledger) mustDetectRecovery() bool {
-	if l.isReader() {
-		return true
-	}
+func (l *ledger) mustDetectRecovery() bool { return l.isReader() || l.hasLoans() }
+
+// hasLoans reports whether the log may not contain loans that this host knows of.
+func (l *ledger) hasLoans() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.loans.Len() > 0 {
--- a/internal/spending/outage.go
+++ b/internal/spending/outage.go
@@ -35,15 +35,19 @@
 const recoverySpread = 300 * time.Millisecond
 
 // probeOthersSoon probes those of the other unavailable partitions whose recovery this host has to
-// detect, because one has recovered. The others are probed when turns need them:
-// the reads of a recovery grow with the number of partitions, not with that times the number of
-// hosts.
+// detect, because one has recovered. The others are probed when turns need them: the reads of a
+// recovery grow with the number of partitions, not with that times the number of hosts. Partitions
+// with loans are probed at once, since loans are lost if all hosts that know of them end before they are
+// claimed.
 func (s *Service) probeOthersSoon(recovered int) {
 	for part, l := range s.ledgers {
-		if part == recovered || !l.isUnavailable() || !l.mustDetectRecovery() {
-			continue
+		switch {
+		case part == recovered || !l.isUnavailable():
+		case l.hasLoans():
+			l.availability.probeNow()
+		case l.isReader():
+			time.AfterFunc(rand.N(recoverySpread), l.availability.probeNow)
 		}
-		time.AfterFunc(rand.N(recoverySpread), l.availability.probeNow)
 	}
 }
 
--- a/internal/spending/reserve.go
+++ b/internal/spending/reserve.go
@@ -27,6 +27,11 @@
 	if g, err, ok := l.decideLocally(program, total, maxTokens); ok {
 		return g, err
 	}
+	if l.availability.isOutdated() {
+		// The read passes its result to availability, so that the turn need not be refused for an outage
+		// that is over.
+		_ = l.probe(ctx)
+	}
 	w := &waiter{program: program, budget: total, maxTokens: maxTokens, account: account, done: make(chan error, 1)}
 	if err := l.enqueue(w); err != nil {
 		return nil, unknownBudget(program, err)
