--- a/internal/core/callrate/limiter.go
+++ b/internal/core/callrate/limiter.go
@@ -23,7 +23,7 @@
 	// refusedFactor is what a refusal leaves of the rate. Callers are spread unevenly over hosts, so
 	// that a rate at the equal share after one refusal would leave much of what the service accepts
 	// unused.
-	refusedFactor = 0.7
+	refusedFactor = 0.5
 	// refusedShare is the rate, in equal shares, below which the refusal of some calls does not lower
 	// it. If all hosts call at it, their sum stays below what the service accepts.
 	refusedShare = 0.9
@@ -51,7 +51,7 @@
 )
 
 // Limiter is the rate limiter of one host. It follows the refusals of the service: the rate falls
-// while calls are refused, to the equal share within seven times refusalWindow, and grows again while
+// while calls are refused, to the equal share within five times refusalWindow, and grows again while
 // calls are answered. The sum over all hosts is therefore at most refusedShare of what the service
 // accepts once it has refused calls of each host for that time, and grows by no more than the whole
 // in a second from then on. Limiter is not safe for concurrent use.
