spending: the mark of an outage is outdated only by answers after it

TestHostsLendWhileTheStoreIsUnavailable and TestHostsLendSoonAfterTheStoreStopsAnswering failed at: a partition that was assumed to be unavailable had no failed read, so that each turn read it first, for 400 ms. The time of the mark counts as well; both pass.

--- a/internal/spending/availability.go
+++ b/internal/spending/availability.go
@@ -67,9 +67,12 @@
 // and the partition has not been probed since.
 func (a *availability) isOutdated() bool {
 	a.mu.Lock()
-	since, failedAt := a.unavailableSince, a.failedAt
+	since, at := a.unavailableSince, a.unavailableSince
+	if a.failedAt.After(at) {
+		at = a.failedAt
+	}
 	a.mu.Unlock()
-	return !since.IsZero() && time.Since(failedAt) > maxRetry && a.hasAnsweredSince(failedAt.Add(maxRetry))
+	return !since.IsZero() && time.Since(at) > maxRetry && a.hasAnsweredSince(at.Add(maxRetry))
 }
 
 // assumeUnavailable marks the log as unavailable until it is read, because other
