spending: all partitions that a host uses are probed when one recovers

Cause: only partitions whose recovery the host has to detect were probed; the others kept their mark until a turn needed them, and were refused to that turn.

--- a/internal/spending/availability.go
+++ b/internal/spending/availability.go
@@ -72,7 +72,7 @@
 		at = a.failedAt
 	}
 	a.mu.Unlock()
-	return !since.IsZero() && time.Since(at) > maxRetry && a.hasAnsweredSince(at.Add(maxRetry))
+	return !since.IsZero() && time.Since(at) > maxRetry && a.hasAnsweredSince(at)
 }
 
 // assumeUnavailable marks the log as unavailable until it is read, because other
--- a/internal/spending/outage.go
+++ b/internal/spending/outage.go
@@ -34,10 +34,8 @@
 // so that the hosts do not all call the log at the moment at which it answers again.
 const recoverySpread = 300 * time.Millisecond
 
-// probeOthersSoon probes those of the other unavailable partitions whose recovery this host has to
-// detect, because one has recovered. The others are probed when turns need them: the reads of a
-// recovery grow with the number of partitions, not with that times the number of hosts. Partitions
-// with loans are probed at once, since loans are lost if all hosts that know of them end before they are
+// probeOthersSoon probes the other unavailable partitions because one has recovered. Partitions with
+// loans are probed at once, since loans are lost if all hosts that know of them end before they are
 // claimed.
 func (s *Service) probeOthersSoon(recovered int) {
 	for part, l := range s.ledgers {
@@ -45,7 +43,7 @@
 		case part == recovered || !l.isUnavailable():
 		case l.hasLoans():
 			l.availability.probeNow()
-		case l.isReader():
+		default:
 			time.AfterFunc(rand.N(recoverySpread), l.availability.probeNow)
 		}
 	}
