--- a/review/driver2/memory.go
+++ b/review/driver2/memory.go
@@ -28,7 +28,7 @@
 	talkPause       = 20 * time.Millisecond
 	endlessClients  = 4000
 	endlessPart     = 1 << 10
-	endlessInterval = 200 * time.Millisecond
+	endlessInterval = 100 * time.Millisecond
 	endlessTime     = 18 * time.Second
 	memoryPoll      = 100 * time.Millisecond
 	headReadBuffer  = 4 << 10
