--- a/review/driver2/world.go
+++ b/review/driver2/world.go
@@ -163,7 +163,7 @@
 	defer h.mu.Unlock()
 	c := exec.Command(h.binary, "front")
 	// Machines have one core.
-	c.Env = append(os.Environ(), "YUCCAUSHER_CONFIG="+h.config, "GOMAXPROCS=1")
+	c.Env = append(os.Environ(), "YUCCAUSHER_CONFIG="+h.config, "YUCCAUSHER_METRICS_PORT=0", "GOMAXPROCS=1")
 	c.Stdout, c.Stderr = h.log, h.log
 	if err := c.Start(); err != nil {
 		return err
