--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -20,6 +20,7 @@
 	return map[string]testCase{
 		"leaving-callers": {ramMB: 154, run: leavingCallers},
 		"stream-versions": {ramMB: 144, run: streamVersions},
+		"outage-budget":   {ramMB: 144, run: outageBudget},
 		"endless-heads":   {ramMB: 154, run: endlessHeads},
 	}
 }
