--- a/review/driver2/memory.go
+++ b/review/driver2/memory.go
@@ -26,10 +26,10 @@
 	talkTurns       = 22
 	talkBytes       = 17000
 	talkPause       = 20 * time.Millisecond
-	endlessClients  = 4000
+	endlessClients  = 2500
 	endlessPart     = 1 << 10
-	endlessInterval = 100 * time.Millisecond
-	endlessTime     = 18 * time.Second
+	endlessInterval = 60 * time.Millisecond
+	endlessTime     = 35 * time.Second
 	memoryPoll      = 100 * time.Millisecond
 	headReadBuffer  = 4 << 10
 )
