--- a/review/driver2/memory.go
+++ b/review/driver2/memory.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -25,17 +27,22 @@
 	talkPrograms    = 100
 	talkTurns       = 22
 	talkBytes       = 17000
+	talkWork        = 300 * time.Millisecond
 	talkPause       = 20 * time.Millisecond
 	endlessClients  = 2500
 	endlessPart     = 1 << 10
 	endlessInterval = 60 * time.Millisecond
-	endlessTime     = 35 * time.Second
-	memoryPoll      = 100 * time.Millisecond
-	headReadBuffer  = 4 << 10
+	endlessTime     = 60 * time.Second
+	// restartDelay is how long after its end the platform starts a process again.
+	restartDelay = 300 * time.Millisecond
+	// enoughUnanswered ends the play early.
+	enoughUnanswered = 8
+	memoryPoll       = 100 * time.Millisecond
+	headReadBuffer   = 4 << 10
 )
 
-// serveTalk answers each request with a stream of three events.
-func serveTalk(c net.Conn) {
+// serveTalk answers each request with a stream of three events, and notes the requests.
+func serveTalk(c net.Conn, began *sync.Map) {
 	defer c.Close()
 	reader := bufio.NewReaderSize(c, headReadBuffer)
 	for {
@@ -46,6 +53,8 @@
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
 		}
+		began.Store(q.Header.Get("Request-Id"), true)
+		time.Sleep(talkWork)
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", q.Header.Get("Request-Id"))
 		for i := 1; i <= 3; i++ {
 			e := fmt.Sprintf("id: %d\ndata: part %d\n\n", i, i)
@@ -55,7 +64,7 @@
 	}
 }
 
-func listenTalk() (net.Listener, error) {
+func listenTalk(began *sync.Map) (net.Listener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -66,24 +75,25 @@
 			if err != nil {
 				return
 			}
-			go serveTalk(c)
+			go serveTalk(c, began)
 		}
 	}()
 	return l, nil
 }
 
-// conversation is a line of turns of one program.
+// conversation is a line of turns of one program, on one kept connection.
 type conversation struct {
 	program, last string
 	turns         int
+	conn          kept
 }
 
-func (v *conversation) turn(ctx context.Context, h *host) answer {
+func (v *conversation) turn(ctx context.Context) answer {
 	header := map[string]string{"Accept": "text/event-stream", "Program": v.program, "Session": v.program, "Finish-Ms": "60000"}
 	if v.last != "" {
 		header["Previous-Turn"] = v.last
 	}
-	a := attempt{method: "POST", path: "/talk/2f", deadline: 3 * time.Second, body: make([]byte, talkBytes), header: header}.send(ctx, h.front)
+	a := v.conn.send(ctx, attempt{method: "POST", path: "/talk/2f", deadline: 3 * time.Second, body: make([]byte, talkBytes), header: header})
 	if a.status == http.StatusOK && a.isWhole {
 		v.last, v.turns = a.id, v.turns+1
 	}
@@ -93,12 +103,14 @@
 	return a
 }
 
-// endlessHeads shows whether a host stays within its memory before clients whose heads have no end.
+// endlessHeads shows whether a host stays within its memory before clients whose heads have no end, and
+// what ordinary callers lose if it does not.
 func endlessHeads(w *world, isTrouble bool) (bool, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	var began sync.Map
 	for n := range talkServers {
-		l, err := listenTalk()
+		l, err := listenTalk(&began)
 		if err != nil {
 			return false, err
 		}
@@ -113,10 +125,11 @@
 	talks := make([]*conversation, talkPrograms)
 	var all sync.WaitGroup
 	for i := range talks {
-		talks[i] = &conversation{program: "p" + strconv.Itoa(i)}
+		talks[i] = &conversation{program: "p" + strconv.Itoa(i), conn: kept{address: h.front}}
+		defer talks[i].conn.close()
 		all.Go(func() {
 			for range 1 + rand.IntN(talkTurns) {
-				talks[i].turn(ctx, h)
+				talks[i].turn(ctx)
 			}
 		})
 	}
@@ -130,39 +143,52 @@
 			all.Go(func() { endlessHead(playing, h) })
 		}
 	}
-	var whole, failed atomic.Int64
+	var whole, failed, unanswered atomic.Int64
 	for _, v := range talks {
 		all.Go(func() {
-			for playing.Err() == nil && !h.hasEnded() {
-				if a := v.turn(ctx, h); a.status == http.StatusOK && a.isWhole {
+			for playing.Err() == nil {
+				a := v.turn(ctx)
+				_, hasBegun := began.Load(a.id)
+				switch {
+				case a.status == http.StatusOK && a.isWhole:
 					whole.Add(1)
-				} else {
+				case a.status == 0 && hasBegun && v.conn.requests > 1 && !errors.Is(a.err, os.ErrDeadlineExceeded):
+					unanswered.Add(1)
+					w.record.logf("request %s, the %d. on its connection: %s; a server had begun to run it", a.id, v.conn.requests, a)
+				default:
 					failed.Add(1)
 				}
 				time.Sleep(talkPause)
 			}
 		})
 	}
-	limit, peak, isKilled := w.ramMB<<10, 0, false
-	for seconds := 0; playing.Err() == nil; time.Sleep(memoryPoll) {
+	limit, peak, killed := w.ramMB<<10, 0, 0
+	for seconds := 0; playing.Err() == nil && unanswered.Load() < enoughUnanswered; time.Sleep(memoryPoll) {
 		if now := h.peakKB(); now > 0 {
 			peak = now
 		}
 		if s := int(time.Since(w.record.begin).Seconds()); s > seconds {
 			seconds = s
-			w.record.logf("peak of the host's memory %d KB of %d KB; turns that were answered whole: %d, that were not: %d", peak, limit, whole.Load(), failed.Load())
+			w.record.logf("peak of the host's memory %d KB of %d KB; turns that were answered whole: %d, that were not: %d", peak, limit, whole.Load(), failed.Load()+unanswered.Load())
 		}
-		if peak > limit && !isKilled {
-			// As the platform does with a process over its memory.
+		if peak > limit {
+			// As the platform does with a process over its memory, which it starts again.
 			w.record.logf("peak of the host's memory %d KB of %d KB: the process is killed", peak, limit)
 			h.signal(syscall.SIGKILL)
-			isKilled = true
+			<-h.ended
+			time.Sleep(restartDelay)
+			if err := h.start(); err != nil {
+				return false, err
+			}
+			killed, peak = killed+1, 0
 		}
 	}
+	stop()
 	all.Wait()
-	w.record.logf("peak of the host's memory %d KB of %d KB; turns that were answered whole: %d, that were not: %d", peak, limit, whole.Load(), failed.Load())
-	fmt.Printf("memory at its peak: %d KB, allowed: %d KB\n", peak, limit)
-	return peak > limit, nil
+	w.record.logf("the process was killed %d times; peak of the host's memory since %d KB of %d KB; turns that were answered whole: %d, passed on from a kept connection that ended without an answer: %d, failed otherwise: %d",
+		killed, peak, limit, whole.Load(), unanswered.Load(), failed.Load())
+	fmt.Printf("killed for its memory: %d times; connections that ended without an answer: %d, allowed: %d\n", killed, unanswered.Load(), allowedUnanswered)
+	return unanswered.Load() > allowedUnanswered, nil
 }
 
 // endlessHead sends a request whose head has no end, again and again.
@@ -172,7 +198,7 @@
 		part[i] = 'a'
 	}
 	dialer := net.Dialer{Timeout: time.Second}
-	for ctx.Err() == nil && !h.hasEnded() {
+	for ctx.Err() == nil {
 		c, err := dialer.DialContext(ctx, "tcp", h.front)
 		if err != nil {
 			time.Sleep(endlessInterval)
--- a/review/driver2/world.go
+++ b/review/driver2/world.go
@@ -185,18 +185,6 @@
 	}
 }
 
-// hasEnded reports whether the process has ended.
-func (h *host) hasEnded() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	select {
-	case <-h.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 // peakKB returns the largest resident size of the process so far.
 func (h *host) peakKB() int {
 	h.mu.Lock()
