--- a/review/driver2/versions.go
+++ b/review/driver2/versions.go
@@ -15,14 +15,15 @@
 	modelService   = `{"name":"models","health_path":"/health","max_conns":180,"engine":{"slots":16,"kv_tokens":90000,"event_tokens":20}}`
 	resumableRoute = `{"name":"streams","host":"case.example","prefix":"/streams/","kind":"stream","timeout_ms":6000,"goal_ms":400,"prio":0,"service":"models","attempts":2,"keep_context":false,"retention_s":60,"sticky":true,"resumable":true,"gap_goal_ms":250}`
 
-	streamClients  = 16
+	streamClients  = 200
+	streamServers  = 5
+	untilStreams   = 1200 * time.Millisecond
 	streamPieces   = 40
 	piecePause     = 75 * time.Millisecond
 	restartTime    = 500 * time.Millisecond
-	untilOutage    = 300 * time.Millisecond
 	untilFirst     = 300 * time.Millisecond
 	untilSecond    = 900 * time.Millisecond
-	untilStoreBack = 1500 * time.Millisecond
+	untilStoreBack = 1000 * time.Millisecond
 )
 
 // modelServer is a server that starts again under its ID and address, with another version of its
@@ -36,7 +37,7 @@
 }
 
 func (s *modelServer) start(ctx context.Context, version string) error {
-	r, err := replica.Listen(s.address, replica.Options{ID: s.id, Slots: 16, Version: version, Work: 10 * time.Millisecond, Events: streamPieces, Pause: piecePause})
+	r, err := replica.Listen(s.address, replica.Options{ID: s.id, Slots: 64, Version: version, Work: 10 * time.Millisecond, Events: streamPieces, Pause: piecePause})
 	if err != nil {
 		return err
 	}
@@ -61,19 +62,19 @@
 func streamVersions(w *world, isTrouble bool) (bool, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	first, second := &modelServer{w: w, id: "m1", address: "127.0.0.1:0"}, &modelServer{w: w, id: "m2", address: "127.0.0.1:0"}
-	for _, s := range []*modelServer{first, second} {
-		if err := s.start(ctx, "v1"); err != nil {
+	servers := make([]*modelServer, streamServers)
+	for i := range servers {
+		servers[i] = &modelServer{w: w, id: fmt.Sprint("m", i+1), address: "127.0.0.1:0"}
+		if err := servers[i].start(ctx, "v1"); err != nil {
 			return false, err
 		}
-		defer func() { s.replica.Close() }()
+		defer func() { servers[i].replica.Close() }()
 	}
+	first, second := servers[0], servers[1]
 	w.configure(7, resumableRoute, modelService, "")
 	if err := w.addHosts(2); err != nil {
 		return false, err
 	}
-	answers := w.streams(ctx, streamClients)
-	time.Sleep(untilOutage)
 	if isTrouble {
 		w.setStoreDown(true)
 	}
@@ -81,6 +82,8 @@
 	if err := second.restart(ctx, "v2"); err != nil {
 		return false, err
 	}
+	time.Sleep(untilStreams)
+	answers := w.streams(ctx, streamClients)
 	time.Sleep(untilSecond)
 	if err := first.restart(ctx, "v2"); err != nil {
 		return false, err
@@ -89,7 +92,7 @@
 	if isTrouble {
 		w.setStoreDown(false)
 	}
-	mixed := w.judgeVersions(<-answers, []*modelServer{first, second})
+	mixed := w.judgeVersions(<-answers, servers)
 	return mixed > 2, nil
 }
 
