upstream: nothing acts on a connection after it was given back

Cause: a connection went back to the pool while the context of its request could still set a deadline on it. A turn that keeps a conversation is saved after that, and a caller that left meanwhile failed the request that used the connection by then.

Change: upstream.Conn is the use of a connection by one request. Giving it back ends the use under the lock that the end of the context takes, so that neither the context nor a late reader of the body reaches the connection. The state of an exchange belongs to the use.

--- a/internal/gateway/conversation_test.go
+++ b/internal/gateway/conversation_test.go
@@ -36,6 +36,37 @@
 	is.Equal(m.Runs()[2].Body, "first;"+said+"second;"+said+"third;")
 }
 
+// The connection of a turn that is being saved may carry the next request, which used to fail when the
+// first caller left.
+func TestCallerThatLeavesDoesNotCutAnotherRequest(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	m := s.add(models, replica.Options{ID: "m1", Events: 2, Work: 200 * time.Millisecond})
+	s.turnStore.delay = time.Second
+	saving := make(chan string, 2)
+	s.turnStore.saving = func(turn string) { saving <- turn }
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		_, _ = s.send(ctx, request{method: http.MethodPost, path: conversationTurn, id: "a", body: "x", header: turnHeader("p")})
+	}()
+	is.Equal(<-saving, "a")
+	go func() {
+		for len(m.Runs()) < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		leave()
+	}()
+	a := s.mustSend(request{method: http.MethodPost, path: conversationTurn, id: "b", body: "x", header: turnHeader("q")})
+	<-left
+	is.Equal(m.Opened(), 1)
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.body, events(1, 2))
+}
+
 // Routes that do not keep conversations relay requests unchanged.
 func TestOtherRoutesSaveNoTurns(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -332,8 +332,6 @@
 		stop := j.g.reach.OnCutOff(cancelExchange)
 		defer stop()
 	}
-	// Another request may be using the connection when cancelExchange is called.
-	defer func() { j.stopCancel() }()
 	sent := time.Now()
 	conn, err := j.connect(ctx, choice, false)
 	if err != nil {
@@ -394,9 +392,7 @@
 // exchange sends the request on a connection. The connection fails if ctx ends while
 // the answer is read.
 func (j *job) exchange(ctx context.Context, choice *fleet.Choice, conn *upstream.Conn, sent time.Time) (*http.Response, error) {
-	j.used = append(j.used, conn)
-	j.stopCancel()
-	j.stopCancel = conn.CancelOnDone(ctx)
+	j.used = append(j.used, conn.ID())
 	return conn.Exchange(ctx, j.request(choice, sent), j.isOwn)
 }
 
@@ -450,7 +446,7 @@
 
 // hasUsed reports whether the request was sent on a connection before. A target may write
 // the refusal that it gave there once more.
-func (j *job) hasUsed(c *upstream.Conn) bool { return slices.Contains(j.used, c) }
+func (j *job) hasUsed(id upstream.ConnectionID) bool { return slices.Contains(j.used, id) }
 
 // canResend reports whether a request that got no answer on a reused connection may
 // be sent to the same target again.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -307,6 +307,8 @@
 	fail error
 	// delay is how long it takes to save a turn.
 	delay time.Duration
+	// saving is called when a turn begins to be saved, if set.
+	saving func(turn string)
 }
 
 func (a *turnStore) Chain(_ context.Context, _, turn string) (conversation.Chain, error) {
@@ -322,6 +324,9 @@
 }
 
 func (a *turnStore) Save(ctx context.Context, before conversation.Chain, t conversation.Turn) error {
+	if a.saving != nil {
+		a.saving(t.ID)
+	}
 	select {
 	case <-time.After(a.delay):
 	case <-ctx.Done():
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -351,7 +351,7 @@
 	if g.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{g: g, memory: g.answers.NewShare(), w: w, r: r, sender: s, started: time.Now(), call: g.protocol.ParseCall(r.Header), stopCancel: func() {}}
+	j := &job{g: g, memory: g.answers.NewShare(), w: w, r: r, sender: s, started: time.Now(), call: g.protocol.ParseCall(r.Header)}
 	defer j.report()
 	defer j.memory.Release()
 	table := g.tables.Current()
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -74,12 +74,10 @@
 	// ranAt lists the targets that may have begun to run the request.
 	ranAt []string
 	// used are the connections on which the request was sent.
-	used []*upstream.Conn
+	used []upstream.ConnectionID
 	// crashes counts those of ranAt that ended while they ran the request, unreachable those
 	// that this host was cut off from meanwhile.
 	crashes, unreachable int
-	// stopCancel detaches the connection in use from the context of its exchange.
-	stopCancel func()
 	// lastEvent is the ID of the last event that was sent to the caller.
 	lastEvent string
 	events    int
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/juju/errors"
 )
@@ -19,10 +18,6 @@
 	// maxStrayAnswers is the number of answers read from a connection before it is
 	// closed because none of them belongs to the request.
 	maxStrayAnswers = 3
-	// drainTimeout and maxDrainBytes limit the rest of an answer that is read only to
-	// reuse its connection.
-	drainTimeout  = 20 * time.Millisecond
-	maxDrainBytes = 16 << 10
 	// maxStrayBytes limits the body of an answer that is skipped.
 	maxStrayBytes = 1 << 20
 )
@@ -39,17 +34,19 @@
 
 // Exchange sends a request and returns the answer after its header has arrived; the
 // body is read from the connection. isOwn reports whether an answer with the given
-// header belongs to the request. CancelOnDone makes a running exchange fail when ctx
-// ends. The error is an *ExchangeError; its cause is ctx.Err() if ctx has ended.
+// header belongs to the request. When ctx ends, the exchange fails, and so does the
+// reading of the body. There is one exchange for each Conn; an error ends its use. The
+// error is an *ExchangeError; its cause is ctx.Err() if ctx has ended.
 func (c *Conn) Exchange(ctx context.Context, r Request, isOwn func(http.Header) bool) (*http.Response, error) {
-	c.reusable = false
+	c.cancelOnDone(ctx)
+	used := c.connection
 	c.writeDone = make(chan struct{})
 	data := r.encode()
 	written := new(int)
 	if len(data) <= inlineBytes {
-		c.write(data, written)
+		c.write(used, data, written)
 	} else {
-		go c.write(data, written)
+		go c.write(used, data, written)
 	}
 	answered := c.pool.observer.Waiting()
 	response, garbled, err := c.receive(r.Method, isOwn)
@@ -61,13 +58,13 @@
 		err = ctx.Err()
 	}
 	// Closing the connection ends the writer.
-	_ = c.Conn.Close()
+	c.Abort()
 	<-c.writeDone
-	return nil, &ExchangeError{Target: c.target.ID, Sent: *written > 0, Garbled: garbled, Cause: err}
+	return nil, &ExchangeError{Target: used.target.ID, Sent: *written > 0, Garbled: garbled, Cause: err}
 }
 
-func (c *Conn) write(data []byte, written *int) {
-	*written, c.writeErr = c.Conn.Write(data)
+func (c *Conn) write(to io.Writer, data []byte, written *int) {
+	*written, c.writeErr = to.Write(data)
 	close(c.writeDone)
 }
 
@@ -121,12 +118,13 @@
 // receiveHeader reads the header of the next answer. garbled is set if the received bytes are
 // not one.
 func (c *Conn) receiveHeader(method string) (_ *http.Response, garbled bool, _ error) {
-	c.source.beginHeader(c.pool.memory)
-	defer c.source.beginBody()
-	if _, err := c.reader.Peek(1); err != nil {
+	used := c.connection
+	used.source.beginHeader(c.pool.memory)
+	defer used.source.beginBody()
+	if _, err := used.reader.Peek(1); err != nil {
 		return nil, false, err
 	}
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	response, err := http.ReadResponse(used.reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, !isTimeout(err), err
 	}
@@ -141,7 +139,7 @@
 // prepareBody evaluates the header fields that concern the connection, and makes the
 // end of the body mark the connection as reusable if the target keeps it open.
 func (c *Conn) prepareBody(response *http.Response) {
-	c.setIdleTimeout(response.Header.Get("Keep-Alive"))
+	c.connection.setIdleTimeout(response.Header.Get("Keep-Alive"))
 	keepAlive := !response.Close && FramingOf(response) != Unframed
 	if response.ContentLength == 0 {
 		c.reusable = keepAlive
@@ -157,8 +155,11 @@
 	keepAlive bool
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns ErrGivenBack once the use of the connection has ended.
 func (b *body) Read(p []byte) (int, error) {
+	if b.conn.connection == nil {
+		return 0, ErrGivenBack
+	}
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
 		b.conn.reusable = b.keepAlive
@@ -166,31 +167,5 @@
 	return n, err
 }
 
-// CancelOnDone makes the connection fail when ctx ends, until stop is called.
-func (c *Conn) CancelOnDone(ctx context.Context) (stop func()) {
-	detach := context.AfterFunc(ctx, func() {
-		// A deadline in the past fails all pending reads and writes.
-		_ = c.SetDeadline(time.Unix(1, 0))
-	})
-	return func() { detach() }
-}
-
-// Abort closes a connection during its exchange, so that the target stops running the
-// request.
-func (c *Conn) Abort() { c.pool.discard(c) }
-
-// Drain reads and discards the rest of an answer and returns the connection to the pool.
-// If the rest exceeds maxDrainBytes or drainTimeout it closes the connection instead,
-// which costs less than reading on.
-func (c *Conn) Drain(response *http.Response) {
-	if err := c.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
-		c.Abort()
-		return
-	}
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainBytes))
-	if err != nil || n == maxDrainBytes {
-		c.Abort()
-		return
-	}
-	c.Release()
-}
+// Close implements io.Closer. Release, Drain and Abort of the Conn end the reading of the body.
+func (b *body) Close() error { return nil }
--- a/internal/upstream/limit_test.go
+++ b/internal/upstream/limit_test.go
@@ -41,7 +41,7 @@
 	}()
 	t.Cleanup(func() { _ = near.Close() })
 	source := &limitedReader{Reader: near}
-	return &Conn{Conn: near, reader: bufio.NewReaderSize(source, readBufferBytes), source: source, pool: p}
+	return &Conn{pool: p, connection: &connection{Conn: near, reader: bufio.NewReaderSize(source, readBufferBytes), source: source}}
 }
 
 func send(t *testing.T, c *Conn) (*http.Response, error) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -81,12 +82,14 @@
 	// memory is what the headers of answers take while they are read.
 	memory *memory.Budget
 	mu     sync.Mutex
-	idle   map[Target][]*Conn
+	idle   map[Target][]*connection
 	// timeout is that of connections for requests. It is guarded by mu.
 	timeout retry.Timeout
 	opened  tally.Counter
 	reused  tally.Counter
 	dropped tally.Counter
+	// lastID is the ID of the newest connection.
+	lastID atomic.Uint64
 }
 
 // NewPool returns an empty pool that reports its metrics to scope.
@@ -96,7 +99,7 @@
 		dialer:   socket.WithReceiveBuffer(socket.Dialer(0), receiveBufferBytes),
 		memory:   memory.NewBudget(defaultMemoryBytes),
 		observer: noObserver{},
-		idle:     make(map[Target][]*Conn),
+		idle:     make(map[Target][]*connection),
 		timeout:  retry.Timeout{Min: minDialTimeout, Max: maxDialTimeout},
 		opened:   s.Counter("connections_opened"),
 		reused:   s.Counter("connections_reused"),
@@ -112,35 +115,25 @@
 // pool is used.
 func (p *Pool) SetMemory(b *memory.Budget) { p.memory = b }
 
-// Conn is a connection to a target that carries one request at a time.
-type Conn struct {
+// connection is a connection to a target. It belongs to the pool while it is idle, and to one Conn at
+// a time otherwise.
+type connection struct {
 	net.Conn
-	// Reused is set if the connection was taken from the pool.
-	Reused bool
-
+	id     ConnectionID
 	reader *bufio.Reader
 	// source is the source of reader.
 	source      *limitedReader
-	pool        *Pool
 	target      Target
 	idleSince   time.Time
 	idleTimeout time.Duration
-	// reusable is set if the last answer was read to its end and the target keeps the
-	// connection open.
-	reusable bool
-	// writeDone is closed after the last request was written, with the error in
-	// writeErr.
-	writeDone chan struct{}
-	writeErr  error
 }
 
 // Connect returns a pooled connection that was idle for no longer than maxIdle and for
 // which isExcluded returns false, or a new one. Its error is a *DialError.
-func (p *Pool) Connect(ctx context.Context, target Target, maxIdle time.Duration, isExcluded func(*Conn) bool) (*Conn, error) {
+func (p *Pool) Connect(ctx context.Context, target Target, maxIdle time.Duration, isExcluded func(ConnectionID) bool) (*Conn, error) {
 	if c := p.takeIdle(target, maxIdle, isExcluded); c != nil {
 		p.reused.Inc(1)
-		c.Reused = true
-		return c, nil
+		return &Conn{Reused: true, pool: p, connection: c}, nil
 	}
 	return p.Dial(ctx, target)
 }
@@ -162,11 +155,14 @@
 	case ctx.Err() == nil && took >= limit:
 		p.timeout.Expired()
 	}
-	return c, err
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{pool: p, connection: c}, nil
 }
 
 // dial opens a new connection within a limit.
-func (p *Pool) dial(ctx context.Context, target Target, limit time.Duration) (*Conn, error) {
+func (p *Pool) dial(ctx context.Context, target Target, limit time.Duration) (*connection, error) {
 	p.opened.Inc(1)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -179,7 +175,10 @@
 	}
 	p.observer.Connected(target)
 	source := &limitedReader{Reader: observedReader{Reader: c, observer: p.observer}}
-	return &Conn{Conn: c, reader: bufio.NewReaderSize(source, readBufferBytes), source: source, pool: p, target: target, idleTimeout: defaultIdleTimeout}, nil
+	return &connection{
+		Conn: c, id: ConnectionID(p.lastID.Add(1)), reader: bufio.NewReaderSize(source, readBufferBytes), source: source,
+		target: target, idleTimeout: defaultIdleTimeout,
+	}, nil
 }
 
 // observedReader reports the data that it reads.
@@ -197,7 +196,7 @@
 	return n, err
 }
 
-func (p *Pool) takeIdle(target Target, maxIdle time.Duration, isExcluded func(*Conn) bool) *Conn {
+func (p *Pool) takeIdle(target Target, maxIdle time.Duration, isExcluded func(ConnectionID) bool) *connection {
 	now := time.Now()
 	for {
 		c := p.popIdle(target, now.Add(-maxIdle), isExcluded)
@@ -214,12 +213,12 @@
 // popIdle removes and returns the most recently used connection that is not excluded,
 // unless it was last used before since. An older one stays in the pool for requests that
 // accept a longer idle time.
-func (p *Pool) popIdle(target Target, since time.Time, isExcluded func(*Conn) bool) *Conn {
+func (p *Pool) popIdle(target Target, since time.Time, isExcluded func(ConnectionID) bool) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[target]
 	for i := len(list) - 1; i >= 0 && !list[i].idleSince.Before(since); i-- {
-		if c := list[i]; !isExcluded(c) {
+		if c := list[i]; !isExcluded(c.id) {
 			p.idle[target] = slices.Delete(list, i, i+1)
 			return c
 		}
@@ -227,29 +226,14 @@
 	return nil
 }
 
-func (p *Pool) discard(c *Conn) {
+func (p *Pool) discard(c *connection) {
 	p.dropped.Inc(1)
 	_ = c.Conn.Close()
 }
 
-// Release returns the connection to the pool after its exchange, or closes it if it
-// can't be reused.
-func (c *Conn) Release() {
-	if !c.reusable || !c.isWritten() || c.reader.Buffered() > 0 {
-		c.pool.discard(c)
-		return
-	}
-	if err := c.SetDeadline(time.Time{}); err != nil {
-		c.pool.discard(c)
-		return
-	}
-	c.reusable = false
-	c.pool.putIdle(c)
-}
-
 // putIdle adds an idle connection to the pool, or closes it if the target already has
 // maxIdlePerTarget.
-func (p *Pool) putIdle(c *Conn) {
+func (p *Pool) putIdle(c *connection) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	list := p.idle[c.target]
@@ -274,20 +258,11 @@
 	return nil
 }
 
-func (c *Conn) isWritten() bool {
-	select {
-	case <-c.writeDone:
-		return c.writeErr == nil
-	default:
-		return false
-	}
-}
-
 // Sweep closes connections whose idle timeout has expired and those to targets for which
 // keep returns false.
 func (p *Pool) Sweep(now time.Time, keep func(Target) bool) {
 	p.mu.Lock()
-	var expired []*Conn
+	var expired []*connection
 	for target, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
@@ -316,7 +291,7 @@
 
 // setIdleTimeout sets the idle timeout from a Keep-Alive header, which states it in
 // whole seconds.
-func (c *Conn) setIdleTimeout(header string) {
+func (c *connection) setIdleTimeout(header string) {
 	for part := range strings.SplitSeq(header, ",") {
 		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if !ok {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -14,7 +14,7 @@
 	"yuccausher/internal/standin/replica"
 )
 
-func anyConn(*Conn) bool { return false }
+func anyConn(ConnectionID) bool { return false }
 
 // exchange sends a request on a connection and releases the connection.
 func exchange(is *is.I, c *Conn, id string) {
