budgetrpc: a caller that leaves does not mark a host as down

A call whose context ended while a connection was opened made the host count as down for a second, so that the calls of other callers to it failed at once.

Change: only a failure that is not the caller's end is remembered.

--- a/internal/adapter/budgetrpc/budgetrpc_test.go
+++ b/internal/adapter/budgetrpc/budgetrpc_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 	"storj.io/drpc"
 
@@ -65,3 +66,32 @@
 		is.Equal(isRecorded, len(loans) > 0)
 	}
 }
+
+// A host used to count as down for all callers after one had left while a connection to it was opened.
+func TestCallerThatLeavesDoesNotMarkAHostAsDown(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server, err := NewServer(&testServer{startedAt: time.Now()}, func(drpc.Mux) error { return nil }, logr.Discard())
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(ctx, listener)
+	}()
+	defer func() {
+		cancel()
+		<-served
+	}()
+	client := NewClient(testDirectory{})
+	defer func() { is.NoErr(client.Close()) }()
+	host := listener.Addr().String()
+	left, leave := context.WithCancel(ctx)
+	leave()
+	_, err = client.Settle(left, host, 1, 140)
+	var down *port.HostDownError
+	is.True(errors.As(err, &down)) // nothing was sent
+	_, err = client.Settle(ctx, host, 1, 140)
+	is.NoErr(err)
+}
--- a/internal/adapter/budgetrpc/client.go
+++ b/internal/adapter/budgetrpc/client.go
@@ -65,7 +65,8 @@
 }
 
 // Connect returns a connection to a host, which is dialled on first use. Its error is
-// a *port.HostDownError if the host has accepted no connection within downTTL.
+// a *port.HostDownError if the host has accepted no connection within downTTL, and so is that of
+// a call for which no connection was opened.
 func (c *Client) Connect(ctx context.Context, host string) (drpc.Conn, error) {
 	c.mu.Lock()
 	isDown := time.Now().Before(c.downUntil[host])
@@ -79,9 +80,12 @@
 func (c *Client) dial(ctx context.Context, host string) (drpcpool.Conn, error) {
 	conn, err := c.dialer.DialContext(ctx, "tcp", host)
 	if err != nil {
-		c.mu.Lock()
-		c.downUntil[host] = time.Now().Add(downTTL)
-		c.mu.Unlock()
+		// A caller that has left says nothing about the host.
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.mu.Lock()
+			c.downUntil[host] = time.Now().Add(downTTL)
+			c.mu.Unlock()
+		}
 		return nil, &port.HostDownError{Host: host, Cause: err}
 	}
 	return drpcconn.New(conn), nil
