--- a/internal/adapter/budgetrpc/budgetrpc_test.go
+++ b/internal/adapter/budgetrpc/budgetrpc_test.go
@@ -14,16 +14,22 @@
 	"yuccausher/internal/port"
 )
 
-// testServer grants each reservation under the account that the request names.
+// testServer grants as many tokens as each request needs to begin with, under the account that it names.
 type testServer struct{ startedAt time.Time }
 
 func (s *testServer) Lend(_ context.Context, r port.LendRequest) port.LendAnswer {
-	return port.LendAnswer{Decision: port.LendGranted, Writer: 5, Account: r.Account}
+	return port.LendAnswer{Decision: port.LendGranted, Granted: r.MinTokens, Writer: 5, Account: r.Account}
 }
 func (s *testServer) SettleLoan(context.Context, uint64, int64) error { return nil }
 func (s *testServer) Run() port.HostRun                               { return port.HostRun{Writer: 5, StartedAt: s.startedAt} }
 func (s *testServer) Note(n port.BudgetNote) bool                     { return len(n.Loans) > 0 }
 func (s *testServer) Fence(int) []port.ProgramLoan                    { return nil }
+func (s *testServer) KnownLoans(part int) port.KnownLoans {
+	if part != 3 {
+		return port.KnownLoans{}
+	}
+	return port.KnownLoans{Since: s.startedAt, Loans: []port.ProgramLoan{{Program: "p", Loan: port.Loan{Writer: 7, Total: -4}}}}
+}
 
 // testDirectory is a directory without hosts.
 type testDirectory struct{}
@@ -56,6 +62,17 @@
 	answer, err := client.Reserve(ctx, host, port.LendRequest{Program: "p", Budget: 900, MaxTokens: 572, Account: 1<<64 - 1})
 	is.NoErr(err)
 	is.Equal(answer.Account, uint64(1<<64-1))
+	is.Equal(answer.Granted, int64(0))
+	answer, err = client.Reserve(ctx, host, port.LendRequest{Program: "p", Budget: 900, MaxTokens: 572, MinTokens: 143})
+	is.NoErr(err)
+	is.Equal(answer.Granted, int64(143))
+	known, err := client.KnownLoans(ctx, host, 3)
+	is.NoErr(err)
+	is.Equal(known.Loans, []port.ProgramLoan{{Program: "p", Loan: port.Loan{Writer: 7, Total: -4}}})
+	is.True(!known.Since.Before(startedAt) && time.Since(known.Since) > time.Minute)
+	known, err = client.KnownLoans(ctx, host, 4)
+	is.NoErr(err)
+	is.True(known.Since.IsZero())
 	run, err := client.Settle(ctx, host, 1, 140)
 	is.NoErr(err)
 	is.Equal(run.Writer, uint64(5))
--- a/internal/adapter/budgetrpc/client.go
+++ b/internal/adapter/budgetrpc/client.go
@@ -104,6 +104,7 @@
 		Program:     []byte(r.Program),
 		Budget:      r.Budget,
 		Most:        r.MaxTokens,
+		Least:       r.MinTokens,
 		Claimed:     r.Claimed,
 		MayLend:     r.MayLend,
 		Loans:       encodeLoans(r.Loans),
@@ -116,7 +117,7 @@
 	if err != nil {
 		return port.LendAnswer{}, errors.Annotatef(err, "reserve at host %s", host)
 	}
-	answer := port.LendAnswer{Decision: port.LendBusy, Loans: decodeLoans(reply.Loans), Writer: reply.Writer, Account: reply.Account}
+	answer := port.LendAnswer{Decision: port.LendBusy, Loans: decodeLoans(reply.Loans), Writer: reply.Writer, Account: reply.Account, Granted: reply.Granted}
 	switch reply.Decision {
 	case spending.Decision_DECISION_GRANTED:
 		answer.Decision = port.LendGranted
@@ -176,11 +177,25 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "fence at host %s", host)
 	}
-	loans := make([]port.ProgramLoan, 0, len(reply.Loans))
-	for _, l := range reply.Loans {
-		loans = append(loans, port.ProgramLoan{Program: string(l.Program), Loan: decodeLoan(l.Loan)})
+	return decodeProgramLoans(reply.Loans), nil
+}
+
+// KnownLoans implements port.BudgetPeers.
+func (c *Client) KnownLoans(ctx context.Context, host string, part int) (port.KnownLoans, error) {
+	conn, err := c.Connect(ctx, host)
+	if err != nil {
+		return port.KnownLoans{}, err
+	}
+	defer conn.Close()
+	reply, err := spending.NewDRPCBudgetsClient(conn).KnownLoans(ctx, &spending.KnownLoansRequest{Partition: uint32(part)})
+	if err != nil {
+		return port.KnownLoans{}, errors.Annotatef(err, "ask host %s for loans", host)
+	}
+	known := port.KnownLoans{Loans: decodeProgramLoans(reply.Loans)}
+	if reply.FollowedMs > 0 {
+		known.Since = time.Now().Add(-time.Duration(reply.FollowedMs) * time.Millisecond)
 	}
-	return loans, nil
+	return known, nil
 }
 
 // Close closes all idle connections.
--- a/internal/adapter/budgetrpc/loans.go
+++ b/internal/adapter/budgetrpc/loans.go
@@ -29,3 +29,19 @@
 	}
 	return loans
 }
+
+func encodeProgramLoans(loans []port.ProgramLoan) []*spending.ProgramLoan {
+	list := make([]*spending.ProgramLoan, 0, len(loans))
+	for _, l := range loans {
+		list = append(list, &spending.ProgramLoan{Program: []byte(l.Program), Loan: encodeLoan(l.Loan)})
+	}
+	return list
+}
+
+func decodeProgramLoans(list []*spending.ProgramLoan) []port.ProgramLoan {
+	loans := make([]port.ProgramLoan, 0, len(list))
+	for _, l := range list {
+		loans = append(loans, port.ProgramLoan{Program: string(l.Program), Loan: decodeLoan(l.Loan)})
+	}
+	return loans
+}
--- a/internal/adapter/budgetrpc/server.go
+++ b/internal/adapter/budgetrpc/server.go
@@ -52,6 +52,7 @@
 		Program:     string(r.Program),
 		Budget:      r.Budget,
 		MaxTokens:   r.Most,
+		MinTokens:   r.Least,
 		Claimed:     r.Claimed,
 		MayLend:     r.MayLend,
 		Loans:       decodeLoans(r.Loans),
@@ -62,7 +63,7 @@
 		request.FoundAt = time.Now().Add(-age - maxTransit)
 	}
 	answer := h.budgets.Lend(ctx, request)
-	reply := &spending.ReserveReply{Loans: encodeLoans(answer.Loans), Writer: answer.Writer, Account: answer.Account}
+	reply := &spending.ReserveReply{Loans: encodeLoans(answer.Loans), Writer: answer.Writer, Account: answer.Account, Granted: answer.Granted}
 	switch answer.Decision {
 	case port.LendGranted:
 		reply.Decision = spending.Decision_DECISION_GRANTED
@@ -87,12 +88,7 @@
 
 // Fence implements spending.DRPCBudgetsServer.
 func (h *handler) Fence(_ context.Context, r *spending.FenceRequest) (*spending.FenceReply, error) {
-	loans := h.budgets.Fence(int(r.Partition))
-	reply := &spending.FenceReply{Loans: make([]*spending.ProgramLoan, 0, len(loans))}
-	for _, l := range loans {
-		reply.Loans = append(reply.Loans, &spending.ProgramLoan{Program: []byte(l.Program), Loan: encodeLoan(l.Loan)})
-	}
-	return reply, nil
+	return &spending.FenceReply{Loans: encodeProgramLoans(h.budgets.Fence(int(r.Partition)))}, nil
 }
 
 // Note implements spending.DRPCBudgetsServer.
@@ -100,3 +96,13 @@
 	isRecorded := h.budgets.Note(port.BudgetNote{Program: string(r.Program), Loans: decodeLoans(r.Loans), Claimed: r.Claimed, Offset: r.Offset})
 	return &spending.NoteReply{Recorded: isRecorded}, nil
 }
+
+// KnownLoans implements spending.DRPCBudgetsServer.
+func (h *handler) KnownLoans(_ context.Context, r *spending.KnownLoansRequest) (*spending.KnownLoansReply, error) {
+	known := h.budgets.KnownLoans(int(r.Partition))
+	reply := &spending.KnownLoansReply{Loans: encodeProgramLoans(known.Loans)}
+	if !known.Since.IsZero() {
+		reply.FollowedMs = max(time.Since(known.Since).Milliseconds(), 1)
+	}
+	return reply, nil
+}
--- a/internal/core/budget/book_test.go
+++ b/internal/core/budget/book_test.go
@@ -140,34 +140,66 @@
 	is.Equal(s.ClaimTotal(280, 300, 290, false), int64(280))
 }
 
+// lend asks for a loan of all that a turn of 280 tokens may take.
+func lend(s *Slice, budget, claimed, lent int64) bool {
+	return s.Lend(LoanRequest{MinTokens: 280, MaxTokens: 280, Limit: LoanLimit(280, budget, true), Budget: budget, Claimed: claimed, Lent: lent}, Slice{}) == 280
+}
+
 func TestLendIsBoundedByHalfOfBudgetOrOneTurn(t *testing.T) {
 	is := is.New(t)
 	var s Slice
-	is.True(s.Lend(280, 1300, 0, 0))
+	is.True(lend(&s, 1300, 0, 0))
 	is.True(s.Begin(280))
-	is.True(s.Lend(280, 1300, 0, 0))
+	is.True(lend(&s, 1300, 0, 0))
 	is.True(s.Begin(280))
-	is.True(!s.Lend(280, 1300, 0, 0))
+	is.True(!lend(&s, 1300, 0, 0))
 	s.End(280, 70)
 	s.End(280, 70)
-	is.True(s.Lend(280, 1300, 0, 0))
+	is.True(lend(&s, 1300, 0, 0))
 	var short Slice
-	is.True(short.Lend(280, 840, 0, 0))
+	is.True(lend(&short, 840, 0, 0))
 	is.True(short.Begin(280))
 	// A lender that crashes loses track of one turn at most.
-	is.True(!short.Lend(280, 840, 0, 0))
+	is.True(!lend(&short, 840, 0, 0))
 	var second Slice
 	// Tokens lent by another host count towards the limit.
-	is.True(!second.Lend(280, 840, 0, 280))
-	is.True(second.Lend(280, 2000, 0, 280))
+	is.True(!lend(&second, 840, 0, 280))
+	is.True(lend(&second, 2000, 0, 280))
 	var full Slice
-	is.True(!full.Lend(280, 1300, 1100, 0))
+	is.True(!lend(&full, 1300, 1100, 0))
+}
+
+func TestLoanMayBeAPartOfTheTurn(t *testing.T) {
+	is := is.New(t)
+	request := LoanRequest{MinTokens: 70, MaxTokens: 280, Limit: 280, Budget: 1300}
+	var s Slice
+	is.Equal(s.Lend(request, Slice{}), int64(280))
+	is.True(s.Begin(280))
+	s.End(280, 60)
+	is.Equal(s.Lend(request, Slice{}), int64(220))
+	is.True(s.Begin(220))
+	is.Equal(s.Lend(request, Slice{}), int64(0))
+	is.True(s.MayLend(request, Slice{}))
+	s.End(220, 160)
+	is.Equal(s.Lend(request, Slice{}), int64(0)) // 60 are left
+	is.True(!s.MayLend(request, Slice{}))
+	// What turns of accounts have left of the budget does not raise the limit.
+	is.Equal(s.Lend(request, Slice{Confirmed: 280, Spent: 10}), int64(0))
+}
+
+// Loans that were forgotten and what is claimed afterwards exceed the budget by one turn at most.
+func TestForgottenLoansFitOneTurn(t *testing.T) {
+	is := is.New(t)
+	for _, budget := range []int64{0, 280, 281, 500, 840, 1300, 20000} {
+		is.True(LoanLimit(280, budget, false) <= 280)
+		is.True(LoanLimit(280, budget, true)+CertainBudget(280, budget) <= budget+280)
+	}
 }
 
 func TestSettleClaimsLentTokens(t *testing.T) {
 	is := is.New(t)
 	s := Slice{Confirmed: 100, Spent: 90}
-	is.True(s.Lend(280, 1300, 100, 0))
+	is.True(lend(&s, 1300, 100, 0))
 	is.True(s.Begin(280))
 	s.End(280, 50)
 	total, exceedsConfirmed := s.Settle()
--- a/internal/core/budget/loans_test.go
+++ b/internal/core/budget/loans_test.go
@@ -66,12 +66,12 @@
 func TestRestOfALoanIsNotSpentWithoutANewOne(t *testing.T) {
 	is := is.New(t)
 	s := Slice{}
-	is.True(s.Lend(280, 840, 0, 0))
+	is.True(lend(&s, 840, 0, 0))
 	is.True(s.Begin(280))
 	s.End(280, 14)
 	is.True(!s.BeginClaimed(200))
-	is.True(!s.Lend(280, 840, 700, 0)) // the log holds claims of others by now
-	is.True(s.Lend(280, 840, 0, 0))
+	is.True(!lend(&s, 840, 700, 0)) // the log holds claims of others by now
+	is.True(lend(&s, 840, 0, 0))
 }
 
 // A claim that ends an account replaces the loan of the account, whichever comes first, and is
--- a/internal/core/budget/slice.go
+++ b/internal/core/budget/slice.go
@@ -82,45 +82,90 @@
 	return needed + max(min(prefetchTurns*maxTokens, remaining/divisor), 0)
 }
 
-// lendDivisor bounds what may be lent without a claim to half of a budget, or
-// to one turn if that is more. Two hosts that lend at the same time without
-// knowledge of each other then stay within the budget.
-const lendDivisor = 2
-
-// Lend raises what may be spent without a claim so that a turn of maxTokens
-// fits. claimed is the highest known total of all hosts' claims, and lent is
-// what other hosts have lent. It returns false if the budget may not cover the
-// turn.
-func (s *Slice) Lend(maxTokens, budget, claimed, lent int64) bool {
-	needed := max(s.Needed(maxTokens)-s.Confirmed, 0)
-	if claimed+lent+needed > budget || lent+needed > lendLimit(maxTokens, budget) {
-		return false
+// LoanRequest asks for tokens of a budget without a claim. All amounts are in tokens.
+type LoanRequest struct {
+	// MinTokens and MaxTokens bound what the turn takes.
+	MinTokens, MaxTokens int64
+	// Limit bounds what all hosts together lend of the budget, see LoanLimit.
+	Limit  int64
+	Budget int64
+	// Claimed is the highest known total of all hosts' claims, Lent what other hosts have lent.
+	Claimed, Lent int64
+}
+
+// loanDivisor is the part of a budget that may be lent.
+const loanDivisor = 2
+
+// LoanLimit returns how much of a budget all hosts together may lend while the log is unavailable, if
+// the largest turn takes maxTokens.
+//
+// If all hosts that know of the loans end before the log is back, the loans are forgotten. Small loans
+// then exceed the budget by no more than one turn. Large ones may be made once the log will show that loans
+// may have been forgotten, so that CertainBudget bounds what is claimed.
+func LoanLimit(maxTokens, budget int64, isLarge bool) int64 {
+	if !isLarge {
+		return maxTokens
 	}
-	s.Lent = max(s.Lent, needed)
-	return true
+	return max(maxTokens, budget/loanDivisor)
+}
+
+// CertainBudget returns how much of a budget may be claimed in all if loans of it may have been
+// forgotten. Together with these it exceeds the budget by no more than one turn of maxTokens.
+func CertainBudget(maxTokens, budget int64) int64 {
+	return budget - (LoanLimit(maxTokens, budget, true) - maxTokens)
+}
+
+// Lend raises what may be spent without a claim by a turn and returns how many tokens the turn gets:
+// all that it asks for, or as many as the limit allows, but at least MinTokens. It returns zero if
+// there are fewer, or if the budget may not cover all that the turn asks for. accounts is what the
+// host holds for others of the same budget.
+func (s *Slice) Lend(r LoanRequest, accounts Slice) int64 {
+	granted := s.loanFor(r, accounts)
+	if granted > 0 {
+		s.Lent = max(s.Lent, s.Needed(granted)-s.Confirmed)
+	}
+	return granted
 }
 
 // MayLend reports whether Lend may succeed once the running turns have ended.
-func (s *Slice) MayLend(maxTokens, budget, claimed, lent int64) bool {
+func (s *Slice) MayLend(r LoanRequest, accounts Slice) bool {
 	idle := *s
-	idle.Open = 0
-	return s.Open > 0 && idle.Lend(maxTokens, budget, claimed, lent)
+	idle.Open, accounts.Open = 0, 0
+	return idle.loanFor(r, accounts) > 0
 }
 
-// IsExhausted reports whether the tokens that this host alone has delivered
-// leave less than maxTokens of the budget.
-func (s *Slice) IsExhausted(maxTokens, budget int64) bool { return s.Spent+maxTokens > budget }
+func (s *Slice) loanFor(r LoanRequest, accounts Slice) int64 {
+	// What a turn of an account has left of its claim fits the budget once more.
+	held := s.plus(accounts)
+	if r.Claimed+r.Lent+max(held.Needed(r.MaxTokens)-held.Confirmed, 0) > r.Budget {
+		return 0
+	}
+	granted := min(r.MaxTokens, r.Limit-r.Lent-(s.Needed(0)-s.Confirmed))
+	if granted < r.MinTokens {
+		return 0
+	}
+	return granted
+}
+
+// plus returns a slice that holds the tokens of both.
+func (s *Slice) plus(other Slice) Slice {
+	sum := *s
+	sum.Confirmed += other.Confirmed
+	sum.Spent += other.Spent
+	sum.Open += other.Open
+	return sum
+}
 
-// lendLimit returns how much of a budget may be lent for turns of maxTokens.
-func lendLimit(maxTokens, budget int64) int64 {
-	return max(maxTokens, budget/lendDivisor)
+// IsExhausted reports whether the tokens that this host alone has delivered, also of accounts,
+// leave less than maxTokens of the budget.
+func (s *Slice) IsExhausted(maxTokens, budget int64, accounts Slice) bool {
+	return s.Spent+accounts.Spent+maxTokens > budget
 }
 
-// IsLendable reports whether a host that does not see the claims of others may
-// lend up to its limit without exceeding the budget by more than one turn of
-// maxTokens.
-func IsLendable(maxTokens, budget, claimed int64) bool {
-	return claimed+lendLimit(maxTokens, budget) <= budget+maxTokens
+// IsNearlyClaimed reports whether hosts that may lend have to know of the claims of a budget: what
+// they may lend might exceed it by more than one turn of maxTokens.
+func IsNearlyClaimed(maxTokens, budget, claimed int64) bool {
+	return claimed+LoanLimit(maxTokens, budget, true) > budget+maxTokens
 }
 
 // Settle ends the loan. It returns the total to claim for the spent and the
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -150,9 +150,13 @@
 	byHost   map[string][]*Route
 	services map[string]*Service
 	// organisations is nil if the configuration has none.
-	organisations *organisations
+	organisations   *organisations
+	carriesPrograms bool
 }
 
+// CarriesPrograms reports whether requests of a route are turns of programs.
+func (t *Table) CarriesPrograms() bool { return t.carriesPrograms }
+
 // NewTable returns the table of a document.
 func NewTable(d Document) *Table {
 	t := &Table{
@@ -165,6 +169,7 @@
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
+		t.carriesPrograms = t.carriesPrograms || r.CarriesPrograms
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -306,15 +306,19 @@
 
 func newLog(o Options) *port.AnsweredLog { return port.NewAnsweredLog(o.Platform.Log) }
 
-func newSpending(lc fx.Lifecycle, o Options, log *port.AnsweredLog, lenders *budgetrpc.Client, scope tally.Scope) *spending.Service {
+func newSpending(lc fx.Lifecycle, o Options, log *port.AnsweredLog, lenders *budgetrpc.Client, tables *route.Holder, scope tally.Scope) *spending.Service {
 	s := spending.New(spending.Params{
 		Log:           log,
 		LogAnsweredAt: log.AnsweredAt,
 		Partitions:    o.Partitions,
 		Peers:         lenders,
-		Retention:     o.Retention,
-		Logger:        o.Logger,
-		Scope:         scope,
+		CarriesPrograms: func() bool {
+			table := tables.Current()
+			return table != nil && table.CarriesPrograms()
+		},
+		Retention: o.Retention,
+		Logger:    o.Logger,
+		Scope:     scope,
 	})
 	lc.Append(fx.Hook{OnStart: s.Start, OnStop: s.Stop})
 	return s
--- a/internal/gateway/conversation.go
+++ b/internal/gateway/conversation.go
@@ -162,16 +162,16 @@
 // the turn has spent.
 const settlementWait = 400 * time.Millisecond
 
-// startSettlement settles the reservation of a turn whose events were all sent. The program
+// startSettlement settles the allowance of a turn whose events were all sent. The program
 // continues from the turn as soon as its answer has ended, and at any host, so that the
-// unspent tokens have to be free by then. It returns nil without a reservation.
+// unspent tokens have to be free by then. It returns nil without an allowance.
 func (j *job) startSettlement(ctx context.Context) <-chan error {
-	if j.reservation == nil {
+	if j.allowance == nil {
 		return nil
 	}
 	settled := make(chan error, 1)
-	reservation := j.reservation
-	go func() { settled <- reservation.Settle(ctx) }()
+	a := j.allowance
+	go func() { settled <- a.settle(ctx) }()
 	return settled
 }
 
@@ -188,7 +188,7 @@
 	select {
 	case err = <-settled:
 		if err != nil {
-			err = j.reservation.Settle(ctx)
+			err = j.allowance.settle(ctx)
 		}
 	case <-ctx.Done():
 		err = ctx.Err()
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -239,16 +239,34 @@
 	open    int
 	// settle replaces the settlement of reservations, if set.
 	settle func(context.Context) error
+	// part is how many tokens are reserved at once, if set. late is how many reservations after the
+	// first one are refused before one is granted.
+	part int64
+	late int
+	// further is the error of all reservations after the first one, if set.
+	further error
+	granted int
 }
 
-func (b *budgets) Reserve(_ context.Context, program string, _, _ int64) (gateway.Reservation, error) {
+func (b *budgets) ReservePart(_ context.Context, program string, _, _, maxTokens int64) (gateway.Reservation, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err := b.refused[program]; err != nil {
 		return nil, err
 	}
+	if b.granted > 0 && b.further != nil {
+		return nil, b.further
+	}
+	if b.granted > 0 && b.late > 0 {
+		b.late--
+		return nil, &gateway.BudgetUnknownError{Program: program, Cause: errors.New("log is unavailable")}
+	}
+	b.granted++
 	b.open++
-	return &reservation{budgets: b}, nil
+	if b.part > 0 {
+		maxTokens = min(maxTokens, b.part)
+	}
+	return &reservation{budgets: b, limit: maxTokens}, nil
 }
 
 func (b *budgets) state() (spent int64, open int) {
@@ -259,9 +277,12 @@
 
 type reservation struct {
 	budgets *budgets
+	limit   int64
 	isEnded bool
 }
 
+func (r *reservation) Limit() int64 { return r.limit }
+
 func (r *reservation) Spend(tokens int64) {
 	r.budgets.mu.Lock()
 	defer r.budgets.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,8 @@
 
 // Reservation is the part of a program's budget that one turn may spend, in tokens.
 type Reservation interface {
+	// Limit returns how many tokens are reserved.
+	Limit() int64
 	// Spend counts tokens that were sent to the caller.
 	Spend(tokens int64)
 	// Release returns the unspent tokens to the budget. It does not wait.
@@ -36,9 +38,10 @@
 
 // Budgets reserves tokens from the budgets of programs.
 type Budgets interface {
-	// Reserve reserves maxTokens tokens from a program's budget, which is budget tokens
-	// in total. It returns *BudgetSpentError or *BudgetUnknownError.
-	Reserve(ctx context.Context, program string, budget, maxTokens int64) (Reservation, error)
+	// ReservePart reserves maxTokens tokens from a program's budget, which is budget tokens
+	// in total. While the spending of programs can't be recorded it may reserve fewer, but at least
+	// minTokens. It returns *BudgetSpentError or *BudgetUnknownError.
+	ReservePart(ctx context.Context, program string, budget, minTokens, maxTokens int64) (Reservation, error)
 }
 
 // BudgetSpentError reports that a program's budget has too few tokens left for
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -54,7 +54,7 @@
 	// times are the parts of the request's time so far.
 	times times
 
-	reservation Reservation
+	allowance *allowance
 	// admission is the request as it is counted against the limit of its organisation; nil if it is
 	// not.
 	admission   Admission
@@ -208,13 +208,14 @@
 		"keep_ms", j.times.save.Milliseconds(), "settle_ms", j.times.settle.Milliseconds(), "first_ms", j.firstByte.Milliseconds(), "ms", total.Milliseconds(), "cause", fault.Text(j.cause))
 }
 
-// reserve reserves the most that the turn may spend from its program's budget. It
+// reserve reserves what the turn may spend, or begins with, from its program's budget. It
 // returns false after it has refused the request.
 func (j *job) reserve(ctx context.Context) bool {
 	defer since(&j.times.reserve, time.Now())
-	reservation, err := j.g.budgets.Reserve(ctx, j.call.Program, j.call.Budget, j.call.MaxOutput)
+	reservation, err := j.reservePart(ctx, j.call.MaxOutput)
 	if err == nil {
-		j.reservation = reservation
+		j.allowance = &allowance{}
+		j.allowance.add(reservation)
 		return true
 	}
 	var spent *BudgetSpentError
@@ -237,9 +238,9 @@
 
 // releaseReservation returns the unspent tokens to the program's budget.
 func (j *job) releaseReservation() {
-	if j.reservation != nil {
-		j.reservation.Release()
-		j.reservation = nil
+	if j.allowance != nil {
+		j.allowance.release()
+		j.allowance = nil
 	}
 }
 
@@ -250,7 +251,7 @@
 	if n := len(j.eventVersions); n == 0 || j.eventVersions[n-1] != choice.Version {
 		j.eventVersions = append(j.eventVersions, choice.Version)
 	}
-	if j.reservation != nil {
-		j.reservation.Spend(j.eventTokens)
+	if j.allowance != nil {
+		j.allowance.spend(j.eventTokens)
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,8 @@
 	cutOffRuns tally.Counter
 	// leavingTargets counts targets that announced in an answer that they are leaving.
 	leavingTargets tally.Counter
+	// furtherReservations counts reservations of turns that began with a part of their most tokens.
+	furtherReservations tally.Counter
 	// lateSettlements counts answers that ended before the log counted what the turn had
 	// spent.
 	lateSettlements tally.Counter
@@ -49,20 +51,21 @@
 
 func newMetrics(scope tally.Scope) *metrics {
 	return &metrics{
-		scope:            scope,
-		firstByte:        scope.Histogram("first_byte", latencyBuckets),
-		requestTime:      scope.Histogram("request", latencyBuckets),
-		staleConnections: scope.Counter("stale_connections"),
-		silentTargets:    scope.Counter("silent_targets"),
-		endedTargets:     scope.Counter("ended_targets"),
-		crashedAnswers:   scope.Counter("crashed_answers"),
-		limitChanges:     scope.Counter("limit_changes"),
-		invalidLimits:    scope.Counter("invalid_limits"),
-		unattributable:   scope.Counter("unattributable_answers"),
-		unexplainedEnds:  scope.Counter("unexplained_ends"),
-		cutOffRuns:       scope.Counter("cut_off_runs"),
-		leavingTargets:   scope.Counter("leaving_targets"),
-		lateSettlements:  scope.Counter("late_settlements"),
+		scope:               scope,
+		firstByte:           scope.Histogram("first_byte", latencyBuckets),
+		requestTime:         scope.Histogram("request", latencyBuckets),
+		staleConnections:    scope.Counter("stale_connections"),
+		silentTargets:       scope.Counter("silent_targets"),
+		endedTargets:        scope.Counter("ended_targets"),
+		crashedAnswers:      scope.Counter("crashed_answers"),
+		limitChanges:        scope.Counter("limit_changes"),
+		invalidLimits:       scope.Counter("invalid_limits"),
+		unattributable:      scope.Counter("unattributable_answers"),
+		unexplainedEnds:     scope.Counter("unexplained_ends"),
+		cutOffRuns:          scope.Counter("cut_off_runs"),
+		leavingTargets:      scope.Counter("leaving_targets"),
+		furtherReservations: scope.Counter("further_reservations"),
+		lateSettlements:     scope.Counter("late_settlements"),
 
 		deniedTurns:       scope.Counter("denied_turns"),
 		answersOverMemory: scope.Counter("answers_over_memory"),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -298,6 +298,9 @@
 			choice.End(time.Now(), failureOutcome(ctx, fleet.Broken), first)
 			return interrupted
 		}
+		if err = j.coverEvent(ctx); err != nil {
+			j.endStream(choice, conn, first, "budget_unknown", err)
+		}
 		if first == 0 {
 			first = time.Since(sent)
 			j.firstByte = time.Since(j.started)
@@ -312,15 +315,21 @@
 		}
 		times.writing += time.Since(received)
 		if err != nil {
-			j.cause = err
-			conn.Abort()
-			choice.End(time.Now(), fleet.Abandoned, first)
-			j.outcome = "caller_gone"
-			j.g.quarantine.RecordAbandoned(j.fingerprint(), connectionTarget(choice), j.sharedFeatures()...)
-			abortAnswer()
+			j.endStream(choice, conn, first, "caller_gone", err)
 		}
 		if e.id != "" {
 			j.lastEvent = e.id
 		}
 	}
 }
+
+// endStream ends a stream that its target could go on with, and the request with it. first is the time
+// to the first event.
+func (j *job) endStream(choice *fleet.Choice, conn *upstream.Conn, first time.Duration, outcome string, cause error) {
+	j.cause = cause
+	conn.Abort()
+	choice.End(time.Now(), fleet.Abandoned, first)
+	j.outcome = outcome
+	j.g.quarantine.RecordAbandoned(j.fingerprint(), connectionTarget(choice), j.sharedFeatures()...)
+	abortAnswer()
+}
--- a/internal/port/lending.go
+++ b/internal/port/lending.go
@@ -18,6 +18,9 @@
 	Budget  int64
 	// MaxTokens is the maximum number of tokens that the turn may spend.
 	MaxTokens int64
+	// MinTokens is how many tokens the turn needs to begin with. A loan may be smaller than
+	// MaxTokens, but not smaller than that. With zero it needs all of them.
+	MinTokens int64
 	// Claimed is how much of the budget is claimed, as far as the asking host knows.
 	Claimed int64
 	// MayLend permits a reservation without a claim in the shared log, because none
@@ -67,6 +70,9 @@
 // LendAnswer is a host's answer to a LendRequest.
 type LendAnswer struct {
 	Decision LendDecision
+	// Granted is how many tokens a granted reservation holds, at most MaxTokens of the request. It is
+	// zero for a host that does not say, which grants all of them.
+	Granted int64
 	// Writer is that of the claims which hold a granted reservation, or of the loan which
 	// does. It is zero for a host that does not say.
 	Writer uint64
@@ -110,6 +116,15 @@
 	StartedAt time.Time
 }
 
+// KnownLoans says what a host knows of the loans of a partition.
+type KnownLoans struct {
+	// Since is the time from which on the host knows all loans. It is the zero time if some may be
+	// missing.
+	Since time.Time
+	// Loans are those that the log may not contain.
+	Loans []ProgramLoan
+}
+
 // BudgetPeers is the client that asks the other hosts to reserve tokens for this one.
 type BudgetPeers interface {
 	// Self returns this host's address, Hosts the addresses of the others.
@@ -129,6 +144,8 @@
 	// Fence makes a host stop lending of the budgets of a partition, because this host
 	// is about to claim there. It returns the loans that the log may not contain.
 	Fence(ctx context.Context, host string, part int) ([]ProgramLoan, error)
+	// KnownLoans asks a reader of a partition which loans it knows.
+	KnownLoans(ctx context.Context, host string, part int) (KnownLoans, error)
 }
 
 // BudgetServer serves the requests of other hosts.
@@ -147,4 +164,6 @@
 	// Fence stops lending of the budgets of a partition for a while and returns the loans
 	// that the log may not contain.
 	Fence(part int) []ProgramLoan
+	// KnownLoans returns the loans of a partition that this host knows.
+	KnownLoans(part int) KnownLoans
 }
--- a/internal/spending/account.go
+++ b/internal/spending/account.go
@@ -157,10 +157,9 @@
 	return s != nil && s.account != 0 && (s.isClaiming || s.isUndecided || s.Confirmed > 0)
 }
 
-// withAccounts returns the slice as if it held the tokens of its accounts. The caller holds the
-// ledger's mu.
-func (s *slice) withAccounts() budget.Slice {
-	sum := s.Slice
+// inAccounts returns what the accounts of the slice hold together. The caller holds the ledger's mu.
+func (s *slice) inAccounts() budget.Slice {
+	var sum budget.Slice
 	for _, a := range s.accounts {
 		sum.Confirmed += a.Confirmed
 		sum.Spent += a.Spent
--- a/internal/spending/borrow.go
+++ b/internal/spending/borrow.go
@@ -169,7 +169,7 @@
 			continue
 		case port.LendBusy:
 			l.foundUnavailable.Store(nil)
-			return nil, cause
+			return nil, l.notLent(r.Program, cause)
 		}
 		return s.acceptDecision(r, b, answer)
 	}
--- a/internal/spending/borrowed.go
+++ b/internal/spending/borrowed.go
@@ -46,9 +46,12 @@
 	settled chan struct{}
 }
 
-// identify takes from the answer of the lender which claims hold the reservation.
+// identify takes from the answer of the lender how large the reservation is and which claims hold it.
 func (b *borrowed) identify(answer port.LendAnswer, mayBeLoan bool) {
 	b.writer, b.account = answer.Writer, answer.Account
+	if answer.Granted > 0 {
+		b.maxTokens = min(b.maxTokens, answer.Granted)
+	}
 	if !mayBeLoan || b.account != 0 {
 		return
 	}
@@ -60,6 +63,9 @@
 	b.loan = &answer.Loans[i]
 }
 
+// Limit implements gateway.Reservation.
+func (b *borrowed) Limit() int64 { return b.maxTokens }
+
 // Spend implements gateway.Reservation.
 func (b *borrowed) Spend(tokens int64) { b.spent += tokens }
 
--- a/internal/spending/claims.go
+++ b/internal/spending/claims.go
@@ -208,6 +208,8 @@
 	}
 	switch {
 	case w.isAbandoned:
+	case verdict == budget.Refused && w.inDoubt && l.exceeds(w, s):
+		w.done <- unknownBudget(w.program, errInDoubt)
 	case verdict == budget.Stale && s.account != 0:
 		w.done <- unknownBudget(w.program, errAccountEnded)
 	case verdict == budget.Accepted && s.BeginClaimed(w.maxTokens):
--- /dev/null
+++ b/internal/spending/doubt.go
@@ -0,0 +1,299 @@
+package spending
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"yuccausher/internal/core/budget"
+	"yuccausher/internal/port"
+)
+
+// While the log is unavailable, only some hosts know of a loan. If all of them end before the log is
+// back, it is forgotten. docs/design/forgotten-loans.md has the ways weighed.
+//
+// A reader of a partition follows it: it is told of the loans there. Its appends carry a mark: the time,
+// and since when it has followed. A host that reads the log sees from the marks whether some host has
+// followed the partition all the time. After a longer gap all programs of the partition are in doubt, also
+// those that the log does not know, since they may have begun in it: of their budgets less may be claimed
+// and nothing lent, until a reader that has followed the partition all the while passes on what it knows.
+
+const (
+	// maxGap is the longest gap between marks after which programs are not in doubt. All hosts start again
+	// and read the log in it if they fall together.
+	maxGap = 2500 * time.Millisecond
+	// largeLoanDelay is how long the log has to be unavailable before more than one turn's tokens
+	// are lent of a budget. It exceeds maxGap by the error of the hosts' clocks.
+	largeLoanDelay = maxGap + 500*time.Millisecond
+	// markInterval is how often a partition is marked in which nothing else is appended.
+	markInterval = time.Second
+	// learnInterval is how often other readers are asked for the loans that they know.
+	learnInterval = 500 * time.Millisecond
+	// doubtRetryAfter is sent to callers of a program in doubt of whose budget no more may be claimed. A
+	// reader that is not reached at present may end the doubt.
+	doubtRetryAfter = time.Second
+)
+
+// errInDoubt says that loans of the program may have been forgotten.
+var errInDoubt = errors.New("loans of an earlier outage may have been forgotten")
+
+// mark says that a host has followed a partition since a time. The zero mark says nothing.
+type mark struct{ at, since time.Time }
+
+// following is what a host knows of the loans of a partition. The ledger's mu guards it.
+type following struct {
+	// retention is how long a program may go on after it was last seen.
+	retention time.Duration
+	// since is when the host began to be told of loans.
+	since time.Time
+	// isActive says that the host has read the partition to its end since then.
+	isActive bool
+	// coveredUntil is when some host has last followed the partition, according to marks.
+	coveredUntil time.Time
+	// gapFrom and doubtUntil are set after a gap: when it began, and until when programs are in doubt
+	// that may have run in it. Of several gaps, gapFrom is that of the first one.
+	gapFrom, doubtUntil time.Time
+}
+
+// observe evaluates a mark in the log.
+func (f *following) observe(m mark) {
+	if m.at.IsZero() {
+		return
+	}
+	f.bridge(m.since)
+	if !f.isActive && f.hasGap(m.since) {
+		f.openGap(m.at)
+	}
+	if m.at.After(f.coveredUntil) {
+		f.coveredUntil = m.at
+	}
+}
+
+// hasGap reports whether no host has followed the partition for longer than maxGap before a time. A log
+// without marks was written by an earlier build, and says nothing about it.
+func (f *following) hasGap(before time.Time) bool {
+	return !f.coveredUntil.IsZero() && before.Sub(f.coveredUntil) > maxGap
+}
+
+// openGap notes that no host has followed the partition until a time.
+func (f *following) openGap(until time.Time) {
+	if !until.Before(f.doubtUntil) {
+		f.gapFrom = f.coveredUntil
+	}
+	f.doubtUntil = until.Add(f.retention)
+}
+
+// bridge ends the doubt if a host has followed the partition since before the gap. It reports whether
+// no doubt is left.
+func (f *following) bridge(since time.Time) bool {
+	if !f.gapFrom.IsZero() && since.Sub(f.gapFrom) > maxGap {
+		return false
+	}
+	f.gapFrom, f.doubtUntil = time.Time{}, time.Time{}
+	return true
+}
+
+// start begins to follow a partition that has been read to its end.
+func (f *following) start() {
+	if f.hasGap(f.since) {
+		f.openGap(f.since)
+	}
+	f.isActive = true
+}
+
+// stop ends the following, since the host may not have been told of loans.
+func (f *following) stop(now time.Time) { f.isActive, f.since = false, now }
+
+// adopt takes over the loans that another host knows, which has followed the partition since a time.
+func (f *following) adopt(since time.Time) (isCertain bool) {
+	if since.Before(f.since) {
+		f.since = since
+	}
+	return f.bridge(since)
+}
+
+// isInDoubt reports whether loans may have been forgotten.
+func (f *following) isInDoubt(now time.Time) bool { return now.Before(f.doubtUntil) }
+
+// follow begins to follow the partition if this host is one of its readers. The caller holds l.mu and
+// has read the partition to its end.
+func (l *ledger) follow() {
+	f := &l.following
+	if f.isActive || !l.isReader() {
+		return
+	}
+	f.start()
+	if f.isInDoubt(time.Now()) {
+		l.log.Info("No host has marked the partition for a while; loans may have been forgotten.", "partition", l.partition.Part,
+			"marked_until", f.gapFrom, "doubt_until", f.doubtUntil)
+	}
+}
+
+// unfollow makes the host read the partition again before it follows it.
+func (l *ledger) unfollow() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.following.stop(time.Now())
+}
+
+// newMark returns the mark of an append; the zero mark if this host is not told of the partition's loans.
+func (l *ledger) newMark() mark {
+	isReader := l.isReader()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !isReader {
+		return mark{}
+	}
+	return mark{at: time.Now(), since: l.following.since}
+}
+
+// isInDoubt reports whether loans may have been forgotten, as far as this host knows. One that does not
+// follow the partition goes by the latest mark.
+func (l *ledger) isInDoubt() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	return l.following.isInDoubt(now) || !l.following.isActive && l.following.hasGap(now)
+}
+
+// hasNoMarks reports whether this host has read no mark yet, as before its first read of the partition.
+func (l *ledger) hasNoMarks() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.following.isActive && l.following.coveredUntil.IsZero()
+}
+
+// claimableBudget returns how much of a program's budget may be claimed in all, and whether the rest may be
+// in doubt. It asks the other readers if a turn of maxTokens does not fit what is certain.
+func (l *ledger) claimableBudget(ctx context.Context, program string, total, maxTokens int64) (claimable int64, inDoubt bool) {
+	certain := budget.CertainBudget(maxTokens, total)
+	switch isInDoubt := l.isInDoubt(); {
+	case certain == total || !isInDoubt && !l.hasNoMarks():
+		return total, false
+	case isInDoubt && l.claimed(program)+maxTokens > certain && l.learnLoans(ctx):
+		return total, false
+	}
+	return certain, true
+}
+
+// learnLoans asks the other readers of a partition for the loans that they know, once per learnInterval. It
+// reports whether one of them has followed the partition so long that none is in doubt.
+func (s *Service) learnLoans(ctx context.Context, l *ledger) bool {
+	if s.peers == nil || !l.mayAskForLoans(time.Now()) {
+		return false
+	}
+	part, self := l.partition.Part, s.peers.Self()
+	order := s.hostOrder(part)
+	for _, host := range order[:min(readerCount, len(order))] {
+		if host == self || s.exclusions.isExcluded(host, allPartitions, time.Now()) {
+			continue
+		}
+		askCtx, cancel := context.WithTimeout(ctx, preferredTimeout)
+		known, err := s.peers.KnownLoans(askCtx, host, part)
+		cancel()
+		if err != nil {
+			s.log.V(1).Info("Host did not say which loans it knows.", "host", host, "partition", part, "cause", err.Error())
+			continue
+		}
+		if known.Since.IsZero() {
+			continue
+		}
+		for _, loan := range known.Loans {
+			l.addLoans(loan.Program, []port.Loan{loan.Loan})
+		}
+		l.mu.Lock()
+		isCertain := l.following.adopt(known.Since)
+		l.mu.Unlock()
+		if isCertain {
+			s.metrics.learned.Inc(1)
+			s.log.Info("Another host knows the loans of a partition.", "host", host, "partition", part, "since", known.Since, "loans", len(known.Loans))
+			return true
+		}
+	}
+	s.metrics.inDoubt.Inc(1)
+	s.log.Info("No reader of a partition knows all loans; some may have been forgotten.", "partition", part)
+	return false
+}
+
+// mayAskForLoans reports whether no other host has been asked within learnInterval.
+func (l *ledger) mayAskForLoans(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.askedAt) < learnInterval {
+		return false
+	}
+	l.askedAt = now
+	return true
+}
+
+// KnownLoans implements port.BudgetServer.
+func (s *Service) KnownLoans(part int) port.KnownLoans {
+	if part < 0 || part >= len(s.ledgers) {
+		return port.KnownLoans{}
+	}
+	l := s.ledgers[part]
+	if !l.isCurrent.Load() || s.pauses.isPaused(time.Now()) {
+		return port.KnownLoans{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.following.isActive || l.following.isInDoubt(time.Now()) {
+		return port.KnownLoans{}
+	}
+	return port.KnownLoans{Since: l.following.since, Loans: l.unrecordedLoans()}
+}
+
+// markIfIdle marks the partition if this host is its preferred host and nothing has been appended for
+// markInterval.
+func (l *ledger) markIfIdle(ctx context.Context, now time.Time, run func(func())) {
+	if l.isUnavailable() || !l.isPreferredHost() {
+		return
+	}
+	l.mu.Lock()
+	isDue := !l.isMarking && now.Sub(l.markedAt) > markInterval
+	if isDue {
+		l.isMarking = true
+	}
+	l.mu.Unlock()
+	if isDue {
+		run(func() { l.appendMark(ctx) })
+	}
+}
+
+// appendMark appends a claim that changes nothing, for its mark.
+func (l *ledger) appendMark(ctx context.Context) {
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.isMarking = false
+	}()
+	ctx, cancel := context.WithTimeout(port.InBackground(ctx), appendTimeout)
+	defer cancel()
+	m := l.newMark()
+	record, err := encode(budget.Claim{Writer: l.writer}, m)
+	if err != nil {
+		l.log.Error(err, "Mark can't be encoded.", "partition", l.partition.Part)
+		return
+	}
+	offset, err := l.shared.Append(ctx, l.partition, [][]byte{record})
+	if err != nil {
+		l.log.V(1).Info("Partition could not be marked.", "partition", l.partition.Part, "cause", err.Error())
+		return
+	}
+	l.metrics.marks.Inc(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.marked(m)
+	if offset == l.applied {
+		l.applied++
+	}
+}
+
+// marked notes that this host has appended a mark. The caller holds l.mu.
+func (l *ledger) marked(m mark) {
+	l.markedAt = m.at
+	if l.following.isActive {
+		l.following.observe(m)
+	}
+}
--- a/internal/spending/fence.go
+++ b/internal/spending/fence.go
@@ -179,6 +179,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fencedAt = now
+	loans := l.unrecordedLoans()
+	if l.isUnavailable() {
+		l.log.Info("Another host reaches the log; not lending on earlier findings.", "partition", l.partition.Part, "loans", len(loans))
+	}
+	return loans
+}
+
+// unrecordedLoans returns the loans that the host knows and that are not in the book, also its own. The
+// caller holds l.mu.
+func (l *ledger) unrecordedLoans() []port.ProgramLoan {
 	var loans []port.ProgramLoan
 	for _, c := range l.loans.UnrecordedClaims(l.book, l.loans.Claims()) {
 		loans = append(loans, port.ProgramLoan{Program: c.Program, Loan: loanOf(c)})
@@ -188,8 +198,5 @@
 			loans = append(loans, port.ProgramLoan{Program: program, Loan: loanOf(*s.loan)})
 		}
 	}
-	if l.isUnavailable() {
-		l.log.Info("Another host reaches the log; not lending on earlier findings.", "partition", l.partition.Part, "loans", len(loans))
-	}
 	return loans
 }
--- a/internal/spending/fence_test.go
+++ b/internal/spending/fence_test.go
@@ -103,6 +103,7 @@
 					f.cutOff.Store(order[3], true)
 				}
 				f.outageOf(order[:3])
+				time.Sleep(largeLoanDelay)
 				var granted int64
 				for range 4 {
 					is.NoErr(turn(f.host(lender), "p", budget, maxTokens, maxTokens))
@@ -135,6 +136,7 @@
 		is := is.New(t)
 		f := newFleet(t, 3)
 		f.outage()
+		time.Sleep(largeLoanDelay)
 		lender := f.host(f.order("p")[0])
 		ask := func(found time.Time) port.LendDecision {
 			return lender.Lend(t.Context(), port.LendRequest{Reservation: 1, Program: "p", Budget: 2800, MaxTokens: 280, MayLend: true, FoundAt: found}).Decision
--- a/internal/spending/fixture_test.go
+++ b/internal/spending/fixture_test.go
@@ -54,6 +54,8 @@
 	// lostNotes is how many more notes on loans get lost, repeatedNotes how often each other one is
 	// delivered besides.
 	lostNotes, repeatedNotes atomic.Int64
+	// isUnmarked says that the hosts do not mark idle partitions, so that calls can be counted.
+	isUnmarked atomic.Bool
 	// isBusy says that the store answers other calls of each host all the time.
 	isBusy atomic.Bool
 }
@@ -137,11 +139,12 @@
 			}
 			return log.AnsweredAt()
 		},
-		Partitions: partitions,
-		Peers:      &testPeers{fleet: f, self: f.names[i]},
-		Retention:  5 * time.Minute,
-		Logger:     logr.Discard(),
-		Scope:      tally.NoopScope,
+		Partitions:      partitions,
+		Peers:           &testPeers{fleet: f, self: f.names[i]},
+		Retention:       5 * time.Minute,
+		CarriesPrograms: func() bool { return !f.isUnmarked.Load() },
+		Logger:          logr.Discard(),
+		Scope:           tally.NoopScope,
 	})
 	if err := s.Start(context.Background()); err != nil {
 		t.Fatal(err)
@@ -277,6 +280,17 @@
 	return s.Fence(part), nil
 }
 
+func (p *testPeers) KnownLoans(ctx context.Context, host string, part int) (port.KnownLoans, error) {
+	s, err := p.connect(ctx, host)
+	if err != nil {
+		return port.KnownLoans{}, err
+	}
+	if p.fleet.isOld(host) {
+		return port.KnownLoans{}, errors.New("unknown rpc")
+	}
+	return s.KnownLoans(part), nil
+}
+
 func (p *testPeers) Note(ctx context.Context, host string, n port.BudgetNote) (bool, error) {
 	s, err := p.connect(ctx, host)
 	if err != nil {
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -26,6 +26,8 @@
 	// account is the writer to claim under, if the asking host has named one. It is zero if the
 	// tokens are claimed for the host's own slice.
 	account uint64
+	// inDoubt says that budget is less than the program's, since loans may have been forgotten.
+	inDoubt bool
 	// isSingle asks for a claim that covers only this turn.
 	isSingle bool
 	// hasWaited says that the turn was refused once and has waited refusedRetryDelay
@@ -77,6 +79,10 @@
 	onNearlyClaimed func(port.BudgetNote)
 	// fenceLenders fences the other hosts that may lend, see fence.go.
 	fenceLenders func(context.Context) fenceResult
+	// learnLoans asks the other readers for the loans that they know, see doubt.go.
+	learnLoans func(context.Context) bool
+	// logUnavailableSince returns when the log as a whole became unavailable; zero if it did not.
+	logUnavailableSince func() time.Time
 	// onThrottled is called when the log has made this host call it less often. isOverloaded reports
 	// whether it has done so lately.
 	onThrottled  func()
@@ -91,7 +97,13 @@
 	// releases holds the slices whose total is to be claimed anew.
 	releases map[sliceKey]*slice
 	// loans are those of other hosts that may not be in the log yet.
-	loans *budget.Loans
+	loans     *budget.Loans
+	following following
+	// isMarking says that a mark is being appended, markedAt is when this host has last appended one.
+	isMarking bool
+	markedAt  time.Time
+	// askedAt is when other readers were last asked for the loans that they know.
+	askedAt time.Time
 	// givenBack holds what this host has given back for hosts that ended, by program.
 	givenBack map[string]givenBack
 	// notified holds what other hosts have reported of claims in the log.
@@ -120,29 +132,32 @@
 
 func newLedger(shared port.SharedLog, p port.Partition, writer uint64, log logr.Logger, m *metrics, initialReadSlots chan struct{}) *ledger {
 	l := &ledger{
-		shared:           shared,
-		partition:        p,
-		writer:           writer,
-		giveBackWriter:   rand.Uint64(),
-		log:              log,
-		metrics:          m,
-		writesDue:        make(chan struct{}, 1),
-		availability:     newAvailability(log, p.Part),
-		readSlot:         make(chan struct{}, 1),
-		initialReadSlots: initialReadSlots,
-		onNearlyClaimed:  func(port.BudgetNote) {},
-		onThrottled:      func() {},
-		isOverloaded:     func() bool { return false },
-		fenceLenders:     func(context.Context) fenceResult { return fenceResult{} },
-		book:             budget.NewBook(),
-		slices:           make(map[string]*slice),
-		releases:         make(map[sliceKey]*slice),
-		loans:            budget.NewLoans(),
-		givenBack:        make(map[string]givenBack),
-		notified:         make(map[string]notifiedClaims),
-		loansDue:         make(chan struct{}, 1),
-		stoppedUntil:     make(map[string]time.Time),
-		verdicts:         make(map[uint64]budget.Verdict),
+		shared:              shared,
+		partition:           p,
+		writer:              writer,
+		giveBackWriter:      rand.Uint64(),
+		log:                 log,
+		metrics:             m,
+		writesDue:           make(chan struct{}, 1),
+		availability:        newAvailability(log, p.Part),
+		readSlot:            make(chan struct{}, 1),
+		initialReadSlots:    initialReadSlots,
+		onNearlyClaimed:     func(port.BudgetNote) {},
+		onThrottled:         func() {},
+		isOverloaded:        func() bool { return false },
+		isReader:            func() bool { return false },
+		fenceLenders:        func(context.Context) fenceResult { return fenceResult{} },
+		book:                budget.NewBook(),
+		slices:              make(map[string]*slice),
+		releases:            make(map[sliceKey]*slice),
+		loans:               budget.NewLoans(),
+		logUnavailableSince: func() time.Time { return time.Time{} },
+		learnLoans:          func(context.Context) bool { return false },
+		givenBack:           make(map[string]givenBack),
+		notified:            make(map[string]notifiedClaims),
+		loansDue:            make(chan struct{}, 1),
+		stoppedUntil:        make(map[string]time.Time),
+		verdicts:            make(map[uint64]budget.Verdict),
 	}
 	l.availability.mustDetectRecovery = l.mustDetectRecovery
 	return l
--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -97,8 +97,8 @@
 		return port.LendAnswer{Decision: port.LendBusy}
 	}
 	s.metrics.lent.Inc(1)
-	s.lending.add(r.Reservation, g, r.MaxTokens, time.Now())
-	answer := port.LendAnswer{Decision: port.LendGranted, Loans: l.loansOf(r.Program), Writer: s.writer}
+	s.lending.add(r.Reservation, g, g.Limit(), time.Now())
+	answer := port.LendAnswer{Decision: port.LendGranted, Granted: g.Limit(), Loans: l.loansOf(r.Program), Writer: s.writer}
 	if own, ok := g.(*reservation); ok {
 		answer.Account = own.slice.account
 	}
@@ -184,6 +184,9 @@
 // log is back it claims instead.
 // Its errors are *gateway.BudgetSpentError and *gateway.BudgetUnknownError.
 func (s *Service) lend(ctx context.Context, l *ledger, r port.LendRequest) (gateway.Reservation, error) {
+	if l.isInDoubt() && !l.learnLoans(ctx) {
+		return nil, unknownBudget(r.Program, errInDoubt)
+	}
 	for {
 		g, outcome := l.lend(r)
 		switch outcome {
@@ -197,7 +200,7 @@
 			if !l.isUnavailable() {
 				return l.reserve(ctx, r.Program, r.Budget, r.MaxTokens, r.Account)
 			}
-			return nil, unknownBudget(r.Program, errNotLent)
+			return nil, l.notLent(r.Program, errNotLent)
 		}
 		tail.Sleep(ctx, lendPollInterval)
 		if ctx.Err() != nil {
@@ -206,6 +209,12 @@
 	}
 }
 
+// notLent returns the refusal of a turn that gets no loan. Its caller may retry when more is lent.
+func (l *ledger) notLent(program string, cause error) error {
+	retryAfter := max(unknownRetryAfter, largeLoanDelay-l.unavailableFor())
+	return &gateway.BudgetUnknownError{Program: program, RetryAfter: retryAfter, Cause: errors.Trace(cause)}
+}
+
 // mayLend reports whether this host knows all claims made before the outage and will
 // be running after it.
 func (s *Service) mayLend(l *ledger) bool {
@@ -244,25 +253,30 @@
 		return nil, loanRefused
 	}
 	s := l.sliceOf(r.Program, r.Budget)
-	claimed := max(l.claimedLocked(r.Program), r.Claimed)
-	unclaimed := l.loans.UnrecordedTokens(l.book, r.Program)
-	held := s.withAccounts()
-	canLend := held.Lend(r.MaxTokens, r.Budget, claimed, unclaimed)
-	if canLend {
-		s.Lent = max(s.Lent, s.Needed(r.MaxTokens)-s.Confirmed)
+	largest := max(r.MaxTokens, s.largestTurn)
+	if r.MinTokens == 0 {
+		r.MinTokens = r.MaxTokens
+	}
+	request := budget.LoanRequest{
+		MinTokens: r.MinTokens, MaxTokens: r.MaxTokens, Limit: l.loanLimit(largest, r.Budget), Budget: r.Budget,
+		Claimed: max(l.claimedLocked(r.Program), r.Claimed), Lent: l.loans.UnrecordedTokens(l.book, r.Program),
 	}
-	if !canLend || !s.Begin(r.MaxTokens) {
+	accounts := s.inAccounts()
+	granted := s.Lend(request, accounts)
+	if granted == 0 || !s.Begin(granted) {
 		outcome := loanRefused
 		switch {
-		case held.IsExhausted(r.MaxTokens, r.Budget):
+		case s.IsExhausted(r.MaxTokens, r.Budget, accounts):
 			outcome = loanExhausted
-		case held.MayLend(r.MaxTokens, r.Budget, claimed, unclaimed):
+		case s.Open+accounts.Open > 0 && s.MayLend(request, accounts):
 			return nil, loanDeferred
 		}
-		l.log.Info("Refused to lend.", "program", r.Program, "budget", r.Budget, "claimed", claimed, "lent", unclaimed,
-			"spent", held.Spent, "open", held.Open, "exhausted", outcome == loanExhausted)
+		l.log.Info("Refused to lend.", "program", r.Program, "budget", r.Budget, "claimed", request.Claimed, "lent", request.Lent,
+			"limit", request.Limit, "spent", s.Spent+accounts.Spent, "open", s.Open+accounts.Open, "unclaimed", s.Needed(0)-s.Confirmed,
+			"exhausted", outcome == loanExhausted)
 		return nil, outcome
 	}
+	s.largestTurn = largest
 	s.usedAt = time.Now()
 	l.sequence++
 	s.Sequence = l.sequence
@@ -270,8 +284,26 @@
 		Writer: l.writer, Sequence: l.sequence, Program: r.Program, Budget: r.Budget,
 		Total: max(s.Needed(0), s.Confirmed), Settled: true,
 	}
-	l.log.Info("Lent tokens without a claim.", "program", r.Program, "budget", r.Budget, "claimed", claimed, "lent", unclaimed, "total", s.loan.Total, "offset", l.applied)
-	return &reservation{ledger: l, slice: s, maxTokens: r.MaxTokens}, loanGranted
+	l.log.Info("Lent tokens without a claim.", "program", r.Program, "budget", r.Budget, "claimed", request.Claimed, "lent", request.Lent,
+		"granted", granted, "of", r.MaxTokens, "total", s.loan.Total, "offset", l.applied)
+	return &reservation{ledger: l, slice: s, maxTokens: granted}, loanGranted
+}
+
+// unavailableFor returns for how long the partition has been unavailable. One that is used for the first
+// time in an outage has been so as long as the others.
+func (l *ledger) unavailableFor() time.Duration {
+	since := l.availability.since()
+	if whole := l.logUnavailableSince(); !whole.IsZero() && whole.Before(since) {
+		since = whole
+	}
+	return time.Since(since)
+}
+
+// loanLimit returns how much of a budget all hosts together may lend at present: a large part once the
+// marks in the log will show the outage. The caller holds l.mu.
+func (l *ledger) loanLimit(largestTurn, budgetTokens int64) int64 {
+	isGapSeen := !l.following.coveredUntil.IsZero() && l.unavailableFor() > largeLoanDelay
+	return budget.LoanLimit(largestTurn, budgetTokens, isGapSeen)
 }
 
 // mustDetectRecovery reports whether this host has to append or read as soon as the
--- a/internal/spending/loans_test.go
+++ b/internal/spending/loans_test.go
@@ -147,7 +147,7 @@
 			// Each host detects which partitions it reaches.
 			_ = turn(h, unavailable, 20000, maxTokens, 70)
 		}
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(largeLoanDelay)
 		run := func(h *Service, turns int) {
 			for range turns {
 				if turn(h, "runaway", budget, maxTokens, maxTokens) == nil {
@@ -359,6 +359,7 @@
 		const budget, maxTokens, loans = 2800, 280, 5
 		f := newFleet(t, 4)
 		f.outage()
+		time.Sleep(largeLoanDelay)
 		order := f.order("p")
 		lender := f.host(order[0])
 		for range loans {
--- a/internal/spending/metrics.go
+++ b/internal/spending/metrics.go
@@ -12,6 +12,11 @@
 var claimBuckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 12)
 
 type metrics struct {
+	// learned and inDoubt count how often another reader knew all loans of a partition that this host
+	// did not know, and how often none did.
+	learned, inDoubt tally.Counter
+	// marks counts appends that only mark a partition.
+	marks     tally.Counter
 	scope     tally.Scope
 	claim     tally.Histogram
 	fromSlice tally.Counter
@@ -40,6 +45,9 @@
 func newMetrics(scope tally.Scope) *metrics {
 	return &metrics{
 		scope:             scope,
+		learned:           scope.Counter("loans_learned"),
+		inDoubt:           scope.Counter("in_doubt"),
+		marks:             scope.Counter("marks"),
 		claim:             scope.Histogram("claim", claimBuckets),
 		fromSlice:         scope.Counter("turns_from_slices"),
 		failures:          scope.Counter("log_failures"),
--- a/internal/spending/notify.go
+++ b/internal/spending/notify.go
@@ -50,7 +50,7 @@
 // case. The caller holds l.mu.
 func (l *ledger) notifyIfNearlyClaimed(s *slice) {
 	claimed := l.book.Claimed(s.program)
-	if budget.IsLendable(s.largestTurn, s.budget, claimed) {
+	if !budget.IsNearlyClaimed(s.largestTurn, s.budget, claimed) {
 		return
 	}
 	l.onNearlyClaimed(port.BudgetNote{Program: s.program, Claimed: claimed, Offset: l.applied})
@@ -224,7 +224,7 @@
 	if len(claims) == 0 {
 		return true, nil
 	}
-	records, err := encodeAll(claims)
+	records, err := encodeAll(claims, l.newMark())
 	if err != nil {
 		return false, err
 	}
--- a/internal/spending/order.go
+++ b/internal/spending/order.go
@@ -71,6 +71,7 @@
 func (s *Service) updateReader(ctx context.Context, part int) {
 	if !s.isReader(part) {
 		s.ledgers[part].isCurrent.Store(false)
+		s.ledgers[part].unfollow()
 		return
 	}
 	l := s.startedLedger(part)
@@ -82,6 +83,9 @@
 		if l.isUnavailable() || l.readInitially(ctx) != nil {
 			return
 		}
+		if l.isInDoubt() {
+			l.learnLoans(ctx)
+		}
 		l.isCurrent.Store(true)
 	})
 }
@@ -91,6 +95,7 @@
 func (s *Service) invalidateReads() {
 	for _, l := range s.ledgers {
 		l.isCurrent.Store(false)
+		l.unfollow()
 		l.unfence()
 	}
 	s.log.Info("Process was paused; not lending until the log has been read again.")
--- a/internal/spending/outage.go
+++ b/internal/spending/outage.go
@@ -59,10 +59,21 @@
 
 // isUnavailable reports whether a partition is unavailable and none has answered
 // since it became so.
-func (s *Service) isUnavailable() bool {
+func (s *Service) isUnavailable() bool { return !s.unavailableSince().IsZero() }
+
+// unavailableSince returns when the first of the partitions became unavailable of which none has answered
+// since; zero if there is none.
+func (s *Service) unavailableSince() time.Time {
 	answered := s.answeredAt.Load()
-	return slices.ContainsFunc(s.ledgers, func(l *ledger) bool {
+	var first time.Time
+	for _, l := range s.ledgers {
 		since := l.availability.since()
-		return !since.IsZero() && since.UnixNano() > answered
-	})
+		if since.IsZero() || since.UnixNano() <= answered {
+			continue
+		}
+		if first.IsZero() || since.Before(first) {
+			first = since
+		}
+	}
+	return first
 }
--- a/internal/spending/reader.go
+++ b/internal/spending/reader.go
@@ -135,21 +135,29 @@
 	// The book already includes claims that were applied on the answer to their append
 	// while this read was in progress.
 	for _, data := range page.Records[min(l.applied-from, int64(len(page.Records))):] {
-		claim, err := decode(data)
+		claim, m, err := decode(data)
 		if err != nil {
 			l.metrics.invalid.Inc(1)
 			l.log.Info("Claim record can't be decoded; skipping it.", "partition", l.partition.Part, "offset", l.applied, "cause", err.Error())
 			l.applied++
 			continue
 		}
+		l.following.observe(m)
 		l.apply(claim)
 	}
+	if l.applied >= page.End {
+		l.follow()
+	}
 	return page.End, nil
 }
 
 // apply applies the claim at offset l.applied to the book, and to this host's slice
 // if the claim is its own. The caller holds l.mu.
 func (l *ledger) apply(c budget.Claim) {
+	if c.Program == "" {
+		l.applied++ // only a mark
+		return
+	}
 	verdict := l.book.Apply(c, time.Now())
 	if s := l.sliceOfWriter(c.Program, c.Writer); s != nil {
 		if s.isClaiming && s.Sequence == c.Sequence {
--- a/internal/spending/reader_test.go
+++ b/internal/spending/reader_test.go
@@ -43,7 +43,7 @@
 			s := &slice{program: program, budget: 900, isClaiming: true, Slice: budget.Slice{Sequence: sequence}}
 			l.slices[program] = s
 			c := budget.Claim{Writer: writer, Sequence: sequence, Program: program, Budget: 900, Total: 600}
-			records, err := encodeAll([]budget.Claim{c})
+			records, err := encodeAll([]budget.Claim{c}, mark{})
 			is.NoErr(err)
 			offset, err := log.Append(t.Context(), p, records)
 			is.NoErr(err)
--- a/internal/spending/reserve.go
+++ b/internal/spending/reserve.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"yuccausher/internal/gateway"
 )
 
@@ -32,7 +34,23 @@
 		// that is over.
 		_ = l.probe(ctx)
 	}
-	w := &waiter{program: program, budget: total, maxTokens: maxTokens, account: account, done: make(chan error, 1)}
+	claimable, inDoubt := l.claimableBudget(ctx, program, total, maxTokens)
+	w := &waiter{program: program, budget: claimable, inDoubt: inDoubt, maxTokens: maxTokens, account: account, done: make(chan error, 1)}
+	g, err := l.await(ctx, w)
+	if !errors.Is(err, errInDoubt) {
+		return g, err
+	}
+	// The claims and the marks of other hosts were not known before.
+	if l.isInDoubt() && !l.learnLoans(ctx) {
+		return nil, &gateway.BudgetUnknownError{Program: program, RetryAfter: doubtRetryAfter, Cause: errInDoubt}
+	}
+	return l.await(ctx, &waiter{program: program, budget: total, maxTokens: maxTokens, account: account, done: make(chan error, 1)})
+}
+
+// await queues a turn for a claim and waits until it is decided. Its errors are
+// *gateway.BudgetSpentError and *gateway.BudgetUnknownError.
+func (l *ledger) await(ctx context.Context, w *waiter) (gateway.Reservation, error) {
+	program := w.program
 	if err := l.enqueue(w); err != nil {
 		return nil, unknownBudget(program, err)
 	}
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -68,6 +68,9 @@
 	// preferred host, and while this host does not reach the log. Nil without other
 	// hosts.
 	Peers port.BudgetPeers
+	// CarriesPrograms reports whether requests of programs may come. If not, partitions that
+	// nobody claims in are not marked. Nil means that they may.
+	CarriesPrograms func() bool
 	// Retention is how long claims are kept in memory, at least minRetention.
 	Retention time.Duration
 	Logger    logr.Logger
@@ -83,15 +86,17 @@
 	ledgers   []*ledger
 	// orders holds the order of hosts for each partition: the preferred host, then
 	// those that replace it.
-	orders     rendezvous.PartitionCache
-	retention  time.Duration
-	log        logr.Logger
-	metrics    *metrics
-	peers      port.BudgetPeers
-	lending    lending
-	exclusions exclusions
-	missed     missedNotes
-	pauses     pauseDetector
+	orders    rendezvous.PartitionCache
+	retention time.Duration
+	// carriesPrograms reports whether requests of programs may come.
+	carriesPrograms func() bool
+	log             logr.Logger
+	metrics         *metrics
+	peers           port.BudgetPeers
+	lending         lending
+	exclusions      exclusions
+	missed          missedNotes
+	pauses          pauseDetector
 	// answeredAt is when the log last answered, in Unix nanoseconds.
 	answeredAt atomic.Int64
 	// throttledAt is when the log last made this host call it less often, in Unix nanoseconds.
@@ -113,6 +118,9 @@
 // New returns a service that claims under a new, random writer name.
 func New(p Params) *Service {
 	s := &Service{writer: rand.Uint64(), retention: p.Retention, log: p.Logger.WithName("spending"), peers: p.Peers}
+	if s.carriesPrograms = p.CarriesPrograms; s.carriesPrograms == nil {
+		s.carriesPrograms = func() bool { return true }
+	}
 	s.metrics = newMetrics(p.Scope.SubScope("spending"))
 	initialReadSlots := make(chan struct{}, maxInitialReads)
 	for part := range p.Partitions {
@@ -132,6 +140,8 @@
 			s.suspectOthers(part)
 		}
 		l.fenceLenders = func(ctx context.Context) fenceResult { return s.fenceLenders(ctx, l) }
+		l.learnLoans = func(ctx context.Context) bool { return s.learnLoans(ctx, l) }
+		l.logUnavailableSince = s.unavailableSince
 		l.availability.isProbeDelegated = func() bool { return s.isProbeDelegated(part) }
 		l.availability.onRecovered = func() {
 			l.claimOwnLoans()
@@ -162,6 +172,9 @@
 // Start starts the service's goroutines. It returns no error.
 func (s *Service) Start(context.Context) error {
 	s.startedAt = time.Now()
+	for _, l := range s.ledgers {
+		l.following.since, l.following.retention = s.startedAt, max(s.retention, minRetention)
+	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.log.Info("Spending service started.", "writer", s.writer, "partitions", len(s.ledgers))
 	s.run(func() { s.runReaders(s.ctx) })
@@ -207,6 +220,9 @@
 			}
 			for _, l := range s.ledgers {
 				l.sweep(now, s.retention)
+				if s.carriesPrograms() && s.peers != nil && len(s.peers.Hosts()) > 0 {
+					l.markIfIdle(ctx, now, s.run)
+				}
 			}
 		}
 	}
@@ -226,16 +242,22 @@
 	return false
 }
 
-// Reserve reserves maxTokens tokens of a program's budget of total tokens. It
-// implements gateway.Budgets. Its errors are *gateway.BudgetSpentError and
-// *gateway.BudgetUnknownError.
+// Reserve reserves maxTokens tokens of a program's budget of total tokens. Its errors are
+// *gateway.BudgetSpentError and *gateway.BudgetUnknownError.
 func (s *Service) Reserve(ctx context.Context, program string, total, maxTokens int64) (gateway.Reservation, error) {
+	return s.ReservePart(ctx, program, total, maxTokens, maxTokens)
+}
+
+// ReservePart reserves maxTokens tokens of a program's budget of total tokens. While the log is
+// unavailable it may reserve fewer, but at least minTokens. It implements gateway.Budgets. Its errors
+// are *gateway.BudgetSpentError and *gateway.BudgetUnknownError.
+func (s *Service) ReservePart(ctx context.Context, program string, total, minTokens, maxTokens int64) (gateway.Reservation, error) {
 	l := s.ledger(program)
 	if g, err, ok := l.decideLocally(program, total, maxTokens); ok {
 		return g, err
 	}
 	request := func() port.LendRequest {
-		return port.LendRequest{Program: program, Budget: total, MaxTokens: maxTokens, Claimed: l.claimed(program), Loans: l.loansOf(program)}
+		return port.LendRequest{Program: program, Budget: total, MinTokens: minTokens, MaxTokens: maxTokens, Claimed: l.claimed(program), Loans: l.loansOf(program)}
 	}
 	claimCtx, cancel := context.WithTimeout(ctx, maxClaimWait)
 	defer cancel()
--- a/internal/spending/service_test.go
+++ b/internal/spending/service_test.go
@@ -169,7 +169,7 @@
 			for _, h := range f.hosts {
 				_ = turn(h, "probe", 20000, 280, 70)
 			}
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(largeLoanDelay)
 			for i := range 5 {
 				is.NoErr(turn(f.hosts[i], "new", 1300, 280, 70))
 				is.NoErr(turn(f.hosts[i], "old", 3000, 280, 70))
@@ -342,7 +342,7 @@
 		for part := range partitions {
 			var records [][]byte
 			for i := range uint64(claims) {
-				data, err := encode(budget.Claim{Writer: 1, Sequence: i + 1, Program: fmt.Sprint("program", part, i), Budget: 20000, Total: 840})
+				data, err := encode(budget.Claim{Writer: 1, Sequence: i + 1, Program: fmt.Sprint("program", part, i), Budget: 20000, Total: 840}, mark{})
 				is.NoErr(err)
 				records = append(records, data)
 			}
--- a/internal/spending/slices.go
+++ b/internal/spending/slices.go
@@ -114,6 +114,9 @@
 	settled <-chan struct{}
 }
 
+// Limit implements gateway.Reservation.
+func (r *reservation) Limit() int64 { return r.maxTokens }
+
 // Spend implements gateway.Reservation.
 func (r *reservation) Spend(tokens int64) { r.spent += tokens }
 
--- a/internal/spending/unanswered_test.go
+++ b/internal/spending/unanswered_test.go
@@ -207,6 +207,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 5)
+		f.isUnmarked.Store(true)
 		order := f.order("p")
 		is.NoErr(settledTurn(t, f.host(order[4]), "p", 2800, 280, 70))
 		calls := f.store.Calls()
--- a/internal/spending/writer.go
+++ b/internal/spending/writer.go
@@ -110,7 +110,8 @@
 	for i, p := range batch {
 		claims[i] = p.claim
 	}
-	records, err := encodeAll(claims)
+	m := l.newMark()
+	records, err := encodeAll(claims, m)
 	if err != nil {
 		return err
 	}
@@ -125,7 +126,13 @@
 		offset, err := l.shared.Append(callCtx, l.partition, records)
 		appended <- appendResult{offset: offset, err: err, took: time.Since(started)}
 	}()
-	return l.awaitAppend(ctx, appended, batch)
+	if err := l.awaitAppend(ctx, appended, batch); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.marked(m)
+	return nil
 }
 
 // lateAfter returns the duration after which an append counts as late.
@@ -225,6 +232,7 @@
 func (l *ledger) applyBatch(ctx context.Context, offset int64, batch []*pendingClaim) error {
 	l.mu.Lock()
 	if offset == l.applied {
+		l.follow()
 		for _, p := range batch {
 			l.apply(p.claim)
 		}
