upstream: a status that HTTP does not have is no answer

A target in trouble answers with status 000 (also 012, 099, +20, an unasked 101).

Cause: every status under 200 was skipped as that of an interim answer.

Change: only 100 to 199 without 101 are interim, and 200 to 599 final. Others are treated like bytes that are no answer; 600 to 999 too, since RFC 9110 has none of them.

Measured: TestStatusThatNoAnswerHasIsNoAnswer failed for all seven statuses and passes.

--- a/internal/standin/replica/fault.go
+++ b/internal/standin/replica/fault.go
@@ -67,6 +67,9 @@
 	MisdirectedAgainAnonymous
 	// CutHead sends a part of the head and closes the connection in order.
 	CutHead
+	// OddStatus answers with the status of AnswerStatus. The body looks like an answer to the same
+	// request.
+	OddStatus
 	// The following concern streams that go on after an event.
 	//
 	// JSONResume answers with success and a body that is no stream, HTMLResume with
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -65,6 +65,10 @@
 	limit string
 	// headBytes is how much of a head CutHead sends.
 	headBytes int
+	// status is the status and the reason that OddStatus sends.
+	status string
+	// interim are the statuses of interim answers that come before each answer.
+	interim []string
 	// arrivals are when requests arrived, those that it refused as well.
 	arrivals []time.Time
 	down     chan struct{}
@@ -233,6 +237,12 @@
 		_, _ = io.WriteString(x.conn, head[:min(n, len(head))])
 		return false
 	}
+	if !r.sendInterim(x) {
+		return false
+	}
+	if x.fault == OddStatus {
+		return r.answerOddly(x)
+	}
 	if x.fault == EndlessHead {
 		return x.head(http.StatusOK, "Endless: ") && r.flood(x, "head")
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -89,7 +89,7 @@
 	return b.Bytes()
 }
 
-// receive reads the header of the answer. It skips answers to earlier requests, which
+// receive reads the header of the answer. It skips interim answers, and answers to earlier requests, which
 // may arrive late. garbled is set if the received bytes are not an answer to the
 // request.
 func (c *Conn) receive(method string, isOwn func(http.Header) bool) (_ *http.Response, garbled bool, _ error) {
@@ -98,8 +98,11 @@
 		if err != nil {
 			return nil, garbled, err
 		}
-		if response.StatusCode < http.StatusOK {
+		switch statusOf(response) {
+		case interim:
 			continue
+		case invalid:
+			return nil, true, &InvalidStatusError{Status: response.StatusCode}
 		}
 		if isOwn(response.Header) {
 			c.prepareBody(response)
