--- a/internal/spending/doubt.go
+++ b/internal/spending/doubt.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -28,6 +30,9 @@
 	largeLoanDelay = maxGap + 500*time.Millisecond
 	// markInterval is how often a partition is marked in which nothing else is appended.
 	markInterval = time.Second
+	// roleCheckInterval is how often a host looks whether it is a reader of a partition, or its preferred
+	// host, to mark it.
+	roleCheckInterval = 500 * time.Millisecond
 	// learnInterval is how often other readers are asked for the loans that they know.
 	learnInterval = 500 * time.Millisecond
 	// doubtRetryAfter is sent to callers of a program in doubt of whose budget no more may be claimed. A
@@ -116,11 +121,41 @@
 // isInDoubt reports whether loans may have been forgotten.
 func (f *following) isInDoubt(now time.Time) bool { return now.Before(f.doubtUntil) }
 
+// role is this host's place in the order of a partition, as of the latest check.
+type role struct{ isPreferred, isReader atomic.Bool }
+
+// updateRoles finds out this host's place in the order of each partition, once per roleCheckInterval. After a
+// start it waits until other hosts are known.
+func (s *Service) updateRoles(now time.Time) {
+	if now.Sub(s.rolesAt) < roleCheckInterval {
+		return
+	}
+	s.rolesAt = now
+	var hosts []string
+	if s.peers != nil {
+		hosts = s.peers.Hosts()
+		if len(hosts) == 0 && now.Sub(s.startedAt) < readerCheckInterval {
+			return
+		}
+		hosts = append(hosts, s.peers.Self())
+	}
+	for part, l := range s.ledgers {
+		isPreferred, isReader := true, true
+		if s.peers != nil {
+			order := s.orders.Order(part, hosts)
+			isPreferred = order[0] == s.peers.Self()
+			isReader = slices.Contains(order[:min(readerCount, len(order))], s.peers.Self())
+		}
+		l.role.isPreferred.Store(isPreferred)
+		l.role.isReader.Store(isReader)
+	}
+}
+
 // follow begins to follow the partition if this host is one of its readers. The caller holds l.mu and
 // has read the partition to its end.
 func (l *ledger) follow() {
 	f := &l.following
-	if f.isActive || !l.isReader() {
+	if f.isActive || !l.role.isReader.Load() {
 		return
 	}
 	f.start()
@@ -139,12 +174,11 @@
 
 // newMark returns the mark of an append; the zero mark if this host is not told of the partition's loans.
 func (l *ledger) newMark() mark {
-	isReader := l.isReader()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !isReader {
+	if !l.role.isReader.Load() {
 		return mark{}
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	return mark{at: time.Now(), since: l.following.since}
 }
 
@@ -247,7 +281,7 @@
 // markIfIdle marks the partition if this host is its preferred host and nothing has been appended for
 // markInterval.
 func (l *ledger) markIfIdle(ctx context.Context, now time.Time, run func(func())) {
-	if l.isUnavailable() || !l.isPreferredHost() {
+	if !l.role.isPreferred.Load() || l.isUnavailable() {
 		return
 	}
 	l.mu.Lock()
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -99,6 +99,7 @@
 	// loans are those of other hosts that may not be in the log yet.
 	loans     *budget.Loans
 	following following
+	role      role
 	// isMarking says that a mark is being appended, markedAt is when this host has last appended one.
 	isMarking bool
 	markedAt  time.Time
@@ -145,7 +146,6 @@
 		onNearlyClaimed:     func(port.BudgetNote) {},
 		onThrottled:         func() {},
 		isOverloaded:        func() bool { return false },
-		isReader:            func() bool { return false },
 		fenceLenders:        func(context.Context) fenceResult { return fenceResult{} },
 		book:                budget.NewBook(),
 		slices:              make(map[string]*slice),
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -97,6 +97,8 @@
 	exclusions      exclusions
 	missed          missedNotes
 	pauses          pauseDetector
+	// rolesAt is when this host last looked for its place in the orders. Only sweep uses it.
+	rolesAt time.Time
 	// answeredAt is when the log last answered, in Unix nanoseconds.
 	answeredAt atomic.Int64
 	// throttledAt is when the log last made this host call it less often, in Unix nanoseconds.
@@ -218,9 +220,11 @@
 			if s.pauses.tick(now) {
 				s.invalidateReads()
 			}
+			s.updateRoles(now)
+			carriesPrograms := s.carriesPrograms() && s.peers != nil
 			for _, l := range s.ledgers {
 				l.sweep(now, s.retention)
-				if s.carriesPrograms() && s.peers != nil && len(s.peers.Hosts()) > 0 {
+				if carriesPrograms {
 					l.markIfIdle(ctx, now, s.run)
 				}
 			}
