spending: a late append or a step of the clock does not hide a gap between marks

A mark of a host that has ended may take effect after the gap, and would have ended the doubt, since its host had followed the partition before. It has to reach beyond the gap now. Times of marks are those of the process's start and the monotonic clock, so that a step of the clock does not stretch them.

Found while reading the change; the case 'mark from before the gap takes effect late' of TestMarksShowWhetherAPartitionWasFollowed guards against the first.

--- a/internal/spending/doubt.go
+++ b/internal/spending/doubt.go
@@ -50,6 +50,8 @@
 type following struct {
 	// retention is how long a program may go on after it was last seen.
 	retention time.Duration
+	// startedAt is when the process started.
+	startedAt time.Time
 	// since is when the host began to be told of loans.
 	since time.Time
 	// isActive says that the host has read the partition to its end since then.
@@ -66,7 +68,7 @@
 	if m.at.IsZero() {
 		return
 	}
-	f.bridge(m.since)
+	f.bridge(m)
 	if !f.isActive && f.hasGap(m.since) {
 		f.openGap(m.at)
 	}
@@ -89,10 +91,11 @@
 	f.doubtUntil = until.Add(f.retention)
 }
 
-// bridge ends the doubt if a host has followed the partition since before the gap. It reports whether
-// no doubt is left.
-func (f *following) bridge(since time.Time) bool {
-	if !f.gapFrom.IsZero() && since.Sub(f.gapFrom) > maxGap {
+// bridge ends the doubt if a host has followed the partition from before the gap until after it. A mark from
+// before the gap may take effect after it. It reports whether no doubt is left.
+func (f *following) bridge(m mark) bool {
+	gapUntil := f.doubtUntil.Add(-f.retention)
+	if !f.gapFrom.IsZero() && (m.since.Sub(f.gapFrom) > maxGap || m.at.Before(gapUntil)) {
 		return false
 	}
 	f.gapFrom, f.doubtUntil = time.Time{}, time.Time{}
@@ -110,14 +113,18 @@
 // stop ends the following, since the host may not have been told of loans.
 func (f *following) stop(now time.Time) { f.isActive, f.since = false, now }
 
-// adopt takes over the loans that another host knows, which has followed the partition since a time.
-func (f *following) adopt(since time.Time) (isCertain bool) {
-	if since.Before(f.since) {
-		f.since = since
+// adopt takes over the loans that another host knows, which has followed the partition since m.since until
+// now. It reports whether no doubt is left.
+func (f *following) adopt(m mark) bool {
+	if m.since.Before(f.since) {
+		f.since = m.since
 	}
-	return f.bridge(since)
+	return f.bridge(m)
 }
 
+// now returns the time by the clock of the process's start. Steps of the clock since then don't hide a gap.
+func (f *following) now() time.Time { return f.startedAt.Add(time.Since(f.startedAt)) }
+
 // isInDoubt reports whether loans may have been forgotten.
 func (f *following) isInDoubt(now time.Time) bool { return now.Before(f.doubtUntil) }
 
@@ -159,7 +166,7 @@
 		return
 	}
 	f.start()
-	if f.isInDoubt(time.Now()) {
+	if f.isInDoubt(f.now()) {
 		l.log.Info("No host has marked the partition for a while; loans may have been forgotten.", "partition", l.partition.Part,
 			"marked_until", f.gapFrom, "doubt_until", f.doubtUntil)
 	}
@@ -169,7 +176,7 @@
 func (l *ledger) unfollow() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.following.stop(time.Now())
+	l.following.stop(l.following.now())
 }
 
 // newMark returns the mark of an append; the zero mark if this host is not told of the partition's loans.
@@ -179,7 +186,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return mark{at: time.Now(), since: l.following.since}
+	return mark{at: l.following.now(), since: l.following.since}
 }
 
 // isInDoubt reports whether loans may have been forgotten, as far as this host knows. One that does not
@@ -187,7 +194,7 @@
 func (l *ledger) isInDoubt() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := l.following.now()
 	return l.following.isInDoubt(now) || !l.following.isActive && l.following.hasGap(now)
 }
 
@@ -237,7 +244,7 @@
 			l.addLoans(loan.Program, []port.Loan{loan.Loan})
 		}
 		l.mu.Lock()
-		isCertain := l.following.adopt(known.Since)
+		isCertain := l.following.adopt(mark{at: l.following.now(), since: known.Since})
 		l.mu.Unlock()
 		if isCertain {
 			s.metrics.learned.Inc(1)
@@ -272,7 +279,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.following.isActive || l.following.isInDoubt(time.Now()) {
+	if !l.following.isActive || l.following.isInDoubt(l.following.now()) {
 		return port.KnownLoans{}
 	}
 	return port.KnownLoans{Since: l.following.since, Loans: l.unrecordedLoans()}
@@ -326,7 +333,7 @@
 
 // marked notes that this host has appended a mark. The caller holds l.mu.
 func (l *ledger) marked(m mark) {
-	l.markedAt = m.at
+	l.markedAt = time.Now()
 	if l.following.isActive {
 		l.following.observe(m)
 	}
--- a/internal/spending/forgotten_test.go
+++ b/internal/spending/forgotten_test.go
@@ -247,6 +247,7 @@
 		{name: "gap until the start", marks: []mark{{at: at(9 * time.Second), since: start}}, from: at(12 * time.Second), inDoubt: true},
 		{name: "gap that another host's mark follows", marks: []mark{{at: at(9 * time.Second), since: start}, {at: at(14 * time.Second), since: at(13 * time.Second)}}, from: at(14 * time.Second), inDoubt: true},
 		{name: "outage that a host has outlived", marks: []mark{{at: at(9 * time.Second), since: start}, {at: at(20 * time.Second), since: at(8 * time.Second)}}, from: at(20 * time.Second)},
+		{name: "mark from before the gap takes effect late", marks: []mark{{at: at(9 * time.Second), since: start}, {at: at(20 * time.Second), since: at(19 * time.Second)}, {at: at(9 * time.Second), since: start}}, from: at(20 * time.Second), inDoubt: true},
 		{name: "host that has outlived it comes later", marks: []mark{{at: at(9 * time.Second), since: start}, {at: at(20 * time.Second), since: at(19 * time.Second)}, {at: at(21 * time.Second), since: start}}, from: at(21 * time.Second)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -258,8 +259,8 @@
 			f.start()
 			is.Equal(f.isInDoubt(c.from), c.inDoubt)
 			is.True(!f.isInDoubt(c.from.Add(2 * time.Minute)))
-			is.Equal(f.adopt(c.from), !c.inDoubt)
-			is.True(f.adopt(start))
+			is.Equal(f.adopt(mark{at: c.from.Add(time.Second), since: c.from}), !c.inDoubt)
+			is.True(f.adopt(mark{at: c.from.Add(time.Second), since: start}))
 			is.True(!f.isInDoubt(c.from))
 			is.Equal(f.since, start)
 		})
--- a/internal/spending/service.go
+++ b/internal/spending/service.go
@@ -175,7 +175,7 @@
 func (s *Service) Start(context.Context) error {
 	s.startedAt = time.Now()
 	for _, l := range s.ledgers {
-		l.following.since, l.following.retention = s.startedAt, max(s.retention, minRetention)
+		l.following = following{startedAt: s.startedAt, since: s.startedAt, retention: max(s.retention, minRetention)}
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.log.Info("Spending service started.", "writer", s.writer, "partitions", len(s.ledgers))
