--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -54,6 +54,7 @@
 	// times are the parts of the request's time so far.
 	times times
 
+	// allowance is what the turn may spend of its program's budget; nil without one.
 	allowance *allowance
 	// admission is the request as it is counted against the limit of its organisation; nil if it is
 	// not.
--- a/internal/spending/ledger.go
+++ b/internal/spending/ledger.go
@@ -97,7 +97,9 @@
 	// releases holds the slices whose total is to be claimed anew.
 	releases map[sliceKey]*slice
 	// loans are those of other hosts that may not be in the log yet.
-	loans     *budget.Loans
+	loans *budget.Loans
+	// following is what this host knows of the loans of the partition, role its place in the partition's
+	// order.
 	following following
 	role      role
 	// isMarking says that a mark is being appended, markedAt is when this host has last appended one.
