--- a/internal/spending/lend.go
+++ b/internal/spending/lend.go
@@ -211,6 +211,10 @@
 
 // notLent returns the refusal of a turn that gets no loan. Its caller may retry when more is lent.
 func (l *ledger) notLent(program string, cause error) error {
+	var unknown *gateway.BudgetUnknownError
+	if errors.As(cause, &unknown) {
+		cause = unknown.Cause
+	}
 	retryAfter := max(unknownRetryAfter, largeLoanDelay-l.unavailableFor())
 	return &gateway.BudgetUnknownError{Program: program, RetryAfter: retryAfter, Cause: errors.Trace(cause)}
 }
