spending: each reader marks its partitions once after a start

Seed 350 of TestBudgetsHoldAndNothingIsStrandedOverFalls failed once beside load: all hosts fall three times within 3.1 s, the only mark between two falls is an append that takes effect late, and a program is in doubt though the log answered all the while.

Change: after a start all readers of a partition mark it, and the append of a mark is given up after 300 ms.

--- a/internal/spending/doubt.go
+++ b/internal/spending/doubt.go
@@ -27,6 +27,8 @@
 	largeLoanDelay = maxGap + 500*time.Millisecond
 	// markInterval is how often a partition is marked in which nothing else is appended.
 	markInterval = time.Second
+	// markTimeout bounds the append of a mark. A later one makes up for it.
+	markTimeout = 300 * time.Millisecond
 	// roleCheckInterval is how often a host looks whether it is a reader of a partition, or its preferred
 	// host, to mark it.
 	roleCheckInterval = 500 * time.Millisecond
@@ -198,13 +200,14 @@
 }
 
 // markIfIdle marks the partition if this host is its preferred host and nothing has been appended for
-// markInterval.
+// markInterval. After a start each reader marks it once, since one append may be lost just when all hosts fall again.
 func (l *ledger) markIfIdle(ctx context.Context, now time.Time, run func(func())) {
-	if !l.role.isPreferred.Load() || l.isUnavailable() {
+	if !l.role.isReader.Load() || l.isUnavailable() {
 		return
 	}
 	l.mu.Lock()
-	isDue := !l.isMarking && now.Sub(l.markedAt) > markInterval
+	isOwn := l.role.isPreferred.Load() || l.markedAt.IsZero()
+	isDue := isOwn && !l.isMarking && now.Sub(l.markedAt) > markInterval
 	if isDue {
 		l.isMarking = true
 	}
@@ -221,7 +224,7 @@
 		defer l.mu.Unlock()
 		l.isMarking = false
 	}()
-	ctx, cancel := context.WithTimeout(port.InBackground(ctx), appendTimeout)
+	ctx, cancel := context.WithTimeout(port.InBackground(ctx), markTimeout)
 	defer cancel()
 	m := l.newMark()
 	record, err := encode(budget.Claim{Writer: l.writer}, m)
--- a/internal/spending/machine_test.go
+++ b/internal/spending/machine_test.go
@@ -34,8 +34,9 @@
 
 // failedSeeds have failed: 237 as a refused claim hid a loan, 437 as a give-back was only in memory,
 // 515 as a loan of a host that ended was not given back. The last two did so before bursts were
-// added, which changed the course of each seed.
-var failedSeeds = []uint64{237, 437, 515}
+// added, which changed the course of each seed. 350 failed as one late append hid that a partition was
+// followed between three falls.
+var failedSeeds = []uint64{237, 437, 515, 350}
 
 // machine plays random turns of programs while hosts end, also while they are asked for tokens, the store is away for all hosts or comes
 // back to one later, and appends are late or lose their answers.
