--- a/internal/adapter/budgetrpc/budgetrpc_test.go
+++ b/internal/adapter/budgetrpc/budgetrpc_test.go
@@ -38,27 +38,35 @@
 func (testDirectory) Hosts() []string { return nil }
 func (testDirectory) IsKnown() bool   { return true }
 
-// Without these fields on the wire a host can't free what another one claimed for it before it ended.
-func TestAccountsTravelBetweenHosts(t *testing.T) {
+// serve starts a server until the test ends and returns a client and the server's address.
+func serve(t *testing.T, budgets *testServer) (*Client, string) {
+	t.Helper()
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	startedAt := time.Now().Add(-time.Hour)
-	server, err := NewServer(&testServer{startedAt: startedAt}, func(drpc.Mux) error { return nil }, logr.Discard())
+	server, err := NewServer(budgets, func(drpc.Mux) error { return nil }, logr.Discard())
 	is.NoErr(err)
-	ctx, cancel := context.WithCancel(t.Context())
+	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
 		_ = server.Serve(ctx, listener)
 	}()
-	defer func() {
+	client := NewClient(testDirectory{})
+	t.Cleanup(func() {
+		is.NoErr(client.Close())
 		cancel()
 		<-served
-	}()
-	client := NewClient(testDirectory{})
-	defer func() { is.NoErr(client.Close()) }()
-	host := listener.Addr().String()
+	})
+	return client, listener.Addr().String()
+}
+
+// Without these fields on the wire a host can't free what another one claimed for it before it ended.
+func TestAccountsTravelBetweenHosts(t *testing.T) {
+	is := is.New(t)
+	startedAt := time.Now().Add(-time.Hour)
+	client, host := serve(t, &testServer{startedAt: startedAt})
+	ctx := t.Context()
 	answer, err := client.Reserve(ctx, host, port.LendRequest{Program: "p", Budget: 900, MaxTokens: 572, Account: 1<<64 - 1})
 	is.NoErr(err)
 	is.Equal(answer.Account, uint64(1<<64-1))
@@ -87,26 +95,11 @@
 // A host used to count as down for all callers after one had left while a connection to it was opened.
 func TestCallerThatLeavesDoesNotMarkAHostAsDown(t *testing.T) {
 	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	server, err := NewServer(&testServer{startedAt: time.Now()}, func(drpc.Mux) error { return nil }, logr.Discard())
-	is.NoErr(err)
-	ctx, cancel := context.WithCancel(t.Context())
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		_ = server.Serve(ctx, listener)
-	}()
-	defer func() {
-		cancel()
-		<-served
-	}()
-	client := NewClient(testDirectory{})
-	defer func() { is.NoErr(client.Close()) }()
-	host := listener.Addr().String()
+	client, host := serve(t, &testServer{startedAt: time.Now()})
+	ctx := t.Context()
 	left, leave := context.WithCancel(ctx)
 	leave()
-	_, err = client.Settle(left, host, 1, 140)
+	_, err := client.Settle(left, host, 1, 140)
 	var down *port.HostDownError
 	is.True(errors.As(err, &down)) // nothing was sent
 	_, err = client.Settle(ctx, host, 1, 140)
