--- /dev/null
+++ b/review/driver3/case_handover.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+func init() { cases["handover"] = playHandover }
+
+// playHandover partitions one machine from all servers and another one from the store. Then a route moves to
+// another service and a route is added.
+func playHandover(w *world) bool {
+	for range 2 {
+		w.addServer("app", serverOptions{work: 120 * time.Millisecond})
+		w.addServer("other", serverOptions{work: 120 * time.Millisecond})
+	}
+	w.configure(routeOf("lookup", "safe", "app", ""))
+	w.startHosts(3)
+	a, b := w.hosts[0], w.hosts[1]
+	if w.trouble {
+		w.cutFromServers(a)
+		b.storePath.cut()
+		w.note("%s is partitioned from the store", b.name)
+	}
+	time.Sleep(time.Second)
+	w.configure(routeOf("lookup", "safe", "other", ""), routeOf("added", "safe", "other", ""))
+	// config_apply_ms is 2,000.
+	time.Sleep(2100 * time.Millisecond)
+	var sending sync.WaitGroup
+	var mu sync.Mutex
+	isBroken := false
+	for i := range 40 {
+		name := []string{"lookup", "added"}[i%2]
+		sending.Go(func() {
+			r := w.send(a, request{method: "GET", path: fmt.Sprintf("/%s/%d", name, i)}, nil)
+			if r.status == 404 {
+				w.note("CONFIG: request %s for the added route, sent more than 2 s after the acknowledgement, is refused with 404", r.id)
+				mu.Lock()
+				isBroken = true
+				mu.Unlock()
+			}
+			for _, run := range w.runsOf(r.id) {
+				if run.server[:5] == "i-app" {
+					w.note("CONFIG: request %s, sent more than 2 s after the acknowledgement, is run by the old service, at %s", r.id, run.server)
+					mu.Lock()
+					isBroken = true
+					mu.Unlock()
+				}
+			}
+		})
+		time.Sleep(40 * time.Millisecond)
+	}
+	sending.Wait()
+	return isBroken
+}
