--- a/review/driver3/case_handover.go
+++ b/review/driver3/case_handover.go
@@ -11,6 +11,7 @@
 // playHandover partitions one machine from all servers and another one from the store. Then a route moves to
 // another service and a route is added.
 func playHandover(w *world) bool {
+	w.hasPaths = true
 	for range 2 {
 		w.addServer("app", serverOptions{work: 120 * time.Millisecond})
 		w.addServer("other", serverOptions{work: 120 * time.Millisecond})
--- a/review/driver3/case_lender.go
+++ b/review/driver3/case_lender.go
@@ -77,6 +77,9 @@
 		w.note("the store is down")
 		down := time.Now()
 		each(programs, func(p *program) { p.turnsUntil(others, down.Add(1500*time.Millisecond)) })
+		for _, h := range w.hosts {
+			_ = h.process.Process.Kill()
+		}
 		for _, h := range w.hosts {
 			h.kill()
 		}
--- a/review/driver3/case_turn.go
+++ b/review/driver3/case_turn.go
@@ -51,7 +51,7 @@
 	var want strings.Builder
 	want.WriteString(input)
 	for i := range eventCount {
-		fmt.Fprintf(&want, "part %d\n", i+1)
+		fmt.Fprintf(&want, "part v1 %d\n", i+1)
 	}
 	const next = "second input;"
 	want.WriteString(next)
--- a/review/driver3/server.go
+++ b/review/driver3/server.go
@@ -31,6 +31,8 @@
 	// spoilEach is how often an answer is spoiled, one in so many; zero means never. A letter in the head is
 	// wrong then.
 	spoilEach int
+	// version is that of the software. Events name it.
+	version string
 }
 
 // run is a request that a server began to run.
@@ -52,6 +54,7 @@
 	f.DurationVar(&o.pause, "pause", 20*time.Millisecond, "")
 	f.BoolVar(&o.unframed, "unframed", false, "")
 	f.DurationVar(&o.work, "work", 0, "")
+	f.StringVar(&o.version, "version", "v1", "")
 	f.IntVar(&o.spoilEach, "spoil-each", 0, "")
 	must(f.Parse(args))
 	l, err := net.Listen("tcp", o.address)
@@ -135,7 +138,7 @@
 	}
 	for i := first; i <= o.events; i++ {
 		time.Sleep(o.pause)
-		event := fmt.Sprintf("id: %d\ndata: part %d\n\n", i, i)
+		event := fmt.Sprintf("id: %d\ndata: part %s %d\n\n", i, o.version, i)
 		if !o.unframed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
@@ -168,9 +171,9 @@
 func (w *world) addServer(service string, o serverOptions) *server {
 	i := len(w.servers)
 	ip := ipOf(50 + i)
-	o.id = fmt.Sprintf("i-%s-%d", service, i+1)
+	o.id, o.version = fmt.Sprintf("i-%s-%d", service, i+1), "v1"
 	o.address = fmt.Sprintf("%s:%d", ip, freePort(ip))
-	s := &server{w: w, options: o, service: service, version: "v1", born: time.Now(), state: "ready", paths: make(map[string]*path)}
+	s := &server{w: w, options: o, service: service, version: o.version, born: time.Now(), state: "ready", paths: make(map[string]*path)}
 	w.servers = append(w.servers, s)
 	s.start()
 	s.register()
@@ -182,12 +185,15 @@
 	self, err := os.Executable()
 	must(err)
 	c := exec.Command(self, "server", "-id", o.id, "-address", o.address, "-events", strconv.Itoa(o.events), "-pause", o.pause.String(),
-		"-unframed="+strconv.FormatBool(o.unframed), "-work", o.work.String(), "-spoil-each", strconv.Itoa(o.spoilEach))
+		"-unframed="+strconv.FormatBool(o.unframed), "-work", o.work.String(), "-spoil-each", strconv.Itoa(o.spoilEach), "-version", o.version)
 	c.Stderr = os.Stderr
 	out, err := c.StdoutPipe()
 	must(err)
 	must(c.Start())
 	s.process, s.ended = c, make(chan struct{})
+	for _, p := range s.paths {
+		p.reopen()
+	}
 	lines := bufio.NewScanner(out)
 	lines.Buffer(nil, 1<<20)
 	if !lines.Scan() {
@@ -207,6 +213,7 @@
 // runs holds what the servers have run.
 type serverRun struct {
 	server string
+	at     time.Time
 	run
 }
 
@@ -221,7 +228,7 @@
 	w.note("server %s runs %s %s %s, Last-Event-Id %q, body %q", server, r.ID, r.Method, r.URI, r.LastEvent, r.Body)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	serverRuns.list = append(serverRuns.list, serverRun{server: server, run: r})
+	serverRuns.list = append(serverRuns.list, serverRun{server: server, at: time.Now(), run: r})
 }
 
 // runsOf returns the runs of a request.
@@ -248,6 +255,9 @@
 	if s.process == nil {
 		return
 	}
+	for _, p := range s.paths {
+		p.refuse()
+	}
 	_ = s.process.Process.Kill()
 	<-s.ended
 }
--- a/review/driver3/world.go
+++ b/review/driver3/world.go
@@ -32,6 +32,9 @@
 	closers []func()
 	isDone  bool
 	version int
+	// hasPaths gives each host a path of its own to each server, which can be cut. Otherwise hosts reach the
+	// servers at their own addresses.
+	hasPaths bool
 }
 
 // host is one process of the system.
@@ -151,7 +154,9 @@
 	h.settings = filepath.Join(w.dir, h.name+".json")
 	must(os.WriteFile(h.settings, data, 0o600))
 	w.hosts = append(w.hosts, h)
-	w.layPaths(h)
+	if w.hasPaths {
+		w.layPaths(h)
+	}
 	return h
 }
 
@@ -288,6 +293,8 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	isCut    bool
+	// isRefusing is set while the server at the end of the path is down.
+	isRefusing bool
 }
 
 // newPath returns a path from an address of a machine to another address.
@@ -340,8 +347,7 @@
 
 // pass copies from one connection to another one. The end of the first, in order or by a reset, is passed on.
 func pass(from, to net.Conn) {
-	_, err := io.Copy(to, from)
-	if err != nil {
+	if _, err := io.Copy(to, from); err != nil {
 		reset(to)
 		return
 	}
@@ -368,6 +374,32 @@
 	}
 }
 
+// refuse refuses new connections. The open ones go on.
+func (p *path) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isCut {
+		_ = p.listener.Close()
+		p.isRefusing = true
+	}
+}
+
+// reopen ends that.
+func (p *path) reopen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isRefusing {
+		return
+	}
+	p.isRefusing = false
+	if !p.isCut {
+		l, err := net.Listen("tcp", p.address)
+		must(err)
+		p.listener = l
+		go p.accept(l)
+	}
+}
+
 // heal ends a cut.
 func (p *path) heal() {
 	p.mu.Lock()
@@ -375,8 +407,12 @@
 	if !p.isCut {
 		return
 	}
+	p.isCut = false
+	if p.isRefusing {
+		return
+	}
 	l, err := net.Listen("tcp", p.address)
 	must(err)
-	p.listener, p.isCut = l, false
+	p.listener = l
 	go p.accept(l)
 }
