--- a/review/driver3/case_turn.go
+++ b/review/driver3/case_turn.go
@@ -28,8 +28,7 @@
 	const input = "first input;"
 	received := 0
 	last := ""
-	var first reply
-	first = w.send(w.hosts[0], request{method: "POST", path: "/talk/x", body: input, header: header()}, func(line string) bool {
+	first := w.send(w.hosts[0], request{method: "POST", path: "/talk/x", body: input, header: header()}, func(line string) bool {
 		if id, ok := strings.CutPrefix(line, "id: "); ok {
 			last = strings.TrimSpace(id)
 		}
--- a/review/driver3/world.go
+++ b/review/driver3/world.go
@@ -185,14 +185,6 @@
 	w.note("%s is partitioned from all servers", h.name)
 }
 
-// joinServers ends that.
-func (w *world) joinServers(h *host) {
-	for _, s := range w.servers {
-		s.paths[h.name].heal()
-	}
-	w.note("%s reaches the servers again", h.name)
-}
-
 // start starts the host's process with the command of the deploy file.
 func (h *host) start() {
 	log, err := os.OpenFile(filepath.Join(h.w.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -399,20 +391,3 @@
 		go p.accept(l)
 	}
 }
-
-// heal ends a cut.
-func (p *path) heal() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.isCut {
-		return
-	}
-	p.isCut = false
-	if p.isRefusing {
-		return
-	}
-	l, err := net.Listen("tcp", p.address)
-	must(err)
-	p.listener = l
-	go p.accept(l)
-}
