--- a/review/driver3/case_handover.go
+++ b/review/driver3/case_handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -31,9 +32,12 @@
 	var sending sync.WaitGroup
 	var mu sync.Mutex
 	isBroken := false
+	// effectAt is when a server first ran a request of this machine as only the new version allows.
+	var effectAt time.Time
 	for i := range 40 {
 		name := []string{"lookup", "added"}[i%2]
 		sending.Go(func() {
+			sentAt := time.Now()
 			r := w.send(a, request{method: "GET", path: fmt.Sprintf("/%s/%d", name, i)}, nil)
 			if r.status == 404 {
 				w.note("CONFIG: request %s for the added route, sent more than 2 s after the acknowledgement, is refused with 404", r.id)
@@ -41,14 +45,20 @@
 				isBroken = true
 				mu.Unlock()
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			isOld := r.status == 404
 			for _, run := range w.runsOf(r.id) {
-				if run.server[:5] == "i-app" {
+				if strings.HasPrefix(run.server, "i-app") {
 					w.note("CONFIG: request %s, sent more than 2 s after the acknowledgement, is run by the old service, at %s", r.id, run.server)
-					mu.Lock()
-					isBroken = true
-					mu.Unlock()
+					isBroken, isOld = true, true
+				} else if effectAt.IsZero() || run.at.Before(effectAt) {
+					effectAt = run.at
 				}
 			}
+			if isOld && !effectAt.IsZero() && sentAt.Sub(effectAt) > 250*time.Millisecond {
+				w.note("CONFIG: the machine regresses: a server saw the effect of the new version %v before request %s was sent", sentAt.Sub(effectAt), r.id)
+			}
 		})
 		time.Sleep(40 * time.Millisecond)
 	}
