socket: a read returns the reset that a write has met

Callers got a part of an answer as a complete one: a target answered a long upload early, without a length, and reset the connection in the middle of its answer.

Cause: the kernel reports the failure of a socket once, to the first system call that asks. If that is the write of the upload, the read of the answer sees the end of the input, which completes an answer without a length.

There is no wait for the writer, so that targets which answer before they have read the upload keep their answers.

--- a/internal/adapter/httpcall/exchange.go
+++ b/internal/adapter/httpcall/exchange.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"yuccausher/internal/socket"
 )
 
 const dialTimeout = 2 * time.Second
@@ -35,8 +37,7 @@
 
 // dialExchange dials, and watches the connection if it is for one exchange.
 func dialExchange(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, network, address)
+	conn, err := socket.DialReportingResets(net.Dialer{Timeout: dialTimeout})(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/replica/fault.go
+++ b/internal/standin/replica/fault.go
@@ -23,6 +23,12 @@
 	Stray
 	// Early answers before it has read the body and reads on later.
 	Early
+	// EarlyReset begins an answer without a length before it has read the body, and then resets the
+	// connection. EarlyEnd answers as early without a length, ends its side of the connection and reads the
+	// body later. EarlyUnframed does the same, but ends its side after it has read the body.
+	EarlyReset
+	EarlyEnd
+	EarlyUnframed
 	// Silent runs the request and never answers.
 	Silent
 	// Unframed answers without a length and closes the connection.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -207,6 +207,14 @@
 			return false
 		}
 	}
+	if x.fault == EarlyReset {
+		x.halfUnframed()
+		reset(c)
+		return false
+	}
+	if isEarlyUnframed(x.fault) && !r.answerEarly(x) {
+		return false
+	}
 	body, err := io.ReadAll(request.Body)
 	r.mu.Lock()
 	x.run.Body = string(body)
@@ -214,6 +222,9 @@
 	if err != nil || x.fault == Early {
 		return err == nil
 	}
+	if isEarlyUnframed(x.fault) {
+		return false
+	}
 	if isDeath(x.fault) {
 		r.die(x, x.fault, reader, func() {})
 		return false
--- a/internal/testutil/failure.go
+++ b/internal/testutil/failure.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 )
@@ -39,3 +40,20 @@
 // readAll reads the complete request. Until then an HTTP server does not detect
 // that its client disconnects.
 func readAll(r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }
+
+// RawAnswer returns a handler that sends bytes in place of an answer, before it reads the request's body,
+// and then closes the connection. If isReset is set, it resets the connection.
+func RawAnswer(answer string, isReset bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		// A caller that has gone needs no answer.
+		_, _ = io.WriteString(c, answer)
+		if isReset {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -77,8 +77,9 @@
 
 // Pool holds the idle connections to targets. It is safe for concurrent use.
 type Pool struct {
-	dialer   net.Dialer
-	observer Observer
+	// dialContext opens connections whose reads end with io.EOF only at an orderly end.
+	dialContext socket.DialFunc
+	observer    Observer
 	// memory is what the headers of answers take while they are read.
 	memory *memory.Budget
 	mu     sync.Mutex
@@ -96,14 +97,14 @@
 func NewPool(scope tally.Scope) *Pool {
 	s := scope.SubScope("upstream")
 	return &Pool{
-		dialer:   socket.WithReceiveBuffer(socket.Dialer(0), receiveBufferBytes),
-		memory:   memory.NewBudget(defaultMemoryBytes),
-		observer: noObserver{},
-		idle:     make(map[Target][]*connection),
-		timeout:  retry.Timeout{Min: minDialTimeout, Max: maxDialTimeout},
-		opened:   s.Counter("connections_opened"),
-		reused:   s.Counter("connections_reused"),
-		dropped:  s.Counter("connections_dropped"),
+		dialContext: socket.DialReportingResets(socket.WithReceiveBuffer(socket.Dialer(0), receiveBufferBytes)),
+		memory:      memory.NewBudget(defaultMemoryBytes),
+		observer:    noObserver{},
+		idle:        make(map[Target][]*connection),
+		timeout:     retry.Timeout{Min: minDialTimeout, Max: maxDialTimeout},
+		opened:      s.Counter("connections_opened"),
+		reused:      s.Counter("connections_reused"),
+		dropped:     s.Counter("connections_dropped"),
 	}
 }
 
@@ -166,7 +167,7 @@
 	p.opened.Inc(1)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	c, err := p.dialer.DialContext(ctx, "tcp", target.Address)
+	c, err := p.dialContext(ctx, "tcp", target.Address)
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			p.observer.ConnectFailed(target)
