upstream: an answer with an invalid field name is no answer

Callers got answers of targets in trouble in whose head the name of a field held a blank: as a 200 without that line or, where the name was meant to frame the body, with the sizes of the chunks as a part of it.

Cause: net/http refuses control bytes and other bytes that names can't have, but accepts blanks in them.

Change: names that are no tokens make the head of a final or interim answer no answer, so that the request is treated as after any other bytes that are none. In the trailer of a chunked body they break the answer off, and the connection is not used again.

--- a/internal/adapter/httpcall/reset_test.go
+++ b/internal/adapter/httpcall/answer_test.go
@@ -25,3 +25,13 @@
 		}
 	}
 }
+
+func TestAnswerWithAnInvalidFieldNameIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(testutil.RawAnswer("HTTP/1.1 200 OK\r\nX Spoiled: 1\r\nContent-Length: 2\r\n\r\n{}", false))
+	defer server.Close()
+	for _, c := range []*Client{New(), NewUnpooled()} {
+		_, _, err := c.Do(t.Context(), http.MethodGet, server.URL, nil)
+		is.True(testutil.ErrorAs[*TransportError](t, err).Sent)
+	}
+}
--- a/internal/adapter/httpcall/call.go
+++ b/internal/adapter/httpcall/call.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"yuccausher/internal/fieldname"
 )
 
 const (
@@ -109,6 +111,10 @@
 	if err != nil {
 		return nil, &TransportError{Sent: call.sent.Load(), Cause: errors.Trace(err)}
 	}
+	if err := fieldname.Check(response.Header); err != nil {
+		_ = response.Body.Close()
+		return nil, &TransportError{Sent: true, Cause: err}
+	}
 	return response, nil
 }
 
--- a/internal/standin/replica/fault.go
+++ b/internal/standin/replica/fault.go
@@ -76,6 +76,8 @@
 	// OddStatus answers with the status of AnswerStatus. The body looks like an answer to the same
 	// request.
 	OddStatus
+	// Raw sends the bytes of AnswerRaw in place of an answer and closes the connection.
+	Raw
 	// The following concern streams that go on after an event.
 	//
 	// JSONResume answers with success and a body that is no stream, HTMLResume with
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -67,6 +67,8 @@
 	headBytes int
 	// status is the status and the reason that OddStatus sends.
 	status string
+	// raw is what Raw sends.
+	raw string
 	// interim are the statuses of interim answers that come before each answer.
 	interim []string
 	// arrivals are when requests arrived, those that it refused as well.
@@ -254,6 +256,10 @@
 	if x.fault == OddStatus {
 		return r.answerOddly(x)
 	}
+	if x.fault == Raw {
+		r.answerRaw(x)
+		return false
+	}
 	if x.fault == EndlessHead {
 		return x.head(http.StatusOK, "Endless: ") && r.flood(x, "head")
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,6 +8,8 @@
 	"strconv"
 
 	"github.com/juju/errors"
+
+	"yuccausher/internal/fieldname"
 )
 
 const (
@@ -131,6 +133,9 @@
 	if err != nil {
 		return nil, !isTimeout(err), err
 	}
+	if err := fieldname.Check(response.Header); err != nil {
+		return nil, true, err
+	}
 	return response, false, nil
 }
 
@@ -147,27 +152,34 @@
 	if response.ContentLength == 0 {
 		c.reusable = keepAlive
 	}
-	response.Body = &body{ReadCloser: response.Body, conn: c, keepAlive: keepAlive}
+	response.Body = &body{ReadCloser: response.Body, conn: c, response: response, keepAlive: keepAlive}
 }
 
 // body is the body of an answer. It marks its connection as reusable at its end.
 type body struct {
 	io.ReadCloser
 	conn *Conn
+	// response is the answer, whose trailer is there at the end of the body.
+	response *http.Response
 	// keepAlive is set if the target keeps the connection open after the answer.
 	keepAlive bool
 }
 
-// Read implements io.Reader. It returns ErrGivenBack once the use of the connection has ended.
+// Read implements io.Reader. It returns ErrGivenBack once the use of the connection has ended, and a
+// *fieldname.InvalidError in place of io.EOF if the answer's trailer has an invalid name.
 func (b *body) Read(p []byte) (int, error) {
 	if b.conn.connection == nil {
 		return 0, ErrGivenBack
 	}
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.conn.reusable = b.keepAlive
+	if err != io.EOF {
+		return n, err
+	}
+	if invalid := fieldname.Check(b.response.Trailer); invalid != nil {
+		return n, invalid
 	}
-	return n, err
+	b.conn.reusable = b.keepAlive
+	return n, io.EOF
 }
 
 // Close implements io.Closer. Release, Drain and Abort of the Conn end the reading of the body.
