upstream: folded lines in a head are no answer

Callers got answers of targets in trouble in whose head the name of a field began with a blank or a tab: with that line as a part of the one before, or with the sizes of the chunks in the body.

Cause: net/http takes such a line for a folded one, joins it with the line before and does not say so.

Change: a scanner sees the bytes of a head as they arrive and finds folded lines. A head with one is no answer. RFC 9112, section 5.2, lets a gateway refuse such answers with 502.

--- a/internal/gateway/field_name_test.go
+++ b/internal/gateway/field_name_test.go
@@ -29,7 +29,8 @@
 func unframed(line, body string) string { return rawHead + line + "\r\n\r\n" + body }
 
 // A target in trouble sends an answer in which the name of a field is not a token. With a blank in it the
-// answer was passed on: without that line, or with the sizes of its chunks in the body.
+// answer was passed on: without that line, with the line as a part of the one before, or with the sizes of its
+// chunks in the body.
 func TestAnswerWithAnInvalidFieldNameIsNoAnswer(t *testing.T) {
 	answers := map[string]string{
 		"blank":                   framed("X Spoiled: 1"),
@@ -39,6 +40,11 @@
 		"blank after the coding":  unframed("Transfer-Encoding : chunked", rawChunk+"\r\n"),
 		"blank in the signature":  framed("Server Stamp: 1"),
 		"interim":                 "HTTP/1.1 103 Early Hints\r\nX Spoiled: 1\r\n\r\n" + framed("X-Sound: 1"),
+		"blank first":             framed("X-Sound: 1\r\n X-Spoiled: 1"),
+		"blank before the coding": unframed("X-Sound: 1\r\n Transfer-Encoding: chunked", rawChunk+"\r\n"),
+		"tab before the coding":   unframed("X-Sound: 1\r\n\tTransfer-Encoding: chunked", rawChunk+"\r\n"),
+		"blank before, interim":   "HTTP/1.1 103 Early Hints\r\nX-Sound: 1\r\n X-Spoiled: 1\r\n\r\n" + framed("X-Sound: 1"),
+		"blank after an interim":  "HTTP/1.1 103 Early Hints\r\nX-Sound: 1\r\n\r\n" + framed("X-Sound: 1\r\n X-Spoiled: 1"),
 		"tab":                     framed("X\tSpoiled: 1"),
 		"tab before the colon":    framed("X-Spoiled\t: 1"),
 		"no name":                 framed(": 1"),
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -124,7 +124,9 @@
 // not one.
 func (c *Conn) receiveHeader(method string) (_ *http.Response, garbled bool, _ error) {
 	used := c.connection
-	used.source.beginHeader(c.pool.memory)
+	// Peeking at what is buffered never fails.
+	buffered, _ := used.reader.Peek(used.reader.Buffered())
+	used.source.beginHeader(c.pool.memory, buffered)
 	defer used.source.beginBody()
 	if _, err := used.reader.Peek(1); err != nil {
 		return nil, false, err
@@ -136,6 +138,9 @@
 	if err := fieldname.Check(response.Header); err != nil {
 		return nil, true, err
 	}
+	if used.source.folds.isFolded {
+		return nil, true, &FoldedLineError{}
+	}
 	return response, false, nil
 }
 
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -36,12 +36,17 @@
 	// header is the memory for the header that is being read; nil for a body, which
 	// is not kept here.
 	header *memory.Share
+	// folds looks for folded lines in the header.
+	folds foldScanner
 }
 
-// beginHeader allows a header, which takes its memory from a budget.
-func (s *limitedReader) beginHeader(b *memory.Budget) {
+// beginHeader allows a header, which takes its memory from a budget. buffered are its bytes that have
+// been read already.
+func (s *limitedReader) beginHeader(b *memory.Budget, buffered []byte) {
 	s.limit, s.remaining = maxHeaderBytes, maxHeaderBytes
 	s.header = b.NewShare()
+	s.folds = foldScanner{}
+	s.folds.scan(buffered)
 }
 
 // beginBody allows a body, after the header has been read or has failed.
@@ -59,6 +64,7 @@
 	n, err := s.Reader.Read(p[:min(int64(len(p)), s.remaining)])
 	s.remaining -= int64(n)
 	if s.header != nil {
+		s.folds.scan(p[:n])
 		if full := s.header.Cover(headerByteCost * (s.limit - s.remaining - uncountedHeaderBytes)); full != nil {
 			return 0, full
 		}
