--- a/internal/gateway/field_name_test.go
+++ b/internal/gateway/field_name_test.go
@@ -28,6 +28,16 @@
 // unframed returns an answer with a field line at the end of its head and neither a length nor chunks.
 func unframed(line, body string) string { return rawHead + line + "\r\n\r\n" + body }
 
+// sendOverEachRoute sends a request over each kind of route and returns the answers by the requests' IDs.
+func (s *fixture) sendOverEachRoute() map[string]answer {
+	s.t.Helper()
+	answers := make(map[string]answer)
+	for id, path := range map[string]string{"posting": posting, "lookup": lookup, "stream": turns, "single": single, "talk": conversationTurn} {
+		answers[id] = s.mustSend(request{method: http.MethodPost, path: path, id: id, header: turnHeader("p" + id)})
+	}
+	return answers
+}
+
 // A target in trouble sends an answer in which the name of a field is not a token. With a blank in it the
 // answer was passed on: without that line, with the line as a part of the one before, or with the sizes of its
 // chunks in the body.
@@ -65,9 +75,8 @@
 			s := newFixture(t)
 			s.add(app, replica.Options{ID: "app"}).AnswerRaw(answer)
 			s.add(models, replica.Options{ID: "models"}).AnswerRaw(answer)
-			for name, path := range map[string]string{"posting": posting, "lookup": lookup, "stream": turns, "single": single, "talk": conversationTurn} {
+			for name, a := range s.sendOverEachRoute() {
 				is := is.New(t)
-				a := s.mustSend(request{method: http.MethodPost, path: path, id: name, header: turnHeader("p" + name)})
 				is.NoErr(a.err)
 				is.Equal(a.status, http.StatusBadGateway)
 				is.Equal(a.header.Get("Server-Stamp"), "")
@@ -84,9 +93,8 @@
 		answer := rawHead + "Transfer-Encoding: chunked\r\n\r\n" + rawChunk + trailer + "\r\n"
 		s.add(app, replica.Options{ID: "app"}).AnswerRaw(answer)
 		s.add(models, replica.Options{ID: "models"}).AnswerRaw(answer)
-		for name, path := range map[string]string{"posting": posting, "lookup": lookup, "stream": turns, "single": single, "talk": conversationTurn} {
+		for name, a := range s.sendOverEachRoute() {
 			is := is.New(t)
-			a := s.mustSend(request{method: http.MethodPost, path: path, id: name, header: turnHeader("p" + name)})
 			is.True(a.status == http.StatusBadGateway || a.err != nil)
 			is.Equal(s.runsOf(name), 1)
 		}
@@ -104,9 +112,8 @@
 			s := newFixture(t)
 			s.add(app, replica.Options{ID: "app"}).AnswerRaw(answer)
 			s.add(models, replica.Options{ID: "models"}).AnswerRaw(answer)
-			for name, path := range map[string]string{"posting": posting, "lookup": lookup, "stream": turns, "single": single, "talk": conversationTurn} {
+			for _, a := range s.sendOverEachRoute() {
 				is := is.New(t)
-				a := s.mustSend(request{method: http.MethodPost, path: path, id: name, header: turnHeader("p" + name)})
 				is.NoErr(a.err)
 				is.Equal(a.status, http.StatusOK)
 				is.Equal(a.body, rawEvent)
--- a/internal/gateway/reset_upload_test.go
+++ b/internal/gateway/reset_upload_test.go
@@ -37,28 +37,45 @@
 	for name, path := range map[string]string{"posting": posting, "lookup": lookup, "stream": turns, "single": single, "talk": conversationTurn} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
-			s := newUploadFixture(t)
-			s.add(app, replica.Options{ID: "app"}).FailAlways(replica.EarlyReset)
-			s.add(models, replica.Options{ID: "models", Events: 3}).FailAlways(replica.EarlyReset)
-			complete := 0
-			for n := range 20 {
-				id := fmt.Sprint(name, n)
-				a, err := s.send(t.Context(), upload(path, id))
-				is.NoErr(err)
-				if a.status == http.StatusOK && a.err == nil {
-					complete++
-				}
-				is.Equal(s.runsOf(id), 1)
-			}
-			if complete > 0 {
-				t.Errorf("%d of 20 partial answers were passed on as complete", complete)
-			}
-			is.Equal(len(s.turnStore.turns), 0)
+			checkPartsAreNotComplete(t, path, replica.EarlyReset)
 		})
 	}
 }
 
+// The kernel resets the connection of a target that closes it with a part of the upload unread.
+func TestAnswerThatIsClosedInsideAnUploadIsNotComplete(t *testing.T) {
+	for name, path := range map[string]string{"posting": posting, "stream": turns} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkPartsAreNotComplete(t, path, replica.EarlyClose)
+		})
+	}
+}
+
+// checkPartsAreNotComplete sends uploads to targets that break their answers off.
+func checkPartsAreNotComplete(t *testing.T, path string, fault replica.Fault) {
+	t.Helper()
+	is := is.New(t)
+	s := newUploadFixture(t)
+	s.add(app, replica.Options{ID: "app"}).FailAlways(fault)
+	s.add(models, replica.Options{ID: "models", Events: 3}).FailAlways(fault)
+	const uploads = 20
+	complete := 0
+	for n := range uploads {
+		id := fmt.Sprint("r", n)
+		a, err := s.send(t.Context(), upload(path, id))
+		is.NoErr(err)
+		if a.status == http.StatusOK && a.err == nil {
+			complete++
+		}
+		is.Equal(s.runsOf(id), 1)
+	}
+	if complete > 0 {
+		t.Errorf("%d of %d partial answers were passed on as complete", complete, uploads)
+	}
+	is.Equal(len(s.turnStore.turns), 0)
+}
+
 // An idempotent request goes to another target, and one that must not run twice does not.
 func TestRequestIsRepeatedAfterAResetUnderItsUpload(t *testing.T) {
 	is := is.New(t)
--- a/internal/standin/replica/fault.go
+++ b/internal/standin/replica/fault.go
@@ -24,9 +24,11 @@
 	// Early answers before it has read the body and reads on later.
 	Early
 	// EarlyReset begins an answer without a length before it has read the body, and then resets the
-	// connection. EarlyEnd answers as early without a length, ends its side of the connection and reads the
-	// body later. EarlyUnframed does the same, but ends its side after it has read the body.
+	// connection. EarlyClose does the same when it has read half of the body, and closes the connection.
 	EarlyReset
+	EarlyClose
+	// EarlyEnd answers without a length before it has read the body, ends its side of the connection and
+	// reads the body later. EarlyUnframed does the same, but ends its side after it has read the body.
 	EarlyEnd
 	EarlyUnframed
 	// Silent runs the request and never answers.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -209,9 +209,8 @@
 			return false
 		}
 	}
-	if x.fault == EarlyReset {
-		x.halfUnframed()
-		reset(c)
+	if x.fault == EarlyReset || x.fault == EarlyClose {
+		x.breakOffEarly()
 		return false
 	}
 	if isEarlyUnframed(x.fault) && !r.answerEarly(x) {
