fieldname: connections of invalid answers are not used again

An answer with an invalid field name was refused by the store's client and by httpcall, but where it had no body, net/http had its connection among the idle ones already: what followed on it could be taken for the answer to the next call. Heads of interim answers were not checked there at all.

Cause: the check looked at the finished answer of net/http, in both clients.

Change: one http.RoundTripper for both checks final and interim heads, closes the body and then the idle connections.

--- a/internal/adapter/httpcall/call.go
+++ b/internal/adapter/httpcall/call.go
@@ -50,7 +50,7 @@
 		DisableCompression:     true,
 	}
 	return &Client{
-		http:     &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+		http:     &http.Client{Transport: fieldname.Transport{Transport: transport}, CheckRedirect: refuseRedirect},
 		unpooled: unpooled,
 	}
 }
@@ -111,10 +111,6 @@
 	if err != nil {
 		return nil, &TransportError{Sent: call.sent.Load(), Cause: errors.Trace(err)}
 	}
-	if err := fieldname.Check(response.Header); err != nil {
-		_ = response.Body.Close()
-		return nil, &TransportError{Sent: true, Cause: err}
-	}
 	return response, nil
 }
 
